Add the workspace skeleton with shared types

Cause: nothing exists yet and the packages are to be built side by side. Ruled out: types per package, which would need conversions at each border. Conclusion: the packages can start from these types.

--- /dev/null
+++ b/crates/goldcrestvale_base/src/engine.rs
@@ -0,0 +1,100 @@
+//! What engines hold and run: layers, step names, kinds of accelerator, desired states.
+
+use crate::id::{Model, Request};
+
+domain! {
+    copy
+    /// A half-open range of layers, `from..to`.
+    pub struct Layers {
+        /// First layer.
+        pub from: u32,
+        /// One past the last layer.
+        pub to: u32,
+    }
+
+    /// The name of one step; an answer counts only if all four fields are the awaited ones.
+    pub struct StepName {
+        /// The caller's request.
+        pub request: Request,
+        /// Number of the chain that serves the request, from 1.
+        pub attempt: u32,
+        /// First position of the step, from 0 at the first token of the prompt.
+        pub position: u32,
+        /// Place of the stage in the chain, from 0.
+        pub stage: u32,
+    }
+}
+
+domain! {
+    value
+    /// A kind of accelerator.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Accelerator {
+        /// A large accelerator of the present generation.
+        Large,
+        /// A medium accelerator.
+        Medium,
+        /// A small or old accelerator.
+        Small,
+    }
+
+    /// A range of layers that an engine holds.
+    pub struct Held {
+        /// The model.
+        pub model: Model,
+        /// Version of the weights.
+        pub version: String,
+        /// The layers.
+        pub layers: Layers,
+        /// Adapters loaded for the model.
+        #[serde(default)]
+        pub adapters: Vec<String>,
+    }
+
+    /// What an engine should hold or be, as a desired state.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Desired {
+        /// Hold these layers; loading reads the weights store.
+        Load(Held),
+        /// Do not hold this model.
+        Unload(Model),
+        /// Take prompts, tokens or both.
+        Role(EngineRole),
+    }
+
+    /// The work that an engine takes.
+    #[serde(rename_all = "kebab-case")]
+    pub enum EngineRole {
+        /// Prompts only.
+        Prefill,
+        /// Tokens only.
+        Decode,
+        /// Both.
+        Mixed,
+    }
+}
+
+impl Layers {
+    /// Returns the number of layers.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_base::engine::Layers;
+    ///
+    /// assert_eq!(Layers { from: 4, to: 10 }.len(), 6);
+    /// ```
+    pub fn len(self) -> u32 {
+        self.to.saturating_sub(self.from)
+    }
+
+    /// Returns whether the range holds no layer.
+    pub fn is_empty(self) -> bool {
+        self.from >= self.to
+    }
+
+    /// Returns whether every layer of another range is in this one.
+    pub fn covers(self, other: Self) -> bool {
+        self.from <= other.from && other.to <= self.to
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP for callers and for operators.
--- /dev/null
+++ b/crates/goldcrestvale_member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decides which entry instances are live and what they share.
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tasks that speak the protocol between entry instances.
--- /dev/null
+++ b/crates/goldcrestvale_platform/src/message.rs
@@ -0,0 +1,104 @@
+//! Bodies of the platform's requests and answers, as JSON.
+
+use goldcrestvale_base::{
+    domain,
+    id::{Domain, Offset, RecordId},
+    time::Wall,
+};
+use serde_json::value::RawValue;
+
+/// A record to append.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Identity of the record, by which readers recognise a repeated append.
+    pub id: RecordId,
+    /// Content of the record, as JSON that the log does not interpret.
+    pub data: Box<RawValue>,
+}
+
+/// The body of `POST /streams/{stream}/records`: records to append together, in order.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct Append {
+    /// The records.
+    pub records: Vec<Entry>,
+}
+
+domain! {
+    copy
+    /// The answer to an append: the records stand at offsets `first..next`.
+    pub struct Appended {
+        /// Offset of the first record.
+        pub first: Offset,
+        /// Offset after the last record.
+        pub next: Offset,
+    }
+}
+
+/// A record of the log.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct Record {
+    /// Position in the stream.
+    pub offset: Offset,
+    /// Identity given by the writer.
+    pub id: RecordId,
+    /// Time at which the platform took the record.
+    pub written: Wall,
+    /// Content, as JSON.
+    pub data: Box<RawValue>,
+}
+
+/// The answer to `GET /streams/{stream}/records?from=N&max=M&wait_ms=W`.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct Page {
+    /// Oldest offset that the stream still holds.
+    pub oldest: Offset,
+    /// Offset that the next record appended to the stream will have.
+    pub end: Offset,
+    /// The records from the asked offset on, without gaps.
+    pub records: Vec<Record>,
+}
+
+domain! {
+    value
+    /// What an instance on the list is.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Role {
+        /// An entry instance of this system.
+        Entry,
+        /// A model engine.
+        Engine,
+        /// An instance of a plain service.
+        Service,
+    }
+
+    /// Whether an instance stays.
+    #[serde(rename_all = "kebab-case")]
+    pub enum State {
+        /// The instance is live.
+        Live,
+        /// The instance is leaving and takes no new work.
+        Leaving,
+    }
+
+    /// One instance on the list.
+    pub struct Listed {
+        /// Name of the instance.
+        pub name: String,
+        /// What it is.
+        pub role: Role,
+        /// Its address, `IP:port`.
+        pub address: std::net::SocketAddr,
+        /// Its failure domain.
+        pub domain: Domain,
+        /// Whether it stays.
+        pub state: State,
+    }
+
+    /// The answer to `GET /instances`.
+    pub struct Listing {
+        /// Time that the list describes; it lags.
+        pub as_of: Wall,
+        /// The instances.
+        pub instances: Vec<Listed>,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decides stage chains, choice of upstream, admission, retries and recovery.
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, the engines and the services, for tests and measurement.
--- /dev/null
+++ b/crates/goldcrestvale_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between entry instances: messages and framing.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! A router for pipelines over mixed accelerators.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `goldcrestvale` program.
+
+fn main() {}
