Name the pool of a listed instance and the load report of a service

Cause: a router has to find the instances of a service without configuration of addresses, since instances are replaced at any time. Change: Listed::pool, ServiceLoad. Conclusion: names, roles and pools come from the instance list.

--- a/crates/goldcrestvale_platform/src/message.rs
+++ b/crates/goldcrestvale_platform/src/message.rs
@@ -86,6 +86,8 @@
         pub name: String,
         /// What it is.
         pub role: Role,
+        /// What it belongs to: the name of its service, or of its group of engines.
+        pub pool: String,
         /// Its address, `IP:port`.
         pub address: std::net::SocketAddr,
         /// Its failure domain.
--- a/crates/goldcrestvale_upstream/src/message.rs
+++ b/crates/goldcrestvale_upstream/src/message.rs
@@ -124,6 +124,22 @@
         pub leaving: bool,
     }
 
+    /// The answer to `GET /load` of an instance of a plain service; it lags.
+    pub struct ServiceLoad {
+        /// Name of the instance.
+        pub upstream: Upstream,
+        /// Random bits of this life of the instance, as hexadecimal text.
+        pub incarnation: String,
+        /// Requests running.
+        pub running: u32,
+        /// Requests waiting.
+        pub waiting: u32,
+        /// Age of this report in milliseconds.
+        pub age_ms: u64,
+        /// Whether the instance is leaving.
+        pub leaving: bool,
+    }
+
     /// What happened to a cached prefix.
     #[serde(rename_all = "kebab-case")]
     pub enum CacheChange {
