Plan stage chains, drive drafts and judge the health of engines

Cause: model requests need a chain that covers every layer once, and a draft has to survive the loss of a stage.

Ruled out: one cost for each engine in the graph, since planning would then grow with the number of engines; engines are indexed by held range and link cost instead, and only the first three of each bucket are looked at. A shortest path that may use one engine for two neighbouring stages was ruled out too: it halves the bottleneck on paper only.

Change: chain::Planner, draft::Draft with recovery by stage, by whole replay and by KV move, health::Monitor. Step, StepInput and StepOutput move from the upstream package to the base package, because the draft builds steps and may not depend on clients; the old path re-exports them.

--- a/crates/goldcrestvale_base/src/engine.rs
+++ b/crates/goldcrestvale_base/src/engine.rs
@@ -51,6 +51,39 @@
         pub adapters: Vec<String>,
     }
 
+    /// What a stage is given for positions `position..position + n`.
+    #[serde(rename_all = "kebab-case")]
+    pub enum StepInput {
+        /// Tokens, for the stage that holds layer 0.
+        Tokens(Vec<u32>),
+        /// One activation per position, from the stage before.
+        Activations(Vec<u64>),
+    }
+
+    /// What a stage answers for positions `position..position + n`.
+    #[serde(rename_all = "kebab-case")]
+    pub enum StepOutput {
+        /// One activation per position, for the stage after.
+        Activations(Vec<u64>),
+        /// The token after the last position, from the stage that holds the last layer.
+        Token(u32),
+    }
+
+    /// The body of `POST /v1/steps`.
+    pub struct Step {
+        /// Name of the step.
+        pub name: StepName,
+        /// The model.
+        pub model: Model,
+        /// Layers to run; the engine must hold all of them.
+        pub layers: Layers,
+        /// Priority; higher goes first.
+        #[serde(default)]
+        pub priority: u8,
+        /// Input of the first of these layers.
+        pub input: StepInput,
+    }
+
     /// What an engine should hold or be, as a desired state.
     #[serde(rename_all = "kebab-case")]
     pub enum Desired {
--- a/crates/goldcrestvale_base/src/lib.rs
+++ b/crates/goldcrestvale_base/src/lib.rs
@@ -14,7 +14,9 @@
 /// Re-exports the types that almost every package names.
 pub mod prelude {
     pub use crate::{
-        engine::{Accelerator, Desired, EngineRole, Held, Layers, StepName},
+        engine::{
+            Accelerator, Desired, EngineRole, Held, Layers, Step, StepInput, StepName, StepOutput,
+        },
         exchange::Exchange,
         id::{
             Customer, Digest, Domain, Incarnation, Instance, Key, Model, Offset, RecordId, Request,
--- /dev/null
+++ b/crates/goldcrestvale_route/src/chain.rs
@@ -0,0 +1,13 @@
+//! Plans the chain of stages that runs every layer of a model once, in order.
+//!
+//! A [`Candidate`] is an engine that holds layers; a [`Planner`] indexes candidates by the ranges
+//! that they hold and answers with the [`Chain`] of least cost.
+
+mod candidate;
+mod graph;
+mod planner;
+mod stage;
+
+pub use candidate::Candidate;
+pub use planner::{Error, Planner, Result};
+pub use stage::{Chain, Stage};
--- /dev/null
+++ b/crates/goldcrestvale_route/src/draft/prompt.rs
@@ -0,0 +1,139 @@
+//! A draft that has not started.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{
+    engine::StepName,
+    exchange::Exchange,
+    id::{Model, Request},
+    time::Instant,
+};
+use snafu::{ResultExt, ensure};
+
+use super::{
+    Actions, Draft, Failure, Settings,
+    action::{ChainSnafu, Error, LateSnafu, PromptSnafu},
+};
+use crate::chain::{Chain, Planner};
+
+/// The result of starting a draft.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// What a caller asks for; starting it consumes it, so that it starts once.
+#[derive(Debug, Clone)]
+pub struct Prompt {
+    pub(super) request: Request,
+    pub(super) model: Model,
+    /// The prompt and the tokens that are already committed.
+    pub(super) tokens: Vec<u32>,
+    /// Length of the prompt alone.
+    pub(super) length: usize,
+    pub(super) most: u32,
+    pub(super) stop: Option<u32>,
+    pub(super) deadline: Option<Instant>,
+    pub(super) priority: u8,
+    pub(super) settings: Settings,
+}
+
+impl Prompt {
+    /// Creates a prompt that asks for at most some tokens.
+    pub fn new(request: Request, model: Model, tokens: Vec<u32>, most: u32) -> Self {
+        Self {
+            request,
+            model,
+            length: tokens.len(),
+            tokens,
+            most,
+            stop: None,
+            deadline: None,
+            priority: 0,
+            settings: Settings::default(),
+        }
+    }
+
+    /// Resumes an answer after tokens that the caller already has; call it at most once.
+    pub fn resume(mut self, committed: &[u32]) -> Self {
+        self.tokens.extend_from_slice(committed);
+        self
+    }
+
+    /// Sets the token that ends the answer before the most tokens are reached.
+    pub fn stop(mut self, token: u32) -> Self {
+        self.stop = Some(token);
+        self
+    }
+
+    /// Sets the time by which the answer must be whole.
+    pub fn deadline(mut self, at: Instant) -> Self {
+        self.deadline = Some(at);
+        self
+    }
+
+    /// Sets the priority; higher goes first.
+    pub fn priority(mut self, priority: u8) -> Self {
+        self.priority = priority;
+        self
+    }
+
+    /// Sets the settings.
+    pub fn settings(mut self, settings: Settings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Plans a chain and starts the draft.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_base::time::Instant;
+    /// use goldcrestvale_route::{chain::Planner, draft::Prompt};
+    ///
+    /// let request = "018f3c5e-0000-7000-8000-000000000001".parse()?;
+    /// let prompt = Prompt::new(request, "amharic-notices".parse()?, vec![1, 2, 3], 16);
+    /// let refused = prompt.start(Instant(0), &Planner::new(4, 1)).unwrap_err();
+    /// assert!(refused.verdict.is_not_run());
+    /// # Ok::<(), goldcrestvale_base::id::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Refuses an empty prompt, a prompt for which no chain covers the model, and one whose first
+    /// token is expected after the deadline. Nothing was sent then, and the verdict says so.
+    pub fn start(self, now: Instant, planner: &Planner) -> Result<(Draft, Actions)> {
+        let exchange = Exchange::new();
+        let retry_after = self.settings.retry_after;
+        match self.chain(now, planner) {
+            Ok(chain) => Ok(Draft::new(self, chain, exchange.send(), now)),
+            Err(error) => {
+                let helps = !matches!(error, Error::Prompt);
+                let retry_after = helps.then_some(retry_after);
+                Err(Failure { error, verdict: exchange.refuse(), retry_after })
+            }
+        }
+    }
+
+    fn chain(&self, now: Instant, planner: &Planner) -> std::result::Result<Chain, Error> {
+        ensure!(self.length > 0, PromptSnafu);
+        let chain = planner.plan(planner.span(), &[]).context(ChainSnafu)?;
+        let positions = self.tokens.len() as u32;
+        let needed = chain.stages().iter().map(|stage| stage.time(positions)).sum();
+        self.check_time(now, needed)?;
+        Ok(chain)
+    }
+
+    /// Checks that a token expected after some time comes before the deadline.
+    pub(super) fn check_time(
+        &self,
+        now: Instant,
+        needed: Duration,
+    ) -> std::result::Result<(), Error> {
+        let Some(deadline) = self.deadline else { return Ok(()) };
+        ensure!(now + needed <= deadline, LateSnafu { needed, left: deadline.since(now) });
+        Ok(())
+    }
+
+    pub(super) fn name(&self, attempt: u32, position: u32, stage: u32) -> StepName {
+        StepName { request: self.request, attempt, position, stage }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -0,0 +1,274 @@
+//! Recovery of a draft whose stages are lost or leave.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
+use smallvec::SmallVec;
+use snafu::{ResultExt, ensure};
+
+use super::{
+    Action, Draft, Error, Fault, Way,
+    action::{ChainSnafu, RebuildsSnafu},
+    machine::Loss,
+    place::{Move, Place, Work},
+};
+use crate::chain::{Chain, Planner};
+
+impl Draft {
+    /// Handles the failure of the awaited step of a place.
+    pub(super) fn failed(
+        &mut self,
+        now: Instant,
+        index: usize,
+        fault: Fault,
+        planner: &Planner,
+    ) -> Result<(), Error> {
+        let tries = self.prompt.settings.tries;
+        let pause = self.prompt.settings.busy_pause;
+        let place = &mut self.places[index];
+        let Work::Awaiting(sent) = &mut place.work else { return Ok(()) };
+        match fault {
+            // The connection may have broken and not the engine. A repeated step has its name.
+            Fault::Lost if sent.tries < tries => {
+                self.send(now, index);
+                Ok(())
+            }
+            // Waiting is cheaper than to rebuild what the engine holds already.
+            Fault::Busy if sent.tries < tries && place.kv > 0 => {
+                sent.again = Some(now + pause);
+                Ok(())
+            }
+            Fault::Leaving => {
+                let upstream = place.stage.upstream.clone();
+                self.lose(now, index);
+                self.places[index].work = Work::Idle;
+                self.avoid(&upstream);
+                self.leave(now, index, planner)
+            }
+            // The engine lost the KV cache but not the layers.
+            Fault::Gap if place.kv > 0 => self.rebuild(now, index, planner),
+            Fault::Lost
+            | Fault::Timeout
+            | Fault::Busy
+            | Fault::NotHeld
+            | Fault::Gap
+            | Fault::Refused => {
+                let upstream = place.stage.upstream.clone();
+                self.avoid(&upstream);
+                self.rebuild(now, index, planner)
+            }
+        }
+    }
+
+    pub(super) fn engine_lost(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        planner: &Planner,
+    ) -> Result<(), Error> {
+        self.avoid(upstream);
+        while let Some(index) = self.places.iter().position(|p| p.stage.upstream == *upstream) {
+            self.rebuild(now, index, planner)?;
+        }
+        let moving = |place: &Place| match &place.work {
+            Work::Moving(kv) if kv.to.upstream == *upstream => Some(kv.attempt),
+            _ => None,
+        };
+        while let Some(attempt) = self.places.iter().find_map(moving) {
+            self.kv_failed(now, attempt, planner)?;
+        }
+        Ok(())
+    }
+
+    /// Moves the stages of a leaving engine, each as soon as it is idle. Where nothing can take
+    /// them over, the draft goes on until the engine refuses a step.
+    pub(super) fn engine_leaving(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        planner: &Planner,
+    ) -> Result<(), Error> {
+        self.avoid(upstream);
+        for place in &mut self.places {
+            place.leaving |= place.stage.upstream == *upstream;
+        }
+        self.leave_idle(now, planner)
+    }
+
+    /// Starts to move the stages that are to leave and await no answer.
+    pub(super) fn leave_idle(&mut self, now: Instant, planner: &Planner) -> Result<(), Error> {
+        let ready = |place: &Place| place.leaving && matches!(place.work, Work::Idle);
+        while let Some(index) = self.places.iter().position(ready) {
+            self.places[index].leaving = false;
+            let layers = self.places[index].stage.layers;
+            if planner.plan(layers, &self.avoided).is_ok() {
+                self.leave(now, index, planner)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Moves the KV cache of an idle place to another engine, or rebuilds it there.
+    fn leave(&mut self, now: Instant, index: usize, planner: &Planner) -> Result<(), Error> {
+        let place = &mut self.places[index];
+        place.leaving = false;
+        let target = planner.cover(place.stage.layers, &self.avoided);
+        let Some(to) = target.filter(|_| self.prompt.settings.moves && place.kv > 0) else {
+            return self.rebuild(now, index, planner);
+        };
+        self.attempt += 1;
+        self.actions.push(Action::MoveKv {
+            from: place.stage.upstream.clone(),
+            attempt: place.attempt,
+            to: to.upstream.clone(),
+            new_attempt: self.attempt,
+            layers: place.stage.layers,
+            positions: place.kv,
+        });
+        let until = now + self.prompt.settings.move_timeout;
+        place.work = Work::Moving(Move { to, attempt: self.attempt, until });
+        Ok(())
+    }
+
+    pub(super) fn kv_moved(
+        &mut self,
+        now: Instant,
+        attempt: u32,
+        positions: u32,
+        planner: &Planner,
+    ) -> Result<(), Error> {
+        let Some(index) = self.moving(attempt) else { return Ok(()) };
+        if self.places[index].kv != positions {
+            return self.rebuild(now, index, planner);
+        }
+        let place = &mut self.places[index];
+        let Work::Moving(kv) = std::mem::replace(&mut place.work, Work::Idle) else {
+            return Ok(());
+        };
+        let old = std::mem::replace(&mut place.stage, kv.to);
+        let upstream = old.upstream;
+        self.actions.push(Action::CancelAttempt { upstream, attempt: place.attempt });
+        place.attempt = kv.attempt;
+        self.tally.moved += 1;
+        Ok(())
+    }
+
+    pub(super) fn kv_failed(
+        &mut self,
+        now: Instant,
+        attempt: u32,
+        planner: &Planner,
+    ) -> Result<(), Error> {
+        match self.moving(attempt) {
+            Some(index) => self.rebuild(now, index, planner),
+            None => Ok(()),
+        }
+    }
+
+    fn moving(&self, attempt: u32) -> Option<usize> {
+        let moved =
+            |place: &Place| matches!(&place.work, Work::Moving(kv) if kv.attempt == attempt);
+        self.places.iter().position(moved)
+    }
+
+    pub(super) fn tick(&mut self, now: Instant, planner: &Planner) -> Result<(), Error> {
+        let due = |place: &Place| place.wake().is_some_and(|at| at <= now);
+        while let Some(index) = self.places.iter().position(due) {
+            match &self.places[index].work {
+                Work::Awaiting(sent) if sent.again.is_some() => self.send(now, index),
+                Work::Awaiting(_) => self.failed(now, index, Fault::Timeout, planner)?,
+                Work::Moving(_) => self.rebuild(now, index, planner)?,
+                Work::Idle => break,
+            }
+        }
+        Ok(())
+    }
+
+    /// Replaces a lost stage, and where its inputs were not retained the stages before it.
+    fn rebuild(&mut self, now: Instant, index: usize, planner: &Planner) -> Result<(), Error> {
+        self.lose(now, index);
+        let rebuilds = self.prompt.settings.rebuilds;
+        ensure!(self.tally.rebuilds < rebuilds, RebuildsSnafu { rebuilds });
+        self.tally.rebuilds += 1;
+        let (first, last) = match self.prompt.settings.way {
+            Way::Whole => (0, self.places.len() - 1),
+            Way::Stage => (self.first_to_rebuild(index), index),
+        };
+        let span = Layers {
+            from: self.places[first].stage.layers.from,
+            to: self.places[last].stage.layers.to,
+        };
+        let chain = planner.plan(span, &self.avoided).context(ChainSnafu)?;
+        let positions = self.length();
+        let needed: Duration = chain.stages().iter().map(|stage| stage.time(positions)).sum();
+        self.prompt.check_time(now, needed)?;
+        for lost in first..=last {
+            self.cancel_place(lost);
+        }
+        self.replace(first, last, chain);
+        Ok(())
+    }
+
+    /// Returns the nearest place at or before a lost one whose inputs reach back to position 0.
+    fn first_to_rebuild(&self, index: usize) -> usize {
+        let whole = |place: &Place| place.input.is_whole();
+        self.places[..=index].iter().rposition(whole).unwrap_or(0)
+    }
+
+    fn replace(&mut self, first: usize, last: usize, chain: Chain) {
+        let number = self.places[first].number;
+        let mut placed = self.placed(chain, number);
+        let after: SmallVec<[Place; 4]> = self.places.drain(last + 1..).collect();
+        let mut lost: SmallVec<[Place; 4]> = self.places.drain(first..).collect();
+        for place in &mut placed {
+            let layers = place.stage.layers;
+            let shared = |lost: &&Place| {
+                lost.stage.layers.from < layers.to && layers.from < lost.stage.layers.to
+            };
+            let ran = lost.iter().filter(shared).map(|lost| lost.kv.max(lost.before));
+            place.before = ran.min().unwrap_or(0);
+        }
+        placed[0].input = std::mem::take(&mut lost[0].input);
+        self.places.extend(placed);
+        self.places.extend(after);
+    }
+
+    /// Gives the stages of a chain their places, under a new attempt.
+    pub(super) fn placed(&mut self, chain: Chain, number: u32) -> SmallVec<[Place; 4]> {
+        self.attempt += 1;
+        let mut placed: SmallVec<[Place; 4]> = SmallVec::new();
+        for (stage, number) in chain.into_stages().into_iter().zip(number..) {
+            // An engine that runs two stages holds two KV caches, so they get two attempts.
+            if placed.iter().any(|place| place.stage.upstream == stage.upstream) {
+                self.attempt += 1;
+            }
+            placed.push(Place::new(stage, self.attempt, number));
+        }
+        placed
+    }
+
+    /// Cancels what the engines of a place hold or run for it.
+    pub(super) fn cancel_place(&mut self, index: usize) {
+        let place = &self.places[index];
+        let cancel = |upstream: &Upstream, attempt| Action::CancelAttempt {
+            upstream: upstream.clone(),
+            attempt,
+        };
+        self.actions.push(cancel(&place.stage.upstream, place.attempt));
+        if let Work::Moving(kv) = &place.work {
+            self.actions.push(cancel(&kv.to.upstream, kv.attempt));
+        }
+    }
+
+    /// Records when a stage was lost, up to the next token.
+    fn lose(&mut self, now: Instant, index: usize) {
+        let sent = self.places[index].sent().map_or(now, |sent| sent.at);
+        self.loss.get_or_insert(Loss { sent, known: now });
+    }
+
+    fn avoid(&mut self, upstream: &Upstream) {
+        if !self.avoided.contains(upstream) {
+            self.avoided.push(upstream.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/health/monitor.rs
@@ -0,0 +1,177 @@
+//! The monitor of a fleet.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use goldcrestvale_base::{
+    id::{Domain, Incarnation, Upstream},
+    time::Instant,
+};
+use indexmap::IndexMap;
+use smallvec::SmallVec;
+
+use super::{Change, Outcome, Settings, record::Record};
+use crate::draft::Fault;
+
+/// Counts of one failure domain.
+#[derive(Debug, Clone, Default)]
+struct Group {
+    members: usize,
+    slow: usize,
+    suspected: bool,
+}
+
+/// Changes that one observation gives rise to.
+pub type Changes = SmallVec<[Change; 1]>;
+
+/// Judges the upstreams of a fleet.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_base::{id::Incarnation, time::Instant};
+/// use goldcrestvale_route::{draft::Fault, health::{Monitor, Outcome, Settings}};
+///
+/// let mut monitor = Monitor::new(Settings { ejected_share: 0.5, ..Settings::default() });
+/// let (lost, other) = ("e1".parse()?, "e2".parse()?);
+/// monitor.join(Instant(0), &lost, &"yeka".parse()?, Incarnation(1));
+/// monitor.join(Instant(0), &other, &"yeka".parse()?, Incarnation(2));
+/// for _ in 0..3 {
+///     monitor.observe(Instant(10), &lost, Outcome::Failed(Fault::Lost));
+/// }
+/// assert!(!monitor.is_usable(Instant(11), &lost));
+/// assert!(monitor.is_usable(Instant(11), &other));
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Monitor {
+    settings: Settings,
+    records: IndexMap<Upstream, Record>,
+    groups: BTreeMap<Domain, Group>,
+}
+
+impl Monitor {
+    /// Creates a monitor of an empty fleet.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, records: IndexMap::new(), groups: BTreeMap::new() }
+    }
+
+    /// Adds an upstream, or a new incarnation of one; a known incarnation stays as it is.
+    pub fn join(
+        &mut self,
+        now: Instant,
+        upstream: &Upstream,
+        domain: &Domain,
+        incarnation: Incarnation,
+    ) {
+        if self.records.get(upstream).is_some_and(|known| known.incarnation == incarnation) {
+            return;
+        }
+        self.remove(upstream);
+        self.groups.entry(domain.clone()).or_default().members += 1;
+        let record = Record::new(incarnation, domain.clone(), now);
+        self.records.insert(upstream.clone(), record);
+    }
+
+    /// Forgets an upstream.
+    pub fn remove(&mut self, upstream: &Upstream) {
+        let Some(record) = self.records.swap_remove(upstream) else { return };
+        if let Some(group) = self.groups.get_mut(&record.domain) {
+            group.members -= 1;
+            group.slow -= usize::from(record.slow);
+            if group.members == 0 {
+                self.groups.remove(&record.domain);
+            }
+        }
+    }
+
+    /// Marks an incarnation of an upstream as leaving, until it is replaced by another one.
+    pub fn leave(&mut self, upstream: &Upstream, incarnation: Incarnation) -> Option<Change> {
+        let record = self.records.get_mut(upstream)?;
+        if record.incarnation != incarnation || record.leaving {
+            return None;
+        }
+        record.leaving = true;
+        Some(Change::Leaving { upstream: upstream.clone() })
+    }
+
+    /// Takes the outcome of a step at an upstream.
+    pub fn observe(&mut self, now: Instant, upstream: &Upstream, outcome: Outcome) -> Changes {
+        let mut changes = Changes::new();
+        let Some(record) = self.records.get_mut(upstream) else { return changes };
+        let (domain, was_slow) = (record.domain.clone(), record.slow);
+        match outcome {
+            Outcome::Answered { took, expected } => {
+                record.answer(now, took, expected, &self.settings);
+            }
+            Outcome::Failed(Fault::Lost | Fault::Timeout | Fault::Refused) => record.fail(),
+            Outcome::Failed(Fault::Leaving) => {
+                let incarnation = record.incarnation;
+                changes.extend(self.leave(upstream, incarnation));
+            }
+            Outcome::Failed(Fault::Busy | Fault::NotHeld | Fault::Gap) => {}
+        }
+        changes.extend(self.judge_link(&domain, upstream, was_slow));
+        changes.extend(self.judge(now, upstream));
+        changes
+    }
+
+    /// Returns whether an upstream may get new work.
+    pub fn is_usable(&self, now: Instant, upstream: &Upstream) -> bool {
+        let usable = |record: &Record| !record.leaving && !record.is_ejected(now);
+        self.records.get(upstream).is_some_and(usable)
+    }
+
+    /// Returns whether the link to a domain is suspected.
+    pub fn is_link_slow(&self, domain: &Domain) -> bool {
+        self.groups.get(domain).is_some_and(|group| group.suspected)
+    }
+
+    /// Returns the share of its full load that an upstream is to get, from 0 to 1.
+    pub fn share(&self, now: Instant, upstream: &Upstream) -> f64 {
+        self.records.get(upstream).map_or(0.0, |record| record.share(now, &self.settings))
+    }
+
+    /// Returns the step time to plan with, from the one expected of a healthy upstream; `None`
+    /// where it may get no new work.
+    pub fn cost(&self, now: Instant, upstream: &Upstream, expected: Duration) -> Option<Duration> {
+        let record = self.records.get(upstream)?;
+        let share = record.share(now, &self.settings);
+        (share > 0.0).then(|| expected.mul_f64(record.slowdown() / share))
+    }
+
+    /// Counts a change of slowness and suspects or restores the link of the domain.
+    fn judge_link(&mut self, domain: &Domain, upstream: &Upstream, was: bool) -> Option<Change> {
+        let slow = self.records.get(upstream)?.slow;
+        let group = self.groups.get_mut(domain)?;
+        group.slow = group.slow + usize::from(slow) - usize::from(was);
+        let most = group.members as f64 * self.settings.link_share;
+        let suspected = group.slow > 1 && group.slow as f64 > most;
+        if suspected == group.suspected {
+            return None;
+        }
+        group.suspected = suspected;
+        let domain = domain.clone();
+        Some(if suspected { Change::LinkSlow { domain } } else { Change::LinkRestored { domain } })
+    }
+
+    /// Ejects an upstream that failed or is slow, unless too many are ejected already.
+    fn judge(&mut self, now: Instant, upstream: &Upstream) -> Option<Change> {
+        let record = self.records.get(upstream)?;
+        let blamed = record.slow && !self.is_link_slow(&record.domain);
+        if record.is_ejected(now) || !(blamed || record.has_failed(&self.settings)) {
+            return None;
+        }
+        let ejected = self.records.values().filter(|record| record.is_ejected(now)).count();
+        let most = self.records.len() as f64 * self.settings.ejected_share;
+        if (ejected + 1) as f64 > most {
+            return None;
+        }
+        let record = self.records.get_mut(upstream)?;
+        let was_slow = record.slow;
+        let until = record.eject(now, &self.settings);
+        if let Some(group) = self.groups.get_mut(&record.domain) {
+            group.slow -= usize::from(was_slow);
+        }
+        Some(Change::Ejected { upstream: upstream.clone(), until })
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/health/outcome.rs
@@ -0,0 +1,51 @@
+//! What is observed of upstreams, and what follows.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{
+    id::{Domain, Upstream},
+    time::Instant,
+};
+
+use crate::draft::Fault;
+
+/// The outcome of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The step was answered.
+    Answered {
+        /// Time from sending to the answer.
+        took: Duration,
+        /// Time that was expected.
+        expected: Duration,
+    },
+    /// The step was not answered.
+    Failed(Fault),
+}
+
+/// A change in the judgement of an upstream or a link.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The upstream gets no work for a time.
+    Ejected {
+        /// Name of the upstream.
+        upstream: Upstream,
+        /// When it may get work again.
+        until: Instant,
+    },
+    /// The upstream gets no new work in this incarnation.
+    Leaving {
+        /// Name of the upstream.
+        upstream: Upstream,
+    },
+    /// Most upstreams of the domain are slow.
+    LinkSlow {
+        /// Name of the domain.
+        domain: Domain,
+    },
+    /// Most upstreams of the domain are as fast as expected again.
+    LinkRestored {
+        /// Name of the domain.
+        domain: Domain,
+    },
+}
--- a/crates/goldcrestvale_upstream/src/message.rs
+++ b/crates/goldcrestvale_upstream/src/message.rs
@@ -5,43 +5,12 @@
     id::{Model, Offset, Request, Upstream},
 };
 
-pub use goldcrestvale_base::engine::{Accelerator, Desired, EngineRole, Held, Layers, StepName};
+pub use goldcrestvale_base::engine::{
+    Accelerator, Desired, EngineRole, Held, Layers, Step, StepInput, StepName, StepOutput,
+};
 
 domain! {
     value
-    /// What a stage is given for positions `position..position + n`.
-    #[serde(rename_all = "kebab-case")]
-    pub enum StepInput {
-        /// Tokens, for the stage that holds layer 0.
-        Tokens(Vec<u32>),
-        /// One activation per position, from the stage before.
-        Activations(Vec<u64>),
-    }
-
-    /// What a stage answers for positions `position..position + n`.
-    #[serde(rename_all = "kebab-case")]
-    pub enum StepOutput {
-        /// One activation per position, for the stage after.
-        Activations(Vec<u64>),
-        /// The token after the last position, from the stage that holds the last layer.
-        Token(u32),
-    }
-
-    /// The body of `POST /v1/steps`.
-    pub struct Step {
-        /// Name of the step.
-        pub name: StepName,
-        /// The model.
-        pub model: Model,
-        /// Layers to run; the engine must hold all of them.
-        pub layers: Layers,
-        /// Priority; higher goes first.
-        #[serde(default)]
-        pub priority: u8,
-        /// Input of the first of these layers.
-        pub input: StepInput,
-    }
-
     /// The answer to a step.
     pub struct StepAnswer {
         /// Name of the step that was run.
