Add the fold of configuration records

Cause: instances need one configuration that every one of them derives from the log alone.

Ruled out: references read from typed bodies. An instance that cannot read a major version would accept a deletion that the others refuse; references and reserved texts are read by the same field names in every kind and version.

--- /dev/null
+++ b/crates/goldcrestvale_config/src/body.rs
@@ -0,0 +1,126 @@
+//! The typed bodies and their checks.
+
+use std::sync::Arc;
+
+use goldcrestvale_base::id::Offset;
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::{
+    record::{Binding, Customer, Kind, Limit, Model, Placement, Service, Trait},
+    schema::Table,
+    snapshot::{Entity, Snapshot},
+};
+
+/// The result of reading a body.
+pub(crate) type Result<T> = std::result::Result<T, String>;
+
+/// A typed body.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Body {
+    Customer(Customer),
+    Service(Service),
+    Model(Model),
+    Placement(Placement),
+    Trait(Trait),
+    Binding(Binding),
+    Limit(Limit),
+}
+
+impl Body {
+    /// Reads and checks a body.
+    pub(crate) fn try_read(
+        table: &Table,
+        kind: &Kind,
+        major: u16,
+        body: Map<String, Value>,
+    ) -> Result<Self> {
+        let body = Value::Object(table.try_convert(kind, major, body)?);
+        let read = match kind {
+            Kind::Customer => Self::Customer(typed(body)?),
+            Kind::Service => Self::Service(typed(body)?),
+            Kind::Model => Self::Model(typed(body)?),
+            Kind::Placement => Self::Placement(typed(body)?),
+            Kind::Trait => Self::Trait(typed(body)?),
+            Kind::Binding => Self::Binding(typed(body)?),
+            Kind::Limit => Self::Limit(typed(body)?),
+            Kind::Other(name) => return Err(format!("kind {name:?} is not known")),
+        };
+        read.check()?;
+        Ok(read)
+    }
+
+    fn check(&self) -> Result<()> {
+        let fault = match self {
+            Self::Customer(body) if body.weight == 0 => "weight must be at least 1",
+            Self::Customer(body) if body.max_in_flight == 0 => "max_in_flight must be at least 1",
+            Self::Service(body) if body.timeout_ms == 0 => "timeout_ms must be at least 1",
+            Self::Model(body) if body.layers == 0 => "layers must be at least 1",
+            Self::Model(body) if body.context_tokens == 0 => "context_tokens must be at least 1",
+            Self::Placement(body) if body.layers.is_empty() => "layers must not be empty",
+            _ => return Ok(()),
+        };
+        Err(fault.to_owned())
+    }
+}
+
+fn typed<T: DeserializeOwned>(body: Value) -> Result<T> {
+    serde_json::from_value(body).map_err(|fault| fault.to_string())
+}
+
+impl Snapshot {
+    /// Puts an entity in force; names were checked by the fold.
+    pub(crate) fn insert(&mut self, name: &str, version: Offset, body: Body) {
+        macro_rules! insert {
+            ($map:ident, $name:expr, $body:expr) => {
+                if let Some(name) = $name {
+                    let entity = Arc::new(Entity { version, body: $body });
+                    Arc::make_mut(&mut self.$map).insert(name, entity);
+                }
+            };
+        }
+        match body {
+            Body::Customer(body) => {
+                self.remove(&Kind::Customer, name);
+                if let Ok(name) = name.parse() {
+                    Arc::make_mut(&mut self.credentials).insert(body.credential, name);
+                }
+                insert!(customers, name.parse().ok(), body);
+            }
+            Body::Binding(body) => {
+                self.remove(&Kind::Binding, name);
+                let ends = (body.customer.clone(), body.target.clone());
+                Arc::make_mut(&mut self.bound).insert(ends, name.to_owned());
+                insert!(bindings, Some(name.to_owned()), body);
+            }
+            Body::Service(body) => insert!(services, name.parse().ok(), body),
+            Body::Model(body) => insert!(models, name.parse().ok(), body),
+            Body::Placement(body) => insert!(placements, name.parse().ok(), body),
+            Body::Trait(body) => insert!(traits, Some(name.to_owned()), body),
+            Body::Limit(body) => insert!(limits, Some(name.to_owned()), body),
+        }
+    }
+
+    /// Takes an entity out of force.
+    pub(crate) fn remove(&mut self, kind: &Kind, name: &str) {
+        match kind {
+            Kind::Customer => {
+                if let Some(entity) = Arc::make_mut(&mut self.customers).remove(name) {
+                    Arc::make_mut(&mut self.credentials).remove(&entity.body.credential);
+                }
+            }
+            Kind::Binding => {
+                if let Some(entity) = Arc::make_mut(&mut self.bindings).remove(name) {
+                    let ends = (entity.body.customer.clone(), entity.body.target.clone());
+                    Arc::make_mut(&mut self.bound).remove(&ends);
+                }
+            }
+            Kind::Service => drop(Arc::make_mut(&mut self.services).remove(name)),
+            Kind::Model => drop(Arc::make_mut(&mut self.models).remove(name)),
+            Kind::Placement => drop(Arc::make_mut(&mut self.placements).remove(name)),
+            Kind::Trait => drop(Arc::make_mut(&mut self.traits).remove(name)),
+            Kind::Limit => drop(Arc::make_mut(&mut self.limits).remove(name)),
+            Kind::Other(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/src/link.rs
@@ -0,0 +1,79 @@
+//! What a body refers to and reserves, read the same way by every version of the software.
+//!
+//! The rules name top-level fields, not types: `customer` names a customer, `model` a model, and
+//! `target` a model or a service, in every kind and every major version. So an instance that
+//! cannot read a body still accepts and refuses exactly what the others do.
+
+use std::{fmt, sync::Arc};
+
+use serde_json::{Map, Value};
+use smallvec::SmallVec;
+
+use crate::record::Kind;
+
+/// The kind and name of an entity.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Address {
+    /// Kind of the entity.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Arc<str>,
+}
+
+impl Address {
+    /// Creates an address.
+    pub fn new(kind: Kind, name: &str) -> Self {
+        Self { kind, name: name.into() }
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:?}", self.kind, self.name)
+    }
+}
+
+/// What a body refers to and reserves.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct Links {
+    /// Entities that must exist.
+    pub(crate) refers: SmallVec<[Address; 2]>,
+    /// Text that no other entity may reserve.
+    pub(crate) reserves: Option<Arc<str>>,
+}
+
+impl Links {
+    /// Reads the links of a body.
+    pub(crate) fn of(kind: &Kind, body: &Map<String, Value>) -> Self {
+        let mut refers = SmallVec::new();
+        let text = |field: &str| body.get(field).and_then(Value::as_str);
+        if let Some(name) = text("customer") {
+            refers.push(Address::new(Kind::Customer, name));
+        }
+        if let Some(name) = text("model") {
+            refers.push(Address::new(Kind::Model, name));
+        }
+        let target = body.get("target");
+        for (field, kind) in [("model", Kind::Model), ("service", Kind::Service)] {
+            if let Some(name) = target.and_then(|target| target.get(field)).and_then(Value::as_str)
+            {
+                refers.push(Address::new(kind, name));
+            }
+        }
+        Self { reserves: reserved(kind, body, &refers), refers }
+    }
+}
+
+fn reserved(kind: &Kind, body: &Map<String, Value>, refers: &[Address]) -> Option<Arc<str>> {
+    match kind {
+        Kind::Customer => {
+            let credential = body.get("credential")?.as_str()?.to_ascii_lowercase();
+            Some(format!("credential {credential}").into())
+        }
+        Kind::Binding | Kind::Limit => {
+            let ends: Vec<_> = refers.iter().map(ToString::to_string).collect();
+            Some(format!("{kind} of {}", ends.join(" to ")).into())
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/src/schema.rs
@@ -0,0 +1,89 @@
+//! Which schema versions this software reads, and how.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Map, Value};
+
+use crate::record::Kind;
+
+/// The result of converting a body.
+pub type Result<T> = std::result::Result<T, String>;
+
+/// Rewrites a body of one major version into the form of this software's types.
+pub type Convert = fn(Map<String, Value>) -> Result<Map<String, Value>>;
+
+/// The first major version of every kind; it is in force from the first record on.
+pub const FIRST_MAJOR: u16 = 1;
+
+/// The major versions that this software reads, by kind.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_config::{record::Kind, schema::Table};
+///
+/// let table = Table::default().with(Kind::Service, 2, Ok);
+/// assert!(table.reads(&Kind::Service, 2));
+/// assert!(!table.reads(&Kind::Model, 2));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Table {
+    converts: BTreeMap<(Kind, u16), Convert>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        let first = Kind::KNOWN.map(|kind| ((kind, FIRST_MAJOR), Ok as Convert));
+        Self { converts: first.into() }
+    }
+}
+
+impl Table {
+    /// Adds a major version of a kind.
+    pub fn with(mut self, kind: Kind, major: u16, convert: Convert) -> Self {
+        self.converts.insert((kind, major), convert);
+        self
+    }
+
+    /// Returns whether bodies of a kind and major version can be read.
+    pub fn reads(&self, kind: &Kind, major: u16) -> bool {
+        self.converts.contains_key(&(kind.clone(), major))
+    }
+
+    /// Returns the highest major version of every kind such that it and all before it are read.
+    pub fn majors(&self) -> BTreeMap<Kind, u16> {
+        let mut majors = BTreeMap::new();
+        for (kind, major) in self.converts.keys() {
+            let highest = majors.entry(kind.clone()).or_insert(0);
+            if *major == *highest + 1 {
+                *highest = *major;
+            }
+        }
+        majors
+    }
+
+    /// Rewrites a body into the form of this software's types.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the version is not read or the body does not convert.
+    pub fn try_convert(
+        &self,
+        kind: &Kind,
+        major: u16,
+        body: Map<String, Value>,
+    ) -> Result<Map<String, Value>> {
+        let convert = self.converts.get(&(kind.clone(), major));
+        let convert =
+            convert.ok_or_else(|| format!("major version {major} of {kind} is not read"))?;
+        convert(body)
+    }
+}
+
+/// Returns the major version in force before any [`Raise`](crate::change::Raise).
+pub(crate) fn initial_major(kind: &Kind) -> u16 {
+    match kind {
+        Kind::Other(_) => 0,
+        _ => FIRST_MAJOR,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/src/snapshot.rs
@@ -0,0 +1,66 @@
+//! An immutable view of the configuration in force.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use goldcrestvale_base::id::{self, Digest, Offset};
+
+use crate::record::{Binding, Customer, Limit, Model, Placement, Service, Target, Trait};
+
+/// The entities of one kind by name.
+pub type Entities<K, T> = Arc<BTreeMap<K, Arc<Entity<T>>>>;
+
+/// An entity in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entity<T> {
+    /// Offset of the change that made it so.
+    pub version: Offset,
+    /// Its body.
+    pub body: T,
+}
+
+/// The configuration in force after a prefix of the log.
+///
+/// Clones share their maps.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Snapshot {
+    /// Customers.
+    pub customers: Entities<id::Customer, Customer>,
+    /// Plain services.
+    pub services: Entities<id::Service, Service>,
+    /// Models.
+    pub models: Entities<id::Model, Model>,
+    /// Placements by the upstream that should hold them.
+    pub placements: Entities<id::Upstream, Placement>,
+    /// Traits of engines by pool.
+    pub traits: Entities<String, Trait>,
+    /// Bindings.
+    pub bindings: Entities<String, Binding>,
+    /// Limits.
+    pub limits: Entities<String, Limit>,
+    /// Offset after the last record of the prefix; every entity's version is below it.
+    pub version: Offset,
+    pub(crate) credentials: Arc<BTreeMap<Digest, id::Customer>>,
+    pub(crate) bound: Arc<BTreeMap<(id::Customer, Target), String>>,
+}
+
+impl Snapshot {
+    /// Returns the customer that holds a credential.
+    pub fn customer_by_credential(
+        &self,
+        credential: &Digest,
+    ) -> Option<(&id::Customer, &Entity<Customer>)> {
+        let name = self.credentials.get(credential)?;
+        self.customers.get_key_value(name).map(|(name, entity)| (name, &**entity))
+    }
+
+    /// Returns the binding of a customer to a target; without one, the customer may not call it.
+    pub fn binding(&self, customer: &id::Customer, target: &Target) -> Option<&Entity<Binding>> {
+        let name = self.bound.get(&(customer.clone(), target.clone()))?;
+        self.bindings.get(name).map(|entity| &**entity)
+    }
+
+    /// Returns whether the prefix holds the record at an offset.
+    pub fn covers(&self, offset: Offset) -> bool {
+        offset < self.version
+    }
+}
