Add thin stand-ins for the platform, the engines and the services

Cause: the path of a request needs counterparts to run against before any of it can be tested. Ruled out: mocks below the socket, because lost answers and refused connections happen on it. Change: three stand-ins on one server core (HTTP/1.1 and h2 on one port, faults and counts on a second port too, so that a refused stand-in can be set back), in-process and as a binary.

--- /dev/null
+++ b/crates/goldcrestvale_standin/src/engine/cache.rs
@@ -0,0 +1,57 @@
+//! The KV cache of one attempt.
+
+use std::collections::BTreeMap;
+
+use goldcrestvale_upstream::message::{Layers, StepAnswer, StepInput, StepOutput};
+use serde::{Deserialize, Serialize};
+
+use crate::reference;
+
+/// The cached state of one layer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Slot {
+    /// The state after the cached positions.
+    pub(super) state: u64,
+    /// Number of cached positions, from position 0.
+    pub(super) positions: u32,
+}
+
+/// The KV cache of one attempt, layer by layer.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Cache {
+    /// The layers.
+    pub(super) slots: BTreeMap<u32, Slot>,
+    /// The last answer of each stage, to answer a repeated step again.
+    pub(super) last: BTreeMap<u32, StepAnswer>,
+}
+
+impl Cache {
+    /// Returns the first layer that does not hold exactly these positions.
+    pub(super) fn misfit(&self, layers: Layers, position: u32) -> Option<(u32, u32)> {
+        (layers.from..layers.to)
+            .map(|layer| (layer, self.slots.get(&layer).map_or(0, |slot| slot.positions)))
+            .find(|(_, positions)| *positions != position)
+    }
+
+    /// Runs layers over an input and returns the output of the last one.
+    pub(super) fn run(&mut self, layers: Layers, depth: u32, input: &StepInput) -> StepOutput {
+        let mut activations = match input {
+            StepInput::Tokens(tokens) => {
+                tokens.iter().map(|&token| reference::embed(token)).collect()
+            }
+            StepInput::Activations(activations) => activations.clone(),
+        };
+        for layer in layers.from..layers.to {
+            let slot = self.slots.entry(layer).or_default();
+            for activation in &mut activations {
+                slot.state = reference::advance(slot.state, *activation, layer);
+                slot.positions += 1;
+                *activation = slot.state;
+            }
+        }
+        match activations.last() {
+            Some(&last) if layers.to == depth => StepOutput::Token(reference::token(last)),
+            _ => StepOutput::Activations(activations),
+        }
+    }
+}
--- a/crates/goldcrestvale_standin/src/lib.rs
+++ b/crates/goldcrestvale_standin/src/lib.rs
@@ -1,1 +1,19 @@
 //! Stand-ins for the platform, the engines and the services, for tests and measurement.
+//!
+//! Each stand-in speaks the protocol of `docs/INTERFACES.md` on a real socket, either inside the
+//! calling process ([`platform::Platform::start`] and its siblings) or as a process of its own
+//! (the binary `goldcrestvale-standin`). Faults are switched at run time.
+//!
+//! Never a dependency of the router.
+
+pub mod engine;
+pub mod platform;
+pub mod reference;
+mod reply;
+pub mod server;
+pub mod service;
+
+/// Re-exports the types that most users of this package name.
+pub mod prelude {
+    pub use crate::{engine::Engine, platform::Platform, server::Handle, service::Service};
+}
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/platform.rs
@@ -0,0 +1,111 @@
+//! The platform: an append-only log with offsets, and the list of instances. In memory only.
+
+mod api;
+pub mod fault;
+pub mod settings;
+mod stream;
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use goldcrestvale_base::{id::Offset, time::Wall};
+use goldcrestvale_platform::message::Listed;
+use tokio::{sync::watch, time::Instant};
+
+pub use fault::Faults;
+pub use settings::Settings;
+
+use crate::server::Handle;
+
+/// Counts of a platform.
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct Counts {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Records that they held.
+    pub records: u64,
+    /// Bytes of the bodies of these appends.
+    pub append_bytes: u64,
+    /// Appends refused for the rate limit.
+    pub limited: u64,
+    /// Appends that took effect and were not answered.
+    pub lost: u64,
+    /// Reads answered.
+    pub reads: u64,
+}
+
+/// A platform.
+#[derive(Debug)]
+pub struct Platform {
+    settings: Settings,
+    faults: watch::Sender<Faults>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: HashMap<String, stream::Stream>,
+    instances: Vec<Listed>,
+    snapshots: Vec<(Instant, Wall, Vec<Listed>)>,
+    counts: Counts,
+    window: Option<(Instant, u32)>,
+}
+
+impl Platform {
+    /// Starts a platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn start(settings: Settings) -> io::Result<Handle<Self>> {
+        let address = settings.address;
+        let platform = Self { settings, faults: watch::Sender::default(), state: Mutex::default() };
+        Handle::start(address, Arc::new(platform)).await
+    }
+
+    /// Replaces the list of instances.
+    pub fn list(&self, instances: Vec<Listed>) {
+        let mut state = self.state();
+        state.instances = instances;
+        self.publish(&mut state);
+    }
+
+    /// Adds one instance to the list, or replaces the one of the same name and role.
+    pub fn upsert(&self, listed: Listed) {
+        let mut state = self.state();
+        state.instances.retain(|old| (&old.name, &old.role) != (&listed.name, &listed.role));
+        state.instances.push(listed);
+        self.publish(&mut state);
+    }
+
+    /// Drops the records of a stream below an offset, as retention does.
+    pub fn trim(&self, stream: &str, below: Offset) {
+        if let Some(stream) = self.state().streams.get_mut(stream) {
+            stream.trim(below);
+        }
+    }
+
+    /// Returns the offset that the next record of a stream will have.
+    pub fn end(&self, stream: &str) -> Offset {
+        self.state().streams.get(stream).map_or(Offset(0), stream::Stream::end)
+    }
+
+    fn publish(&self, state: &mut State) {
+        let snapshot = (Instant::now(), wall(), state.instances.clone());
+        state.snapshots.push(snapshot);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+fn wall() -> Wall {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    Wall(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/platform/api.rs
@@ -0,0 +1,175 @@
+//! The HTTP interface of the platform.
+
+use std::time::Duration;
+
+use goldcrestvale_base::id::Offset;
+use goldcrestvale_platform::message::{Append, Listed, Listing};
+use http::{HeaderValue, Method, StatusCode, header};
+use hyper::{Request, Response, body::Incoming};
+use tokio::{sync::watch, time::Instant};
+
+use super::{Counts, Faults, Platform, State, wall};
+use crate::{
+    reply,
+    server::{Body, Closed, Result, Site},
+};
+
+/// Largest number of records on one page.
+const MAX_PAGE_RECORDS: u64 = 10_000;
+/// Longest wait of a read for new records.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+impl Site for Platform {
+    type Faults = Faults;
+    type Counts = Counts;
+
+    fn faults(&self) -> &watch::Sender<Faults> {
+        &self.faults
+    }
+
+    fn counts(&self) -> Counts {
+        self.state().counts.clone()
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>> {
+        let faults = self.faults.borrow().clone();
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.down {
+            return Ok(reply::text(StatusCode::SERVICE_UNAVAILABLE, "the platform is down"));
+        }
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match (request.method(), parts.as_slice()) {
+            (&Method::POST, ["streams", stream, "records"]) => self.append(stream, request).await,
+            (&Method::GET, ["streams", stream, "records"]) => self.read(stream, request).await,
+            (&Method::POST, ["streams", stream, "trim"]) => {
+                let below = reply::number(request.uri().query(), "below").unwrap_or(u64::MAX);
+                self.trim(stream, Offset(below));
+                Ok(reply::text(StatusCode::OK, "trimmed"))
+            }
+            (&Method::GET, ["instances"]) => Ok(reply::json(StatusCode::OK, &self.listing())),
+            (&Method::PUT, ["instances"]) => match reply::read_json(request).await? {
+                Ok(instances) => {
+                    self.list(instances);
+                    Ok(reply::text(StatusCode::OK, "set"))
+                }
+                Err(fault) => Ok(reply::text(StatusCode::BAD_REQUEST, fault)),
+            },
+            (&Method::POST, ["instances"]) => match reply::read_json::<Listed>(request).await? {
+                Ok(listed) => {
+                    self.upsert(listed);
+                    Ok(reply::text(StatusCode::OK, "set"))
+                }
+                Err(fault) => Ok(reply::text(StatusCode::BAD_REQUEST, fault)),
+            },
+            _ => Ok(reply::text(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+}
+
+impl Platform {
+    async fn append(&self, stream: &str, request: Request<Incoming>) -> Result<Response<Body>> {
+        let body = reply::read(request.into_body()).await?;
+        let append: Append = match serde_json::from_slice(&body) {
+            Ok(append) => append,
+            Err(error) => return Ok(reply::text(StatusCode::BAD_REQUEST, error.to_string())),
+        };
+        if self.take(|faults| &mut faults.lose_appends) {
+            return Err(Closed);
+        }
+        let lose = self.take(|faults| &mut faults.lose_answers);
+        let mut state = self.state();
+        let now = Instant::now();
+        if !state.admit(now, self.settings.appends_per_second) {
+            state.counts.limited += 1;
+            let mut refusal = reply::text(StatusCode::TOO_MANY_REQUESTS, "append rate exceeded");
+            refusal.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+            return Ok(refusal);
+        }
+        state.counts.appends += 1;
+        state.counts.records += append.records.len() as u64;
+        state.counts.append_bytes += body.len() as u64;
+        let appended =
+            state.streams.entry(stream.to_owned()).or_default().append(now, wall(), append);
+        if lose {
+            state.counts.lost += 1;
+            return Err(Closed);
+        }
+        Ok(reply::json(StatusCode::OK, &appended))
+    }
+
+    async fn read(&self, stream: &str, request: Request<Incoming>) -> Result<Response<Body>> {
+        let query = request.uri().query();
+        let from = Offset(reply::number(query, "from").unwrap_or(0));
+        let max = reply::number(query, "max").unwrap_or(1_000).min(MAX_PAGE_RECORDS);
+        let wait = Duration::from_millis(reply::number(query, "wait_ms").unwrap_or(0));
+        if self.take(|faults| &mut faults.repeat_pages) {
+            let last = self.state().streams.get(stream).and_then(|stream| stream.last.clone());
+            if let Some(page) = last {
+                return Ok(reply::json(StatusCode::OK, &page));
+            }
+        }
+        let mut end = self.state().streams.entry(stream.to_owned()).or_default().watch();
+        let reached = end.wait_for(|end| *end > from.0);
+        let _ = tokio::time::timeout(wait.min(MAX_WAIT), reached).await;
+        let mut state = self.state();
+        state.counts.reads += 1;
+        let stream = state.streams.entry(stream.to_owned()).or_default();
+        let age = Duration::from_millis(self.settings.retention_ms);
+        stream.expire(Instant::now(), age, self.settings.retention_records);
+        match stream.page(from, usize::try_from(max).unwrap_or(usize::MAX)) {
+            Some(page) => {
+                if !page.records.is_empty() {
+                    stream.last = Some(page.clone());
+                }
+                Ok(reply::json(StatusCode::OK, &page))
+            }
+            None => Ok(reply::json(StatusCode::GONE, &stream.empty_page())),
+        }
+    }
+
+    fn listing(&self) -> Listing {
+        let mut state = self.state();
+        let lag = Duration::from_millis(self.settings.list_lag_ms);
+        let now = Instant::now();
+        let due = |taken: Instant| now.saturating_duration_since(taken) >= lag;
+        let seen = state.snapshots.iter().rposition(|(taken, ..)| due(*taken));
+        if let Some(seen) = seen {
+            state.snapshots.drain(..seen);
+        }
+        let first = state.snapshots.first().filter(|(taken, ..)| due(*taken));
+        match first {
+            Some((_, as_of, instances)) => Listing { as_of: *as_of, instances: instances.clone() },
+            None => Listing { as_of: wall(), instances: Vec::new() },
+        }
+    }
+
+    /// Takes one from a counted fault, and returns whether there was one to take.
+    fn take(&self, count: impl Fn(&mut Faults) -> &mut u32) -> bool {
+        let mut taken = false;
+        self.faults.send_if_modified(|faults| {
+            let count = count(faults);
+            taken = *count > 0;
+            *count = count.saturating_sub(1);
+            taken
+        });
+        taken
+    }
+}
+
+impl State {
+    /// Counts an append against the rate limit, and returns whether it is accepted.
+    fn admit(&mut self, now: Instant, limit: u32) -> bool {
+        let fresh = |(start, _): &(Instant, u32)| {
+            now.saturating_duration_since(*start) < Duration::from_secs(1)
+        };
+        let (start, count) = self.window.filter(fresh).unwrap_or((now, 0));
+        if count >= limit {
+            return false;
+        }
+        self.window = Some((start, count + 1));
+        true
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/platform/fault.rs
@@ -0,0 +1,27 @@
+//! Faults of the platform.
+
+use serde::{Deserialize, Serialize};
+
+/// Faults of a platform, all off by default.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Connections are refused and open ones closed.
+    pub refuse: bool,
+    /// Every request is answered 503.
+    pub down: bool,
+    /// Delay before each answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Number of next appends that take effect and are not answered.
+    pub lose_answers: u32,
+    /// Number of next appends that neither take effect nor are answered.
+    pub lose_appends: u32,
+    /// Number of next reads that answer the last page of their stream once more.
+    pub repeat_pages: u32,
+}
+
+impl crate::server::Faults for Faults {
+    fn refuse(&self) -> bool {
+        self.refuse
+    }
+}
