--- /dev/null
+++ b/crates/goldcrestvale_wire/src/field.rs
@@ -0,0 +1,93 @@
+//! Conversions between the fields of messages and domain types.
+
+use std::{net::SocketAddr, str::FromStr};
+
+use bytes::Bytes;
+use goldcrestvale_base::id::{Digest, Incarnation, Key};
+use snafu::{OptionExt, Snafu};
+use uuid::Uuid;
+
+/// The result of reading a field.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A field that does not hold what it should.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("field {field} of a message is malformed"))]
+pub struct Error {
+    /// Name of the field.
+    pub field: &'static str,
+}
+
+/// Reads a name, or another type with a text form.
+///
+/// # Errors
+///
+/// Fails if the text does not parse.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_base::id::Instance;
+/// use goldcrestvale_wire::field;
+///
+/// assert!(field::text::<Instance>("instance", "yeka-1").is_ok());
+/// assert!(field::text::<Instance>("instance", "").is_err());
+/// ```
+pub fn text<T: FromStr>(field: &'static str, text: &str) -> Result<T> {
+    text.parse().ok().context(Snafu { field })
+}
+
+/// Reads an address, `IP:port`.
+///
+/// # Errors
+///
+/// Fails if the text is not an address.
+pub fn address(text: &str) -> Result<SocketAddr> {
+    self::text("address", text)
+}
+
+/// Reads an incarnation.
+///
+/// # Errors
+///
+/// Fails if it has not 16 bytes.
+pub fn incarnation(bytes: &Bytes) -> Result<Incarnation> {
+    let field = "incarnation";
+    let bits = <[u8; 16]>::try_from(bytes.as_ref()).ok().context(Snafu { field })?;
+    Ok(Incarnation(u128::from_be_bytes(bits)))
+}
+
+/// Writes an incarnation.
+pub fn put_incarnation(incarnation: Incarnation) -> Bytes {
+    Bytes::copy_from_slice(&incarnation.0.to_be_bytes())
+}
+
+/// Reads a digest.
+///
+/// # Errors
+///
+/// Fails if it has not 32 bytes.
+pub fn digest(bytes: &Bytes) -> Result<Digest> {
+    let field = "digest";
+    Ok(Digest(<[u8; 32]>::try_from(bytes.as_ref()).ok().context(Snafu { field })?))
+}
+
+/// Writes a digest.
+pub fn put_digest(digest: Digest) -> Bytes {
+    Bytes::copy_from_slice(&digest.0)
+}
+
+/// Reads an idempotency key.
+///
+/// # Errors
+///
+/// Fails if it has not 16 bytes.
+pub fn key(bytes: &Bytes) -> Result<Key> {
+    let bits = <[u8; 16]>::try_from(bytes.as_ref()).ok().context(Snafu { field: "key" })?;
+    Ok(Key(Uuid::from_bytes(bits)))
+}
+
+/// Writes an idempotency key.
+pub fn put_key(key: Key) -> Bytes {
+    Bytes::copy_from_slice(key.0.as_bytes())
+}
--- /dev/null
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -0,0 +1,114 @@
+//! The messages between entry instances, as protobuf.
+//!
+//! Field numbers and kinds are never reused. An instance skips fields and kinds that it does not
+//! know, so that old and new instances run side by side.
+
+mod answer;
+mod config;
+mod leaving;
+mod membership;
+mod traffic;
+
+use bytes::Bytes;
+use prost::Message as _;
+use snafu::Snafu;
+
+pub use self::{
+    answer::{Answer, AnswerAsk, AnswerState, Header},
+    config::{ConfigAsk, ConfigOffer, ConfigState},
+    leaving::{Leaving, Mark, Source},
+    membership::{Goodbye, Heartbeat, Hello, Known, Members},
+    traffic::{CustomerUse, Sends, Use},
+};
+
+/// The result of decoding a message.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A body that is not the protobuf message of its kind.
+#[derive(Debug, Clone, PartialEq, Snafu)]
+#[snafu(display("the body of kind {kind} is malformed: {source}"))]
+pub struct Error {
+    /// Kind of the frame.
+    pub kind: u16,
+    /// The fault.
+    pub source: prost::DecodeError,
+}
+
+macro_rules! messages {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal,)+) => {
+        /// A message of any kind.
+        #[derive(Debug, Clone, PartialEq)]
+        pub enum Message {
+            $($(#[$doc])* $name($name),)+
+        }
+
+        impl Message {
+            /// Returns the kind that the frame carries.
+            pub fn kind(&self) -> u16 {
+                match self {
+                    $(Self::$name(_) => $kind,)+
+                }
+            }
+
+            /// Returns the length of the encoded body, in bytes.
+            pub fn body_len(&self) -> usize {
+                match self {
+                    $(Self::$name(message) => message.encoded_len(),)+
+                }
+            }
+
+            /// Encodes the body.
+            pub fn encode_body(&self) -> Bytes {
+                match self {
+                    $(Self::$name(message) => message.encode_to_vec().into(),)+
+                }
+            }
+
+            /// Decodes the body of a kind, or returns `None` for a kind that is not known.
+            ///
+            /// # Errors
+            ///
+            /// Fails if the body is not the protobuf message of the kind.
+            pub fn decode(kind: u16, body: Bytes) -> Result<Option<Self>> {
+                let message = match kind {
+                    $($kind => $name::decode(body).map(Self::$name),)+
+                    _ => return Ok(None),
+                };
+                message.map(Some).map_err(|source| Error { kind, source })
+            }
+        }
+
+        $(impl From<$name> for Message {
+            fn from(message: $name) -> Self {
+                Self::$name(message)
+            }
+        })+
+    };
+}
+
+messages! {
+    /// The first message of each side: who it is.
+    Hello = 1,
+    /// A sign of life.
+    Heartbeat = 2,
+    /// The sender stops for good.
+    Goodbye = 3,
+    /// Part of the sender's view.
+    Members = 4,
+    /// Upstreams that take no new work.
+    Leaving = 5,
+    /// The sender's configuration.
+    ConfigOffer = 6,
+    /// Asks for a configuration.
+    ConfigAsk = 7,
+    /// Part of a configuration.
+    ConfigState = 8,
+    /// Asks for the result of an idempotent call.
+    AnswerAsk = 9,
+    /// The result of an idempotent call.
+    Answer = 10,
+    /// Use of the customers' limits.
+    Use = 11,
+    /// Work that the sender handed to upstreams.
+    Sends = 12,
+}
--- /dev/null
+++ b/crates/goldcrestvale_wire/src/message/config.rs
@@ -0,0 +1,42 @@
+//! Messages that pass configurations on.
+
+use bytes::Bytes;
+
+/// The sender's configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigOffer {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Its digest, 32 bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub digest: Bytes,
+}
+
+/// Asks for a configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigAsk {
+    /// The lowest version that helps.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+
+/// Part of a configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigState {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Digest of the whole, 32 bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub digest: Bytes,
+    /// Number of this part, from 0.
+    #[prost(uint32, tag = "3")]
+    pub part: u32,
+    /// Number of parts.
+    #[prost(uint32, tag = "4")]
+    pub parts: u32,
+    /// The bytes of this part.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub bytes: Bytes,
+}
--- /dev/null
+++ b/crates/goldcrestvale_wire/src/message/membership.rs
@@ -0,0 +1,73 @@
+//! Messages about instances: who they are, and which live.
+
+use bytes::Bytes;
+
+/// Who an instance is.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Its incarnation, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub incarnation: Bytes,
+    /// Its name.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Its failure domain.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+    /// Its address for peers, `IP:port`.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// The newest version of the protocol that it reads.
+    #[prost(uint32, tag = "5")]
+    pub version: u32,
+}
+
+/// A sign of life, with the sender's configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// A number that grows with each heartbeat of an incarnation.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Version of the configuration in force, plus one; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    /// First 8 bytes of its digest.
+    #[prost(fixed64, tag = "3")]
+    pub config_digest: u64,
+    /// Whether the sender takes no new requests.
+    #[prost(bool, tag = "4")]
+    pub draining: bool,
+    /// Newest major schema version that the sender reads.
+    #[prost(uint32, tag = "5")]
+    pub schema: u32,
+}
+
+/// The end of an incarnation.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Goodbye {
+    /// The incarnation that ends, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub incarnation: Bytes,
+}
+
+/// Part of a view.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Members {
+    /// Instances that the sender knows.
+    #[prost(message, repeated, tag = "1")]
+    pub known: Vec<Known>,
+}
+
+/// One instance of a view.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Known {
+    /// Who it is.
+    #[prost(message, optional, tag = "1")]
+    pub who: Option<Hello>,
+    /// Milliseconds since any instance heard from it directly.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Whether the incarnation has ended.
+    #[prost(bool, tag = "3")]
+    pub gone: bool,
+}
--- /dev/null
+++ b/crates/goldcrestvale_wire/src/message/traffic.rs
@@ -0,0 +1,43 @@
+//! Messages about use of limits and work handed to upstreams.
+
+/// Use of the customers' limits, in parts per million of each limit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Use {
+    /// A number that grows with each such message on a connection.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The newest number that the sender got from the receiver; loans run from when it was sent.
+    #[prost(uint64, tag = "2")]
+    pub echo: u64,
+    /// Time that the loans last, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub hold_ms: u32,
+    /// The customers that need or are lent a part.
+    #[prost(message, repeated, tag = "4")]
+    pub customers: Vec<CustomerUse>,
+}
+
+/// Use of one customer's limit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CustomerUse {
+    /// The customer.
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    /// Parts that the sender needs beyond its own.
+    #[prost(uint32, tag = "2")]
+    pub need: u32,
+    /// Parts that the sender lends to the receiver.
+    #[prost(uint32, tag = "3")]
+    pub lent: u32,
+}
+
+/// Work that the sender handed to upstreams, counted since its start.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Sends {
+    /// First 4 bytes of the digest of each upstream's name.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub upstreams: Vec<u32>,
+    /// Units of work handed to each, in the same order.
+    #[prost(uint64, repeated, tag = "2")]
+    pub totals: Vec<u64>,
+}
