Add the membership state machine

Cause: entry instances need a view of each other, a shared set of leaving upstreams and shares of the customers' limits, decided without a socket or a clock. Change: view by heartbeats and hearsay, links by rendezvous hashing over a ring of domains, leaving marks bound to incarnations, limits shared by lending with expiring loans. Ruled out: a split of limits in proportion to reported demand, which exceeds the limit while reports are under way; a ring without dead domains, which never heals a cut.

--- /dev/null
+++ b/crates/goldcrestvale_member/src/action.rs
@@ -0,0 +1,62 @@
+//! What an instance does.
+
+use std::net::SocketAddr;
+
+use goldcrestvale_base::{
+    domain,
+    id::{Incarnation, Instance},
+};
+
+use crate::{
+    identity::Identity,
+    leaving::Mark,
+    message::{Config, Message},
+};
+
+domain! {
+    value
+    /// An action for the tasks that hold the connections.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Action {
+        /// Open a connection.
+        Connect(SocketAddr),
+        /// Close the connection to a peer.
+        Close(Instance),
+        /// Send a message over the connection to a peer.
+        Send {
+            /// The peer.
+            to: Instance,
+            /// The message.
+            message: Message,
+        },
+        /// Tell the daemon.
+        Notify(Notice),
+    }
+
+    /// Something that the daemon should know.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Notice {
+        /// A peer is live.
+        Up(Identity),
+        /// A peer missed heartbeats.
+        Suspect(Instance),
+        /// A peer missed so many heartbeats that it counts as dead.
+        Dead(Instance),
+        /// An incarnation of a peer ended: it said goodbye or was replaced.
+        Gone {
+            /// The peer.
+            instance: Instance,
+            /// The incarnation.
+            incarnation: Incarnation,
+        },
+        /// An upstream takes no new work.
+        Leaving(Mark),
+        /// A peer has a newer configuration, or another one under the same version.
+        Config {
+            /// The peer.
+            instance: Instance,
+            /// Its configuration.
+            config: Config,
+        },
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_member/src/event.rs
@@ -0,0 +1,73 @@
+//! What happens to an instance.
+
+use std::net::SocketAddr;
+
+use goldcrestvale_base::{
+    domain,
+    id::{Customer, Incarnation, Instance, Upstream},
+    time::Wall,
+};
+
+use crate::{
+    identity::{Identity, Seed},
+    leaving::Mark,
+    limit::Parts,
+    message::{Message, Status},
+    sends::Sent,
+};
+
+domain! {
+    value
+    /// An event for [`Member`](crate::member::Member).
+    #[serde(rename_all = "kebab-case")]
+    pub enum Event {
+        /// Time has passed.
+        Tick,
+        /// The platform's list was read; it names these entry instances.
+        Listed(Vec<Seed>),
+        /// A connection to a peer stands.
+        Connected(Identity),
+        /// An attempt to connect failed.
+        DialFailed(SocketAddr),
+        /// The connection to a peer ended.
+        Disconnected {
+            /// The peer.
+            instance: Instance,
+            /// Its incarnation on that connection.
+            incarnation: Incarnation,
+        },
+        /// A peer sent a message.
+        Heard {
+            /// The peer.
+            from: Instance,
+            /// The message.
+            message: Message,
+        },
+        /// This instance's own status changed.
+        Status(Status),
+        /// A load report named the incarnation of an upstream.
+        Seen {
+            /// The upstream.
+            upstream: Upstream,
+            /// Its incarnation.
+            incarnation: String,
+            /// Wall time of the report.
+            at: Wall,
+        },
+        /// A source of this instance says that an upstream leaves.
+        Leaving(Mark),
+        /// An upstream is no longer on the platform's list.
+        Removed(Upstream),
+        /// The demand of a customer at this instance, in parts of its limit.
+        Demand {
+            /// The customer.
+            customer: Customer,
+            /// The demand.
+            parts: Parts,
+        },
+        /// Work that this instance handed to upstreams since its start.
+        Sent(Vec<Sent>),
+        /// This instance stops for good.
+        Stop,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -0,0 +1,255 @@
+//! The state machine of one instance: events in, actions out.
+
+mod duty;
+
+use goldcrestvale_base::{id::Instance, time::Instant};
+use rand::Rng;
+use serde::Serialize;
+
+use self::duty::Duties;
+use crate::{
+    action::{Action, Notice},
+    dial::Schedule,
+    event::Event,
+    identity::Identity,
+    leaving::{self, Mark},
+    limit::{Shares, Sharing},
+    message::{Heartbeat, Message, Status},
+    sends::{Others, Own},
+    settings::Settings,
+    view::{Notices, Peer, View},
+};
+
+/// Most upstreams of one message about leaving upstreams.
+pub const MAX_MARKS: usize = 64;
+
+/// The actions of one step, in order.
+pub type Actions = Vec<Action>;
+
+/// The membership of one instance.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_base::{id::Incarnation, time::Instant};
+/// use goldcrestvale_member::prelude::*;
+/// use rand::{SeedableRng, rngs::StdRng};
+///
+/// let own = Identity {
+///     instance: "bole-1".parse()?,
+///     incarnation: Incarnation(1),
+///     domain: "bole".parse()?,
+///     address: "127.0.0.1:7000".parse().expect("an address"),
+/// };
+/// let seed = "127.0.0.1:7001".parse().expect("an address");
+/// let mut member = Member::new(Settings::new(own).seeds(vec![seed]));
+/// let mut rng = StdRng::seed_from_u64(1);
+/// let actions = member.handle(Instant(0), Event::Tick, &mut rng);
+/// assert_eq!(actions, [Action::Connect(seed)]);
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug, Clone, Serialize)]
+pub struct Member {
+    #[serde(skip)]
+    settings: Settings,
+    status: Status,
+    sequence: u64,
+    stopped: bool,
+    view: View,
+    leaving: leaving::Set,
+    sharing: Sharing,
+    #[serde(skip)]
+    own_sends: Own,
+    #[serde(skip)]
+    others: Others,
+    dials: Schedule,
+    #[serde(skip)]
+    duties: Duties,
+}
+
+impl Member {
+    /// Starts with the settings.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            status: Status::default(),
+            sequence: 0,
+            stopped: false,
+            view: View::new(&settings),
+            leaving: leaving::Set::default(),
+            sharing: Sharing::new(settings.instances, settings.hold),
+            own_sends: Own::default(),
+            others: Others::default(),
+            dials: Schedule::default(),
+            duties: Duties::new(&settings),
+            settings,
+        }
+    }
+
+    /// Returns the time between ticks that the member needs.
+    pub fn tick(&self) -> std::time::Duration {
+        self.settings.heartbeat / 4
+    }
+
+    /// Returns the view.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Returns the upstreams that are leaving.
+    pub fn leaving(&self) -> &leaving::Set {
+        &self.leaving
+    }
+
+    /// Returns the parts of the limits that this instance may use.
+    pub fn shares(&self, now: Instant) -> Shares {
+        self.sharing.shares(now)
+    }
+
+    /// Returns the sharing of the limits.
+    pub fn sharing(&self) -> &Sharing {
+        &self.sharing
+    }
+
+    /// Returns what the other instances said they handed to upstreams.
+    pub fn others(&self) -> &Others {
+        &self.others
+    }
+
+    /// Handles an event.
+    pub fn handle(&mut self, now: Instant, event: Event, rng: &mut impl Rng) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Tick => self.pass(now, rng, &mut actions),
+            Event::Listed(seeds) => self.view.list(now, &seeds),
+            Event::Connected(who) => self.meet(now, &who, &mut actions),
+            Event::DialFailed(address) => self.dials.fail(now, address, rng),
+            Event::Disconnected { instance, incarnation } => {
+                if let Some(peer) = self.view.peer(&instance).filter(|peer| peer.linked) {
+                    self.dials.fail(now, peer.seed.address, rng);
+                }
+                self.view.part(&instance, incarnation);
+                self.sharing.reset(&instance);
+            }
+            Event::Heard { from, message } => self.hear(now, &from, message, &mut actions),
+            Event::Status(status) => self.status = status,
+            Event::Seen { upstream, incarnation, at } => {
+                self.leaving.see(now, at, &upstream, &incarnation);
+            }
+            Event::Leaving(mark) => self.mark(now, &mark, None, &mut actions),
+            Event::Removed(upstream) => self.leaving.remove(now, &upstream),
+            Event::Demand { customer, parts } => self.sharing.set_demand(&customer, parts),
+            Event::Sent(sent) => self.own_sends.set(&sent),
+            Event::Stop => self.stop(&mut actions),
+        }
+        actions
+    }
+
+    fn meet(&mut self, now: Instant, who: &Identity, actions: &mut Actions) {
+        let Some(notices) = self.view.meet(now, who) else {
+            actions.push(Action::Close(who.instance.clone()));
+            return;
+        };
+        self.dials.succeed(who.address);
+        self.notify(notices, actions);
+        self.sharing.reset(&who.instance);
+        let heartbeat = self.heartbeat();
+        let known = self.view.peers().filter_map(Peer::identity).count();
+        send(actions, &who.instance, heartbeat);
+        if known > 1 {
+            self.duties.gossip_soon();
+        }
+        self.tell_leaving(&who.instance, actions);
+    }
+
+    fn hear(&mut self, now: Instant, from: &Instance, message: Message, actions: &mut Actions) {
+        match message {
+            Message::Heartbeat(Heartbeat { status, .. }) => {
+                let notices = self.view.hear(now, from, status);
+                self.notify(notices, actions);
+                self.compare(from, &status, actions);
+            }
+            Message::Goodbye(incarnation) => {
+                let notices = self.view.end(from, incarnation);
+                self.notify(notices, actions);
+            }
+            Message::Members(known) => {
+                for known in &known {
+                    let notices = self.view.learn(now, known);
+                    self.notify(notices, actions);
+                }
+            }
+            Message::Leaving(marks) => {
+                for mark in marks {
+                    self.mark(now, &mark, Some(from), actions);
+                }
+            }
+            Message::Use(told) => self.sharing.receive(now, from, &told),
+            Message::Sends(totals) => self.others.hear(now, from, &totals),
+        }
+    }
+
+    /// Takes a statement that an upstream leaves, and passes it on at once if it is news.
+    fn mark(&mut self, now: Instant, mark: &Mark, from: Option<&Instance>, actions: &mut Actions) {
+        let Some(mark) = self.leaving.mark(now, mark) else { return };
+        for peer in self.view.linked() {
+            if Some(&peer.seed.instance) != from {
+                send(actions, &peer.seed.instance, Message::Leaving(vec![mark.clone()]));
+            }
+        }
+        actions.push(Action::Notify(Notice::Leaving(mark)));
+    }
+
+    fn tell_leaving(&self, to: &Instance, actions: &mut Actions) {
+        let marks: Vec<Mark> = self.leaving.marks().collect();
+        for marks in marks.chunks(MAX_MARKS) {
+            send(actions, to, Message::Leaving(marks.to_vec()));
+        }
+    }
+
+    /// Tells the daemon when a peer has a newer configuration, or differs under one version.
+    fn compare(&self, from: &Instance, status: &Status, actions: &mut Actions) {
+        let Some(theirs) = status.config else { return };
+        let differs = match self.status.config {
+            None => true,
+            Some(own) if own.version == theirs.version => own.digest != theirs.digest,
+            Some(own) => own.version < theirs.version,
+        };
+        if differs {
+            let instance = from.clone();
+            actions.push(Action::Notify(Notice::Config { instance, config: theirs }));
+        }
+    }
+
+    fn notify(&mut self, notices: Notices, actions: &mut Actions) {
+        for notice in notices {
+            if let Notice::Gone { instance, .. } = &notice {
+                self.sharing.reset(instance);
+                self.others.forget(instance);
+            }
+            if let Notice::Dead(instance) = &notice
+                && self.view.peer(instance).is_some_and(|peer| peer.linked)
+            {
+                actions.push(Action::Close(instance.clone()));
+            }
+            actions.push(Action::Notify(notice));
+        }
+        self.sharing.set_instances(self.view.instances(self.settings.instances));
+    }
+
+    fn heartbeat(&mut self) -> Message {
+        self.sequence += 1;
+        Message::Heartbeat(Heartbeat { sequence: self.sequence, status: self.status })
+    }
+
+    fn stop(&mut self, actions: &mut Actions) {
+        self.stopped = true;
+        for peer in self.view.linked() {
+            let goodbye = Message::Goodbye(self.settings.own.incarnation);
+            send(actions, &peer.seed.instance, goodbye);
+        }
+    }
+}
+
+fn send(actions: &mut Actions, to: &Instance, message: Message) {
+    actions.push(Action::Send { to: to.clone(), message });
+}
--- /dev/null
+++ b/crates/goldcrestvale_member/src/sends.rs
@@ -0,0 +1,170 @@
+//! What other instances handed to upstreams since a load report was taken.
+
+use goldcrestvale_base::{
+    domain,
+    id::{Digest, Instance, Upstream},
+    time::Instant,
+};
+use indexmap::IndexMap;
+use serde::Serialize;
+use smallvec::SmallVec;
+
+/// Most upstreams in one message.
+pub const MAX_TOTALS: usize = 16;
+
+/// Totals of one peer that are kept for each upstream.
+const KEPT: usize = 8;
+
+/// Most upstreams that are kept for each peer.
+const MAX_UPSTREAMS: usize = 4_096;
+
+domain! {
+    copy
+    /// A short name of an upstream: the first 4 bytes of the digest of its name.
+    ///
+    /// Two upstreams that share one only blur a correction.
+    #[serde(transparent)]
+    pub struct Short(pub u32);
+
+    /// Units of work that one instance handed to an upstream since the instance's start.
+    pub struct Total {
+        /// The upstream.
+        pub upstream: Short,
+        /// The units.
+        pub units: u64,
+    }
+}
+
+domain! {
+    value
+    /// Units of work that this instance handed to an upstream since its start.
+    pub struct Sent {
+        /// The upstream.
+        pub upstream: Upstream,
+        /// The units.
+        pub units: u64,
+    }
+
+    /// The totals that changed most since they were last told.
+    pub struct Totals {
+        /// The totals.
+        pub totals: Vec<Total>,
+    }
+}
+
+impl Short {
+    /// Returns the short name of an upstream.
+    pub fn of(upstream: &Upstream) -> Self {
+        let Digest(bytes) = Digest::of(upstream.as_str().as_bytes());
+        Self(u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+}
+
+/// What this instance has handed to upstreams, and told.
+#[derive(Debug, Clone, Default)]
+pub struct Own {
+    totals: IndexMap<Short, Told>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Told {
+    units: u64,
+    told: u64,
+}
+
+impl Own {
+    /// Takes the present totals.
+    pub fn set(&mut self, sent: &[Sent]) {
+        for Sent { upstream, units } in sent {
+            self.totals.entry(Short::of(upstream)).or_default().units = *units;
+        }
+    }
+
+    /// Takes out the totals that changed most since they were last told, if any changed.
+    pub fn report(&mut self) -> Option<Totals> {
+        let mut changed: Vec<_> =
+            self.totals.iter_mut().filter(|(_, told)| told.units != told.told).collect();
+        changed.sort_by_key(|(_, told)| std::cmp::Reverse(told.units.abs_diff(told.told)));
+        changed.truncate(MAX_TOTALS);
+        let totals: Vec<_> = changed
+            .into_iter()
+            .map(|(&upstream, told)| {
+                told.told = told.units;
+                Total { upstream, units: told.units }
+            })
+            .collect();
+        (!totals.is_empty()).then_some(Totals { totals })
+    }
+}
+
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Sample {
+    heard: Instant,
+    units: u64,
+}
+
+type Samples = SmallVec<[Sample; KEPT]>;
+
+/// What the other instances said they handed to upstreams.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_base::{id::Upstream, time::Instant};
+/// use goldcrestvale_member::sends::{Others, Short, Total, Totals};
+///
+/// let upstream: Upstream = "engine-1".parse()?;
+/// let total = |units| Totals { totals: vec![Total { upstream: Short::of(&upstream), units }] };
+/// let mut others = Others::default();
+/// others.hear(Instant(1), &"bole-1".parse()?, &total(10));
+/// others.hear(Instant(5), &"bole-1".parse()?, &total(14));
+/// assert_eq!(others.since(&upstream, Instant(3)), 4);
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Others {
+    peers: IndexMap<Instance, IndexMap<Short, Samples>>,
+}
+
+impl Others {
+    /// Takes the totals of a peer.
+    pub fn hear(&mut self, now: Instant, from: &Instance, told: &Totals) {
+        let upstreams = self.peers.entry(from.clone()).or_default();
+        for Total { upstream, units } in &told.totals {
+            if upstreams.len() >= MAX_UPSTREAMS && !upstreams.contains_key(upstream) {
+                continue;
+            }
+            let samples = upstreams.entry(*upstream).or_default();
+            if samples.last().is_some_and(|last| last.units > *units) {
+                samples.clear();
+            }
+            if samples.len() == KEPT {
+                samples.remove(0);
+            }
+            samples.push(Sample { heard: now, units: *units });
+        }
+    }
+
+    /// Forgets a peer, whose totals start anew.
+    pub fn forget(&mut self, instance: &Instance) {
+        self.peers.shift_remove(instance);
+    }
+
+    /// Returns the units that the others said they handed to an upstream since a time.
+    pub fn since(&self, upstream: &Upstream, since: Instant) -> u64 {
+        let short = Short::of(upstream);
+        self.peers
+            .values()
+            .filter_map(|upstreams| upstreams.get(&short))
+            .map(|samples| grown_since(samples, since))
+            .sum()
+    }
+}
+
+fn grown_since(samples: &Samples, since: Instant) -> u64 {
+    let before = samples.iter().rev().find(|sample| sample.heard <= since);
+    match (before.or(samples.first()), samples.last()) {
+        (Some(before), Some(last)) => last.units - before.units,
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_member/src/settings.rs
@@ -0,0 +1,117 @@
+//! Settings of the membership, through a builder.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::identity::Identity;
+
+/// Settings of one instance.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::id::Incarnation;
+/// use goldcrestvale_member::prelude::*;
+///
+/// let own = Identity {
+///     instance: "bole-1".parse()?,
+///     incarnation: Incarnation(1),
+///     domain: "bole".parse()?,
+///     address: "127.0.0.1:7000".parse().expect("an address"),
+/// };
+/// let settings = Settings::new(own).instances(4).heartbeat(Duration::from_millis(500));
+/// assert_eq!(settings.suspect_after(), Duration::from_millis(1_250));
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This instance.
+    pub own: Identity,
+    /// Addresses to try before the platform's list is read.
+    pub seeds: Vec<SocketAddr>,
+    /// Instances that share a customer's limit while the platform's list is not known.
+    pub instances: u32,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Time between gossip about other instances.
+    pub gossip: Duration,
+    /// Most connections that this instance opens inside its failure domain.
+    pub mesh_links: usize,
+    /// Connections that this instance opens to other failure domains.
+    pub outer_links: usize,
+    /// Time that a part of a limit is lent for.
+    pub hold: Duration,
+}
+
+impl Settings {
+    /// Starts from the defaults.
+    pub fn new(own: Identity) -> Self {
+        Self {
+            own,
+            seeds: Vec::new(),
+            instances: 1,
+            heartbeat: Duration::from_secs(1),
+            gossip: Duration::from_secs(5),
+            mesh_links: 16,
+            outer_links: 3,
+            hold: Duration::from_secs(3),
+        }
+    }
+
+    /// Sets the addresses to try before the platform's list is read.
+    #[must_use]
+    pub fn seeds(self, seeds: Vec<SocketAddr>) -> Self {
+        Self { seeds, ..self }
+    }
+
+    /// Sets the number of instances that share a limit while the platform's list is not known.
+    #[must_use]
+    pub fn instances(self, instances: u32) -> Self {
+        Self { instances: instances.max(1), ..self }
+    }
+
+    /// Sets the time between heartbeats.
+    #[must_use]
+    pub fn heartbeat(self, heartbeat: Duration) -> Self {
+        Self { heartbeat, ..self }
+    }
+
+    /// Sets the time between gossip about other instances.
+    #[must_use]
+    pub fn gossip(self, gossip: Duration) -> Self {
+        Self { gossip, ..self }
+    }
+
+    /// Sets the most connections inside the failure domain, and the number to other domains.
+    #[must_use]
+    pub fn links(self, mesh_links: usize, outer_links: usize) -> Self {
+        Self { mesh_links, outer_links, ..self }
+    }
+
+    /// Sets the time that a part of a limit is lent for.
+    #[must_use]
+    pub fn hold(self, hold: Duration) -> Self {
+        Self { hold, ..self }
+    }
+
+    /// Returns the silence after which a peer is suspected: 2.5 heartbeats.
+    pub fn suspect_after(&self) -> Duration {
+        self.heartbeat * 5 / 2
+    }
+
+    /// Returns the silence after which a peer counts as dead: 4 heartbeats.
+    pub fn dead_after(&self) -> Duration {
+        self.heartbeat * 4
+    }
+
+    /// Returns the age up to which hearsay about an instance counts as a sign of life.
+    pub fn hearsay_after(&self) -> Duration {
+        self.gossip * 24
+    }
+
+    /// Returns the silence after which an instance that is not listed is forgotten.
+    pub fn forget_after(&self) -> Duration {
+        self.gossip * 120
+    }
+}
