Add checkpoints, anti-entropy and the operators' desk

Cause: state must outlive the log's retention, reach an instance while the log is out, and an operator must never be told more than is known.

Ruled out: a lease for the writer of checkpoints; it costs records at every change of holder. The first chunk of a checkpoint claims the turn, and a random wait that most instances draw long keeps the others quiet.

Ruled out: deltas of entities between instances, which would need tombstones. Instances hand each other records of the log, and a checkpoint where those are gone, so that the receiver's state comes from the same fold.

Ruled out: readiness records by every incarnation for a new major version.

Change: Checkpoint, Chunk, Gather, Writer, Turn, start, Sync, Desk, raises.

--- /dev/null
+++ b/crates/goldcrestvale_config/src/desk.rs
@@ -0,0 +1,270 @@
+//! An operator's change: appended, repeated while its answer is lost, answered by the fold.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use goldcrestvale_base::{
+    domain,
+    id::{Offset, RecordId},
+    time::Instant,
+};
+use rand::Rng;
+
+use crate::{
+    change::Change,
+    fold::{Fold, Outcome},
+};
+
+/// Most changes that wait for an answer at one instance.
+pub const MAX_WAITING: usize = 256;
+
+/// Longest time for which an append is repeated.
+///
+/// It must be far shorter than the log takes to gain
+/// [`WINDOW_RECORDS`](crate::outcome::WINDOW_RECORDS) records, by which repeats are recognised.
+pub const MAX_PATIENCE: Duration = Duration::from_secs(300);
+
+/// Wait before the first repeat of an append.
+pub const FIRST_WAIT: Duration = Duration::from_millis(100);
+
+/// Longest wait between repeats of an append.
+pub const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+domain! {
+    value
+    /// The answer to an operator.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Answer {
+        /// The change holds at this instance, and will not be lost.
+        Accepted {
+            /// Its version.
+            version: Offset,
+        },
+        /// The change has no effect and never will.
+        Rejected {
+            /// Why.
+            reason: String,
+        },
+        /// The entity was changed in between; the change has no effect and never will.
+        Conflict {
+            /// Version of the entity; `None` if it does not exist.
+            now: Option<Offset>,
+        },
+        /// The change may have been appended, or may still be; ask, or send it again, by this id.
+        Unknown {
+            /// The id.
+            id: RecordId,
+        },
+        /// The instance has too many changes waiting; this one was not appended here.
+        Busy,
+    }
+
+    /// What became of one append.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Append {
+        /// The log has the record.
+        Stored,
+        /// The log does not have the record from this append.
+        Refused(String),
+        /// The log may have the record.
+        Lost,
+    }
+
+    /// Who drew a record's id.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Origin {
+        /// This instance did, just now: nobody else can have appended the record.
+        New,
+        /// The operator repeats a change by its id; it may have been appended before.
+        Repeat {
+            /// Time since the id was drawn; beyond [`MAX_PATIENCE`] nothing is appended.
+            age: Duration,
+        },
+    }
+}
+
+/// What the daemon is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Append a record, and report by [`Desk::appended`].
+    Append {
+        /// Identity of the record, the same in every repeat.
+        id: RecordId,
+        /// Its data.
+        data: Arc<str>,
+    },
+    /// Answer the operator.
+    Answer {
+        /// Identity of the change.
+        id: RecordId,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+#[derive(Debug)]
+struct Waiting {
+    data: Arc<str>,
+    deadline: Instant,
+    /// Whether any append may have reached the log.
+    may_stand: bool,
+    /// Whether the log acknowledged an append.
+    stored: bool,
+    in_flight: bool,
+    wait: Duration,
+    again: Instant,
+}
+
+/// The changes that operators wait for at one instance.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_base::{id::{Incarnation, Offset, RecordId}, time::Instant};
+/// use goldcrestvale_config::{desk::{Action, Answer, Desk, Origin}, fold::Fold};
+///
+/// let change = serde_json::from_str(r#"{"schema": {"major": 1, "minor": 0}, "kind": "service",
+///     "name": "desk", "operator": "ana", "body": {"pool": "desk", "timeout_ms": 500}}"#)?;
+/// let (mut desk, mut fold) = (Desk::default(), Fold::new());
+/// let id = RecordId { incarnation: Incarnation(1), sequence: 1 };
+/// let deadline = Instant(5_000_000);
+/// let actions = desk.submit(Instant(0), id, &change, Origin::New, deadline, &fold);
+/// let [Action::Append { data, .. }] = &actions[..] else { panic!("one append") };
+/// fold.apply(Offset(0), id, data);
+/// let accepted = Answer::Accepted { version: Offset(0) };
+/// assert_eq!(desk.folded(&fold), [Action::Answer { id, answer: accepted }]);
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct Desk {
+    waiting: BTreeMap<RecordId, Waiting>,
+}
+
+impl Desk {
+    /// Takes an operator's change.
+    ///
+    /// The deadline is cut to [`MAX_PATIENCE`].
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        id: RecordId,
+        change: &Change,
+        origin: Origin,
+        deadline: Instant,
+        fold: &Fold,
+    ) -> Vec<Action> {
+        let answer = |answer| vec![Action::Answer { id, answer }];
+        if let Some(outcome) = fold.outcome(&id) {
+            return answer(outcome.clone().into());
+        }
+        if self.waiting.contains_key(&id) {
+            return Vec::new();
+        }
+        if self.waiting.len() >= MAX_WAITING {
+            return answer(Answer::Busy);
+        }
+        // The first copy of an old record may be forgotten, and the second would be judged anew.
+        if matches!(origin, Origin::Repeat { age } if age > MAX_PATIENCE) {
+            return answer(Answer::Unknown { id });
+        }
+        if let Err(reason) = fold.try_read(change) {
+            return answer(match origin {
+                Origin::New => Answer::Rejected { reason },
+                Origin::Repeat { .. } => Answer::Unknown { id },
+            });
+        }
+        let data = serde_json::to_string(change).expect("a change has only text as map keys");
+        let data: Arc<str> = data.into();
+        let waiting = Waiting {
+            data: Arc::clone(&data),
+            deadline: deadline.min(now + MAX_PATIENCE),
+            may_stand: matches!(origin, Origin::Repeat { .. }),
+            stored: false,
+            in_flight: true,
+            wait: FIRST_WAIT,
+            again: now,
+        };
+        self.waiting.insert(id, waiting);
+        vec![Action::Append { id, data }]
+    }
+
+    /// Takes the result of an append; the repeat of a lost one is spread by jitter.
+    pub fn appended(
+        &mut self,
+        now: Instant,
+        id: &RecordId,
+        append: &Append,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let Some(waiting) = self.waiting.get_mut(id) else { return Vec::new() };
+        waiting.in_flight = false;
+        match append {
+            Append::Stored => {
+                waiting.stored = true;
+                waiting.may_stand = true;
+            }
+            Append::Lost => {
+                waiting.may_stand = true;
+                waiting.again = now + waiting.wait.mul_f64(rng.random_range(0.5..=1.0));
+                waiting.wait = (waiting.wait * 2).min(LONGEST_WAIT);
+            }
+            // An earlier append may stand, so the fold or the deadline answers.
+            Append::Refused(_) if waiting.may_stand => waiting.stored = true,
+            Append::Refused(reason) => {
+                let answer = Answer::Rejected { reason: reason.clone() };
+                self.waiting.remove(id);
+                return vec![Action::Answer { id: *id, answer }];
+            }
+        }
+        Vec::new()
+    }
+
+    /// Answers the changes that the fold has reached; call it after records were folded.
+    pub fn folded(&mut self, fold: &Fold) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.waiting.retain(|id, _| match fold.outcome(id) {
+            Some(outcome) => {
+                actions.push(Action::Answer { id: *id, answer: outcome.clone().into() });
+                false
+            }
+            None => true,
+        });
+        actions
+    }
+
+    /// Repeats appends that are due, and answers changes whose deadline has passed.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.waiting.retain(|id, waiting| {
+            if now >= waiting.deadline {
+                let answer = Answer::Unknown { id: *id };
+                actions.push(Action::Answer { id: *id, answer });
+                return false;
+            }
+            if !waiting.in_flight && !waiting.stored && now >= waiting.again {
+                waiting.in_flight = true;
+                actions.push(Action::Append { id: *id, data: Arc::clone(&waiting.data) });
+            }
+            true
+        });
+        actions
+    }
+
+    /// Returns when [`tick`](Self::tick) has something to do next.
+    pub fn due(&self) -> Option<Instant> {
+        let due = |waiting: &Waiting| match waiting.in_flight || waiting.stored {
+            true => waiting.deadline,
+            false => waiting.again.min(waiting.deadline),
+        };
+        self.waiting.values().map(due).min()
+    }
+}
+
+impl From<Outcome> for Answer {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Accepted { version } => Self::Accepted { version },
+            Outcome::Rejected { reason } => Self::Rejected { reason },
+            Outcome::Conflict { now } => Self::Conflict { now },
+        }
+    }
+}
--- a/crates/goldcrestvale_config/src/fold.rs
+++ b/crates/goldcrestvale_config/src/fold.rs
@@ -2,30 +2,22 @@
 
 use std::sync::Arc;
 
-use goldcrestvale_base::id::{Digest, Offset, RecordId, Upstream};
-use serde_json::{Map, Value};
+use goldcrestvale_base::id::{Digest, Offset, RecordId};
 
 pub use crate::outcome::Outcome;
 use crate::{
+    alarm::Alarms,
     body::Body,
-    canonical::canonical,
-    change::{Change, Data, Raise},
-    link::{Address, Links},
+    link::Address,
     outcome::{Folded, Window},
     record::Kind,
     schema::Table,
-    slot::{Step, Stored},
     snapshot::Snapshot,
     state::State,
     sum::Sum,
+    tail::{Read, Tail},
 };
 
-/// Largest body, in bytes of JSON.
-pub const MAX_BODY_BYTES: usize = 65_536;
-
-/// Most changes of one entity that may wait for a schema version.
-pub const MAX_HELD: usize = 64;
-
 /// Why the fold goes no further.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Stop {
@@ -61,13 +53,14 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Fold {
-    table: Arc<Table>,
-    state: State,
-    window: Window,
-    sum: Sum,
-    snapshot: Arc<Snapshot>,
-    stop: Option<Stop>,
-    regressions: u64,
+    pub(crate) table: Arc<Table>,
+    pub(crate) state: State,
+    pub(crate) window: Window,
+    pub(crate) sum: Sum,
+    pub(crate) tail: Tail,
+    pub(crate) snapshot: Arc<Snapshot>,
+    pub(crate) stop: Option<Stop>,
+    pub(crate) alarms: Alarms,
 }
 
 impl Fold {
@@ -78,7 +71,13 @@
 
     /// Creates the fold of the empty prefix with the schema versions of a table.
     pub fn with_table(table: Table) -> Self {
-        Self { table: Arc::new(table), ..Self::default() }
+        Self::starting_at(Offset(0), Arc::new(table))
+    }
+
+    /// Creates a fold without entities at a version; a checkpoint fills it.
+    pub(crate) fn starting_at(version: Offset, table: Arc<Table>) -> Self {
+        let snapshot = Arc::new(Snapshot { version, ..Snapshot::default() });
+        Self { table, snapshot, ..Self::default() }
     }
 
     /// Folds the next record.
@@ -98,7 +97,7 @@
             self.stop = None;
         }
         let repeated = self.window.get(&id).is_some();
-        let outcome = if repeated { None } else { self.fold(offset, data) };
+        let outcome = if repeated { None } else { self.evaluate(offset, data) };
         if matches!(self.stop, Some(Stop::Unread { .. })) {
             return None;
         }
@@ -107,6 +106,7 @@
             self.window.push(folded, &mut self.sum);
         }
         Arc::make_mut(&mut self.snapshot).version = offset.next();
+        self.tail.push(Read { offset, id, data: data.into() }, self.digest());
         outcome
     }
 
@@ -126,6 +126,15 @@
         self.sum.digest(self.version().0)
     }
 
+    /// Returns the digest of the state at this or an earlier version, while it is kept.
+    pub fn digest_at(&self, version: Offset) -> Option<Digest> {
+        if version == self.version() {
+            return Some(self.digest());
+        }
+        let before_all = (version == Offset(0)).then(|| Sum::default().digest(0));
+        self.tail.digest_at(version).or(before_all)
+    }
+
     /// Returns the configuration in force.
     pub fn snapshot(&self) -> Arc<Snapshot> {
         Arc::clone(&self.snapshot)
@@ -136,9 +145,16 @@
         self.stop.as_ref()
     }
 
-    /// Returns how many records were read at an offset that held another one before.
-    pub fn regressions(&self) -> u64 {
-        self.regressions
+    /// Returns the signs that the log or another instance is at odds with this one.
+    pub fn alarms(&self) -> Alarms {
+        self.alarms
+    }
+
+    /// Takes note of the end of the stream, which must not lie before the fold's version.
+    pub fn note_end(&mut self, end: Offset) {
+        if end < self.version() {
+            self.alarms.regressions += 1;
+        }
     }
 
     /// Returns the version of an entity on which the next change of it must be based.
@@ -152,70 +168,8 @@
         slot.now.as_ref()?.body.as_ref().map(|stored| Arc::clone(&stored.text))
     }
 
-    fn check_seen(&mut self, offset: Offset, id: &RecordId) {
-        let same = self.window.get(id).is_some_and(|folded| folded.offset <= offset);
-        let oldest = self.window.iter().next().map(|folded| folded.offset);
-        if !same && oldest.is_some_and(|oldest| offset >= oldest) {
-            self.regressions += 1;
-        }
-    }
-
-    fn fold(&mut self, offset: Offset, data: &str) -> Option<Outcome> {
-        match serde_json::from_str(data) {
-            Ok(Data::Raise { raise }) => {
-                self.raise(raise);
-                None
-            }
-            Ok(Data::Change(change)) => match self.try_change(offset, change) {
-                Ok(outcome) => outcome,
-                Err(reason) => Some(Outcome::rejected(reason)),
-            },
-            Err(_) => Some(Outcome::rejected("the record is neither a change nor a raise")),
-        }
-    }
-
-    fn try_change(&mut self, offset: Offset, change: Change) -> Result<Option<Outcome>, String> {
-        check_envelope(&change)?;
-        let address = Address::new(change.kind, &change.name);
-        let (head, queued) =
-            self.state.slot(&address).map_or((None, 0), |slot| (slot.head(), slot.held.len()));
-        if change.base != head {
-            return Ok(Some(Outcome::Conflict { now: head }));
-        }
-        let mut step = Step { version: offset, schema: change.schema, body: None };
-        let major = change.schema.major;
-        let held = queued > 0 || major > self.state.major(&address.kind);
-        let mut typed = None;
-        match change.body {
-            None if head.is_none() => return Err(format!("{address} does not exist")),
-            None => self.state.try_unlink(&address)?,
-            Some(body) => {
-                let stored = store(&address.kind, &body)?;
-                self.state.try_link(&address, &stored.links)?;
-                step.body = Some(stored);
-                if !held {
-                    if !self.table.reads(&address.kind, major) {
-                        self.stop = Some(Stop::Unread { kind: address.kind, major });
-                        return Ok(None);
-                    }
-                    typed = Some(Body::try_read(&self.table, &address.kind, major, body)?);
-                }
-            }
-        }
-        if queued >= MAX_HELD {
-            return Err(format!("{address} has {queued} changes that wait for a schema version"));
-        }
-        if !held {
-            self.put_in_force(&address, offset, typed);
-        }
-        self.state.edit(&address, &mut self.sum, |slot| match held {
-            true => slot.held.push(step),
-            false => slot.now = step.body.is_some().then_some(step),
-        });
-        Ok(Some(Outcome::Accepted { version: offset }))
-    }
-
-    fn put_in_force(&mut self, address: &Address, version: Offset, body: Option<Body>) {
+    /// Puts a body in force, or takes the entity out of force.
+    pub(crate) fn put_in_force(&mut self, address: &Address, version: Offset, body: Option<Body>) {
         let snapshot = Arc::make_mut(&mut self.snapshot);
         match body {
             Some(body) => snapshot.insert(&address.name, version, body),
@@ -223,70 +177,11 @@
         }
     }
 
-    fn raise(&mut self, raise: Raise) {
-        let Raise { kind, major } = raise;
-        let current = self.state.major(&kind);
-        if major <= current {
-            return;
-        }
-        if let Some(major) = (current + 1..=major).find(|&major| !self.table.reads(&kind, major)) {
-            self.stop = Some(Stop::Unread { kind, major });
-            return;
-        }
-        self.state.raise(kind.clone(), major, &mut self.sum);
-        for (address, step) in self.release(&kind, major) {
-            self.put_step(&address, step);
-        }
-    }
-
-    /// Takes out the held changes that a major version puts in force, in log order.
-    fn release(&mut self, kind: &Kind, major: u16) -> Vec<(Address, Step)> {
-        let waiting =
-            self.state.slots().filter(|(at, slot)| at.kind == *kind && !slot.held.is_empty());
-        let addresses: Vec<_> = waiting.map(|(address, _)| address.clone()).collect();
-        let mut released = Vec::new();
-        for address in addresses {
-            let steps = self.state.edit(&address, &mut self.sum, |slot| {
-                let waits = |step: &Step| step.body.is_some() && step.schema.major > major;
-                let count = slot.held.iter().position(waits).unwrap_or(slot.held.len());
-                slot.held.drain(..count).collect::<Vec<_>>()
-            });
-            released.extend(steps.into_iter().map(|step| (address.clone(), step)));
-        }
-        released.sort_by_key(|(_, step)| step.version);
-        released
-    }
-
-    fn put_step(&mut self, address: &Address, step: Step) {
-        let version = step.version;
-        let read = step.body.as_ref().map(|stored| {
-            let body: Map<String, Value> =
-                serde_json::from_str(&stored.text).map_err(|fault| fault.to_string())?;
-            Body::try_read(&self.table, &address.kind, step.schema.major, body)
-        });
-        match read.transpose() {
-            Ok(body) => {
-                self.put_in_force(address, version, body);
-                self.state.edit(address, &mut self.sum, |slot| {
-                    slot.now = step.body.is_some().then_some(step);
-                });
-            }
-            Err(reason) => self.window.revise(version, Outcome::rejected(reason), &mut self.sum),
+    fn check_seen(&mut self, offset: Offset, id: &RecordId) {
+        let same = self.window.get(id).is_some_and(|folded| folded.offset <= offset);
+        let oldest = self.window.iter().next().map(|folded| folded.offset);
+        if !same && oldest.is_some_and(|oldest| offset >= oldest) {
+            self.alarms.regressions += 1;
         }
     }
 }
-
-fn check_envelope(change: &Change) -> Result<(), String> {
-    if change.schema.major == 0 {
-        return Err("major version 0 does not exist".to_owned());
-    }
-    change.name.parse::<Upstream>().map(drop).map_err(|fault| fault.to_string())
-}
-
-fn store(kind: &Kind, body: &Map<String, Value>) -> Result<Stored, String> {
-    let text = canonical(body);
-    if text.len() > MAX_BODY_BYTES {
-        return Err(format!("the body has {} bytes, allowed are {MAX_BODY_BYTES}", text.len()));
-    }
-    Ok(Stored { links: Links::of(kind, body), text: text.into() })
-}
--- a/crates/goldcrestvale_config/src/lib.rs
+++ b/crates/goldcrestvale_config/src/lib.rs
@@ -4,18 +4,30 @@
 //! state; readers use an immutable [`snapshot::Snapshot`] of it. Nothing here does I/O or reads a
 //! clock.
 
+pub mod alarm;
 mod body;
 mod canonical;
 pub mod change;
+pub mod checkpoint;
+pub mod chunk;
+pub mod desk;
+pub mod evaluate;
 pub mod fold;
 pub mod link;
 pub mod outcome;
+pub mod raise;
 pub mod record;
+mod saved;
 pub mod schema;
 mod slot;
 pub mod snapshot;
+pub mod start;
 mod state;
 mod sum;
+pub mod sync;
+pub mod tail;
+pub mod turn;
+pub mod writer;
 
 /// Re-exports the types that most users of the crate name.
 pub mod prelude {
--- a/crates/goldcrestvale_config/src/state.rs
+++ b/crates/goldcrestvale_config/src/state.rs
@@ -36,6 +36,11 @@
         self.slots.iter()
     }
 
+    /// Returns the major versions above the initial ones.
+    pub(crate) fn raised(&self) -> &BTreeMap<Kind, u16> {
+        &self.raised
+    }
+
     /// Returns the major version in force for a kind.
     pub(crate) fn major(&self, kind: &Kind) -> u16 {
         self.raised.get(kind).copied().unwrap_or_else(|| schema::initial_major(kind))
--- /dev/null
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -0,0 +1,241 @@
+//! Anti-entropy: instances bring each other up to the newest state that any of them has.
+//!
+//! An [`Offer`] names a state by version and digest. An instance that lags [asks](Ask), and gets
+//! the records behind its version, or a checkpoint in chunks where the peer no longer has them.
+//! State is applied only upwards.
+
+use std::sync::Arc;
+
+use goldcrestvale_base::{
+    domain,
+    id::{Digest, Offset},
+};
+
+use crate::{
+    checkpoint::Checkpoint,
+    chunk::{Chunk, Gather, Set},
+    fold::Fold,
+    tail::Read,
+};
+
+/// Most records in one answer.
+pub const MAX_RECORDS: usize = 256;
+
+/// Size of the records after which an answer takes no more, in bytes of their data.
+pub const RECORDS_BYTES: usize = 65_536;
+
+domain! {
+    copy
+    /// What state an instance has.
+    pub struct Offer {
+        /// Version of the state.
+        pub version: Offset,
+        /// Digest of the state.
+        pub digest: Digest,
+    }
+
+    /// What an instance lacks.
+    pub struct Ask {
+        /// Version that it has.
+        pub version: Offset,
+        /// The chunk that it lacks of a checkpoint.
+        pub chunk: Option<Want>,
+    }
+
+    /// A chunk that an instance lacks.
+    pub struct Want {
+        /// The checkpoint.
+        pub set: Set,
+        /// Place of the chunk, from 0.
+        pub index: u32,
+    }
+}
+
+domain! {
+    record
+    /// The answer to an [`Ask`].
+    #[serde(rename_all = "kebab-case")]
+    pub enum Answer {
+        /// Records after the version that was asked from.
+        Records {
+            /// Digest of the answering instance's state at that version.
+            base: Digest,
+            /// The records, without gaps.
+            records: Vec<Read>,
+        },
+        /// A part of a checkpoint.
+        Chunk(Chunk),
+        /// The answering instance has nothing newer.
+        Nothing,
+    }
+
+    /// What to do about an offer.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Weighed {
+        /// Both have the same state.
+        Same,
+        /// The offered state is newer: ask for it.
+        Ask(Ask),
+        /// The offered state is older: ignore it, and offer the own one.
+        Older,
+        /// The versions are equal and the digests are not: an alarm, which was counted.
+        Diverged,
+    }
+}
+
+/// The anti-entropy of one instance.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_config::{fold::Fold, sync::{Sync, Weighed}};
+///
+/// let (mut sync, mut fold) = (Sync::default(), Fold::new());
+/// let offer = fold.offer();
+/// assert_eq!(sync.weigh(&mut fold, &offer), Weighed::Same);
+/// ```
+#[derive(Debug, Default)]
+pub struct Sync {
+    gather: Gather,
+    given: Option<(Set, Arc<[Chunk]>)>,
+}
+
+impl Fold {
+    /// Returns what state this instance has.
+    pub fn offer(&self) -> Offer {
+        Offer { version: self.version(), digest: self.digest() }
+    }
+
+    /// Replaces the state by that of a checkpoint, if that is newer.
+    ///
+    /// Returns whether it was. Alarms are kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails, and keeps the state, if the checkpoint cannot be restored.
+    pub fn try_advance(&mut self, checkpoint: &Checkpoint) -> crate::checkpoint::Result<bool> {
+        if checkpoint.version == self.version() && checkpoint.digest != self.digest() {
+            self.alarms.divergences += 1;
+        }
+        if checkpoint.version <= self.version() {
+            return Ok(false);
+        }
+        match checkpoint.try_restore(Arc::clone(&self.table)) {
+            Ok(restored) => {
+                let alarms = self.alarms;
+                *self = Self { alarms, ..restored };
+                Ok(true)
+            }
+            Err(fault) => {
+                let mismatch = matches!(fault, crate::checkpoint::Error::Mismatch { .. });
+                self.alarms.corruptions += u64::from(mismatch);
+                Err(fault)
+            }
+        }
+    }
+}
+
+impl Sync {
+    /// Weighs the offer of another instance.
+    pub fn weigh(&mut self, fold: &mut Fold, offer: &Offer) -> Weighed {
+        if offer.version > fold.version() {
+            return Weighed::Ask(self.ask(fold));
+        }
+        match fold.digest_at(offer.version) {
+            Some(digest) if digest != offer.digest => {
+                fold.alarms.divergences += 1;
+                Weighed::Diverged
+            }
+            _ if offer.version == fold.version() => Weighed::Same,
+            _ => Weighed::Older,
+        }
+    }
+
+    /// Answers another instance's ask.
+    pub fn answer(&mut self, fold: &Fold, ask: &Ask) -> Answer {
+        if ask.version >= fold.version() {
+            return Answer::Nothing;
+        }
+        if let Some(want) = ask.chunk
+            && let Some((set, chunks)) = &self.given
+            && *set == want.set
+            && let Some(chunk) = chunks.get(want.index as usize)
+        {
+            return Answer::Chunk(chunk.clone());
+        }
+        if let Some(base) = fold.digest_at(ask.version) {
+            let records = take_records(fold.tail.from(ask.version));
+            if !records.is_empty() {
+                return Answer::Records { base, records };
+            }
+        }
+        self.give_checkpoint(fold)
+    }
+
+    /// Takes another instance's answer, and returns what to ask it next, if anything.
+    pub fn take(&mut self, fold: &mut Fold, answer: Answer) -> Option<Ask> {
+        match answer {
+            Answer::Nothing => None,
+            Answer::Records { base, records } => self.take_records(fold, base, records),
+            Answer::Chunk(chunk) => self.take_chunk(fold, chunk),
+        }
+    }
+
+    fn ask(&self, fold: &Fold) -> Ask {
+        let newer = self.gather.newest().filter(|set| set.version > fold.version());
+        let chunk =
+            newer.and_then(|set| self.gather.missing(set).map(|index| Want { set: *set, index }));
+        Ask { version: fold.version(), chunk }
+    }
+
+    fn take_records(&mut self, fold: &mut Fold, base: Digest, records: Vec<Read>) -> Option<Ask> {
+        let first = records.first()?.offset;
+        // A late answer is still sound if the digest at its base is the one that this fold had.
+        match fold.digest_at(first) {
+            Some(digest) if digest == base => {}
+            Some(_) => {
+                fold.alarms.divergences += 1;
+                return None;
+            }
+            None => return None,
+        }
+        let before = fold.version();
+        for read in records.iter().filter(|read| read.offset >= before) {
+            fold.apply(read.offset, read.id, &read.data);
+        }
+        (fold.version() > before).then(|| self.ask(fold))
+    }
+
+    fn take_chunk(&mut self, fold: &mut Fold, chunk: Chunk) -> Option<Ask> {
+        if chunk.set.version <= fold.version() {
+            return None;
+        }
+        match self.gather.add(chunk) {
+            None => Some(self.ask(fold)).filter(|ask| ask.chunk.is_some()),
+            Some(checkpoint) => {
+                let advanced = fold.try_advance(&checkpoint).is_ok_and(|advanced| advanced);
+                advanced.then(|| self.ask(fold))
+            }
+        }
+    }
+
+    fn give_checkpoint(&mut self, fold: &Fold) -> Answer {
+        let current = self.given.as_ref().is_some_and(|(set, _)| set.version == fold.version());
+        if !current {
+            let checkpoint = fold.checkpoint();
+            self.given = Some((checkpoint.set(), checkpoint.chunks().into()));
+        }
+        let first = self.given.as_ref().and_then(|(_, chunks)| chunks.first());
+        first.map_or(Answer::Nothing, |chunk| Answer::Chunk(chunk.clone()))
+    }
+}
+
+fn take_records<'a>(reads: impl Iterator<Item = &'a Read>) -> Vec<Read> {
+    let mut bytes = 0;
+    let within = reads.take(MAX_RECORDS).take_while(|read| {
+        let fits = bytes < RECORDS_BYTES;
+        bytes += read.data.len();
+        fits
+    });
+    within.cloned().collect()
+}
