--- a/crates/goldcrestvale_config/src/fold.rs
+++ b/crates/goldcrestvale_config/src/fold.rs
@@ -82,7 +82,7 @@
 
     /// Folds the next record.
     ///
-    /// Returns `None` for a record without an outcome: a repeat, a [`Raise`], or one that cannot
+    /// Returns `None` for a record without an outcome: a repeat, a [`Raise`](crate::change::Raise), or one that cannot
     /// be folded because of a [`Stop`].
     pub fn apply(&mut self, offset: Offset, id: RecordId, data: &str) -> Option<Outcome> {
         if offset < self.version() {
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/callers/auth.rs
@@ -0,0 +1,61 @@
+//! Proving who a caller is.
+
+use goldcrestvale_base::id::{Customer, Digest};
+use goldcrestvale_config::snapshot::Snapshot;
+use http::{HeaderMap, header::AUTHORIZATION};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    header,
+    refusal::{Cause, Refusal, Result},
+};
+
+/// A customer whose credential was checked.
+#[derive(Debug, Clone)]
+pub(super) struct Caller {
+    /// The customer.
+    pub(super) customer: Customer,
+    /// Priority asked for by the caller, if any.
+    pub(super) priority: Option<u8>,
+    /// Time within which the caller needs the whole answer, in milliseconds, if stated.
+    pub(super) deadline_ms: Option<u64>,
+}
+
+/// Checks the customer's credential in constant time and reads the common headers.
+pub(super) fn authenticate(headers: &HeaderMap, config: &Snapshot) -> Result<Caller> {
+    let wrong = || Refusal::early(Cause::Credential, "the customer or its credential is wrong");
+    let customer = text(headers, &header::CUSTOMER)?.ok_or_else(wrong)?;
+    let customer: Customer = customer.parse().map_err(|_| wrong())?;
+    let bearer = text(headers, &AUTHORIZATION)?
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(wrong)?;
+    let offered = Digest::of(bearer.as_bytes());
+    // An unknown customer costs the same comparison as a wrong credential.
+    let known = config.customers.get(&customer);
+    let expected = known.map_or(Digest([0; 32]), |entity| entity.body.credential);
+    let same = bool::from(offered.0.ct_eq(&expected.0));
+    if !same || known.is_none() {
+        return Err(wrong());
+    }
+    Ok(Caller {
+        customer,
+        priority: number(headers, &header::PRIORITY)?,
+        deadline_ms: number(headers, &header::DEADLINE)?,
+    })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Result<Option<&'a str>> {
+    let malformed = |_| Refusal::early(Cause::Malformed, format!("header {name} is not text"));
+    headers.get(name).map(|value| value.to_str().map_err(malformed)).transpose()
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &http::HeaderName) -> Result<Option<T>> {
+    let Some(value) = text(headers, name)? else {
+        return Ok(None);
+    };
+    let parsed = value.parse().map_err(|_| {
+        let detail = format!("header {name} holds {value:?}, which is not a number in its range");
+        Refusal::early(Cause::Malformed, detail)
+    })?;
+    Ok(Some(parsed))
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/callers/draft/ask.rs
@@ -0,0 +1,109 @@
+//! What a caller asks for.
+
+use std::time::Duration;
+
+use goldcrestvale_base::id::Model;
+use goldcrestvale_config::record;
+use serde::Deserialize;
+
+use crate::{
+    callers::auth::Caller,
+    node::Node,
+    refusal::{Cause, Refusal, Result},
+};
+
+/// The body of `POST /v1/completions`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Body {
+    model: Model,
+    prompt: Prompt,
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    resume: Vec<u32>,
+}
+
+/// Text, which stands for its UTF-8 bytes, or token ids.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    Text(String),
+    Tokens(Vec<u32>),
+}
+
+/// A checked draft request.
+#[derive(Debug, Clone)]
+pub(super) struct Ask {
+    pub(super) model: Model,
+    pub(super) layers: u32,
+    pub(super) prompt: Vec<u32>,
+    /// Tokens that the caller already holds from an earlier answer to the same prompt.
+    pub(super) resume: Vec<u32>,
+    pub(super) max_tokens: u32,
+    pub(super) stream: bool,
+    pub(super) priority: u8,
+    pub(super) deadline: Duration,
+}
+
+impl Ask {
+    pub(super) fn parse(body: &[u8], caller: &Caller, node: &Node) -> Result<Self> {
+        let malformed = |e| Refusal::early(Cause::Malformed, format!("the body: {e}"));
+        let body: Body = serde_json::from_slice(body).map_err(malformed)?;
+        let config = node.config.load();
+        let model = config
+            .models
+            .get(&body.model)
+            .ok_or_else(|| Refusal::early(Cause::Unknown, format!("no model {}", body.model)))?;
+        let target = record::Target::Model(body.model.clone());
+        let binding = config.binding(&caller.customer, &target).ok_or_else(|| {
+            let detail = format!("{} may not use {target}", caller.customer);
+            Refusal::early(Cause::NotBound, detail)
+        })?;
+        let prompt = match body.prompt {
+            Prompt::Text(text) => text.bytes().map(u32::from).collect(),
+            Prompt::Tokens(tokens) => tokens,
+        };
+        let most = node.settings.draft.max_tokens;
+        check_size(prompt.len(), body.resume.len(), body.max_tokens, most, &model.body)?;
+        let deadline = caller.deadline_ms.map(Duration::from_millis);
+        Ok(Self {
+            layers: model.body.layers,
+            model: body.model,
+            prompt,
+            resume: body.resume,
+            max_tokens: body.max_tokens,
+            stream: body.stream,
+            priority: caller.priority.unwrap_or(binding.body.priority),
+            deadline: deadline.unwrap_or(node.settings.draft.deadline),
+        })
+    }
+}
+
+fn check_size(
+    prompt: usize,
+    resumed: usize,
+    max_tokens: u32,
+    most: u32,
+    model: &record::Model,
+) -> Result<()> {
+    let malformed = |detail: String| Err(Refusal::early(Cause::Malformed, detail));
+    if prompt == 0 {
+        return malformed("the prompt is empty".to_owned());
+    }
+    if max_tokens == 0 || max_tokens > most {
+        return malformed(format!("max_tokens is {max_tokens}, allowed are 1 to {most}"));
+    }
+    if resumed > max_tokens as usize {
+        return malformed(format!("resume holds {resumed} tokens, max_tokens is {max_tokens}"));
+    }
+    let context = model.context_tokens;
+    if prompt + max_tokens as usize > context as usize {
+        let asked = prompt + max_tokens as usize;
+        return malformed(format!(
+            "prompt and answer take {asked} tokens, the model has {context}"
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -0,0 +1,84 @@
+//! The callers' interface: drafts and calls of plain services.
+
+mod auth;
+pub mod draft;
+mod path;
+pub mod service;
+mod sse;
+mod trace;
+
+use std::sync::Arc;
+
+use goldcrestvale_base::id::Request as RequestId;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use uuid::Uuid;
+
+use crate::{
+    body::Body,
+    header,
+    node::Node,
+    phase::Phase,
+    refusal::{Cause, Refusal, Result},
+};
+use path::Path;
+use trace::Trace;
+
+/// Serves one request of a caller.
+///
+/// Every answer names the request; a refusal also has a verdict, a problem body and, where coming
+/// back helps, `Retry-After`.
+pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let id = RequestId(Uuid::now_v7());
+    let mut trace = Trace::start(node.clone(), id, &request);
+    let mut response = match route(node, id, request, &mut trace).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            trace.refuse(&refusal);
+            refusal.respond(id)
+        }
+    };
+    let text = id.to_string().try_into().expect("a UUID is a valid header value");
+    response.headers_mut().insert(header::REQUEST, text);
+    if !response.headers().contains_key(header::VERDICT) {
+        response.headers_mut().insert(header::VERDICT, HeaderValue::from_static("ran"));
+    }
+    trace.finish(response.status());
+    response
+}
+
+async fn route(
+    node: Arc<Node>,
+    id: RequestId,
+    request: Request<Incoming>,
+    trace: &mut Trace,
+) -> Result<Response<Body>> {
+    check_phase(&node)?;
+    let path = Path::parse(request.method(), request.uri())?;
+    let caller = auth::authenticate(request.headers(), &node.config.load())?;
+    trace.set_customer(&caller.customer);
+    let pass = node.gate.try_enter().ok_or_else(|| busy(&node))?;
+    match path {
+        Path::Completions => draft::serve(node, id, caller, request, trace, pass).await,
+        Path::Service { service, rest } => {
+            let target = service::Target { service, rest };
+            service::serve(node, id, caller, target, request, trace, pass).await
+        }
+    }
+}
+
+fn check_phase(node: &Node) -> Result<()> {
+    match node.life.phase() {
+        Phase::Starting => {
+            let refusal = Refusal::early(Cause::Starting, "no configuration is known yet");
+            Err(refusal.retry_after(node.settings.platform.timeout))
+        }
+        Phase::Serving | Phase::Leaving | Phase::Draining => Ok(()),
+    }
+}
+
+fn busy(node: &Node) -> Refusal {
+    let most = node.settings.callers.streams;
+    Refusal::early(Cause::Busy, format!("{most} requests are in progress"))
+        .retry_after(node.settings.platform.timeout)
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/clock.rs
@@ -0,0 +1,29 @@
+//! The clocks of the process, read here and handed to decisions.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use goldcrestvale_base::time::{Instant, Wall};
+
+/// A monotonic clock whose origin is the start of the process.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: std::time::Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn start() -> Self {
+        Self { origin: std::time::Instant::now() }
+    }
+
+    /// Reads the monotonic clock.
+    pub fn now(&self) -> Instant {
+        Instant(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Reads the wall clock.
+    pub fn wall(&self) -> Wall {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Wall(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -1,1 +1,32 @@
-//! HTTP for callers and for operators.
+//! The entry instance: HTTP for callers and for operators, and the tasks behind it.
+//!
+//! [`daemon::Builder`] assembles an instance from parts that register themselves; every part
+//! shares a [`node::Node`]. Requests read immutable snapshots and count by atomics.
+
+pub mod body;
+pub mod callers;
+pub mod clock;
+pub mod daemon;
+pub mod gate;
+pub mod header;
+pub mod metrics;
+pub mod node;
+pub mod operators;
+pub mod phase;
+pub mod refusal;
+pub mod server;
+pub mod settings;
+pub mod table;
+pub mod tail;
+pub mod watch;
+
+/// Re-exports the types that most users of this package name.
+pub mod prelude {
+    pub use crate::{
+        daemon::{Builder, Daemon, Part},
+        node::Node,
+        phase::Phase,
+        refusal::{Cause, Refusal},
+        settings::Settings,
+    };
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/metrics.rs
@@ -0,0 +1,113 @@
+//! Metrics of an instance, recorded by OpenTelemetry and scraped as text.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider as _, UpDownCounter},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::Snafu;
+
+use crate::refusal::Cause;
+
+/// The result of setting up or scraping metrics.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A failure to set up or scrape metrics.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The exporter cannot be built.
+    #[snafu(display("cannot set up the metrics exporter: {detail}"))]
+    Setup {
+        /// What the library reported.
+        detail: String,
+    },
+    /// The metrics cannot be encoded.
+    #[snafu(display("cannot encode the metrics: {source}"))]
+    Encode {
+        /// What the library reported.
+        source: prometheus::Error,
+    },
+}
+
+/// The instruments of an instance.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    /// Requests ended, by kind and verdict.
+    pub requests: Counter<u64>,
+    /// Requests refused, by cause.
+    pub refusals: Counter<u64>,
+    /// Time of a request from its head to its end, in seconds, by kind.
+    pub duration: Histogram<f64>,
+    /// Time to the first token of a draft, in seconds.
+    pub first_token: Histogram<f64>,
+    /// Requests in progress, by kind.
+    pub in_progress: UpDownCounter<i64>,
+    /// Attempts after the first, by kind.
+    pub retries: Counter<u64>,
+    /// Time from the loss of a stage to the next token, in seconds.
+    pub recovery: Histogram<f64>,
+    /// Claims per append to the platform log.
+    pub claim_batch: Histogram<u64>,
+    /// Tokens committed.
+    pub tokens: Counter<u64>,
+    /// Failed calls to the platform, by call.
+    pub platform_failures: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be built.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::Setup { detail: e.to_string() })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("goldcrestvale");
+        Ok(Self {
+            requests: meter.u64_counter("goldcrestvale_requests").build(),
+            refusals: meter.u64_counter("goldcrestvale_refusals").build(),
+            duration: meter.f64_histogram("goldcrestvale_request_seconds").build(),
+            first_token: meter.f64_histogram("goldcrestvale_first_token_seconds").build(),
+            in_progress: meter.i64_up_down_counter("goldcrestvale_requests_in_progress").build(),
+            retries: meter.u64_counter("goldcrestvale_retries").build(),
+            recovery: meter.f64_histogram("goldcrestvale_recovery_seconds").build(),
+            claim_batch: meter.u64_histogram("goldcrestvale_claims_per_append").build(),
+            tokens: meter.u64_counter("goldcrestvale_tokens").build(),
+            platform_failures: meter.u64_counter("goldcrestvale_platform_failures").build(),
+            registry,
+            provider,
+        })
+    }
+
+    /// Registers a gauge that is read when the metrics are scraped.
+    pub fn insert_gauge(&self, name: &'static str, read: impl Fn() -> u64 + Send + Sync + 'static) {
+        let meter = self.provider.meter("goldcrestvale");
+        meter.u64_observable_gauge(name).with_callback(move |o| o.observe(read(), &[])).build();
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, cause: Cause) {
+        self.refusals.add(1, &[KeyValue::new("cause", cause.as_str())]);
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be encoded.
+    pub fn scrape(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .map_err(|source| Error::Encode { source })?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/operators/mod.rs
@@ -0,0 +1,105 @@
+//! The operators' interface: probes, metrics, dump, drain and configuration.
+
+pub mod config;
+mod probe;
+
+use std::{fmt, sync::Arc};
+
+use bytes::Bytes;
+use goldcrestvale_base::id::{Digest, Request as RequestId};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde::Serialize;
+use subtle::ConstantTimeEq;
+use tokio::sync::watch;
+use uuid::Uuid;
+
+use crate::{
+    body::{self, Body},
+    daemon::Dump,
+    node::Node,
+    refusal::{Cause, Refusal, Result},
+    tail,
+};
+
+/// Largest accepted body, in bytes.
+const BODY_BYTES: usize = 1 << 20;
+
+/// Serves the requests of operators.
+#[derive(Clone)]
+pub struct Desk {
+    node: Arc<Node>,
+    dump: Arc<Dump>,
+    tail: watch::Receiver<tail::State>,
+}
+
+impl fmt::Debug for Desk {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Desk").field("dump", &self.dump).finish_non_exhaustive()
+    }
+}
+
+impl Desk {
+    /// Creates the interface of an instance.
+    pub fn new(node: Arc<Node>, dump: Arc<Dump>, tail: watch::Receiver<tail::State>) -> Self {
+        Self { node, dump, tail }
+    }
+
+    /// Serves one request.
+    pub async fn serve(self, request: Request<Incoming>) -> Response<Body> {
+        let id = RequestId(Uuid::now_v7());
+        match self.route(request).await {
+            Ok(response) => response,
+            Err(refusal) => refusal.respond(id),
+        }
+    }
+
+    async fn route(self, request: Request<Incoming>) -> Result<Response<Body>> {
+        let path = request.uri().path().to_owned();
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        match (request.method(), segments.as_slice()) {
+            (&Method::GET, ["live"]) => return Ok(probe::live()),
+            (&Method::GET, ["ready"]) => return Ok(probe::ready(&self.node)),
+            _ => self.check_token(&request)?,
+        }
+        match (request.method(), segments.as_slice()) {
+            (&Method::GET, ["metrics"]) => probe::metrics(&self.node),
+            (&Method::GET, ["dump"]) => Ok(json(StatusCode::OK, &self.dump.collect())),
+            (&Method::POST, ["drain"]) => Ok(probe::drain(&self.node)),
+            (&Method::POST, ["drain", upstream]) => probe::drain_upstream(&self.node, upstream),
+            (_, ["config", rest @ ..]) => {
+                let rest: Vec<String> = rest.iter().map(|&s| s.to_owned()).collect();
+                config::serve(&self.node, self.tail.clone(), &rest, request).await
+            }
+            _ => Err(Refusal::early(Cause::Unknown, format!("no such path: {path}"))),
+        }
+    }
+
+    fn check_token(&self, request: &Request<Incoming>) -> Result<()> {
+        let Some(token) = &self.node.settings.operators.token else {
+            return Ok(());
+        };
+        let offered = request
+            .headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        // Digests have one length, so the comparison tells nothing of the token's.
+        let offered = Digest::of(offered.as_bytes());
+        if bool::from(offered.0.ct_eq(&Digest::of(token.as_bytes()).0)) {
+            return Ok(());
+        }
+        Err(Refusal::early(Cause::Credential, "the operator's token is wrong"))
+    }
+}
+
+/// Builds a JSON response.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(body::full(Bytes::from(text)));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/operators/probe.rs
@@ -0,0 +1,61 @@
+//! Liveness, readiness, metrics and drain.
+
+use std::sync::Arc;
+
+use goldcrestvale_base::id::Upstream;
+use http::{HeaderValue, Response, StatusCode, header};
+use log::info;
+use serde_json::json;
+
+use super::json;
+use crate::{
+    body::{self, Body},
+    node::Node,
+    phase::Phase,
+    refusal::{Cause, Refusal, Result},
+    table::{Row, Table},
+};
+
+pub(super) fn live() -> Response<Body> {
+    json(StatusCode::OK, &json!({ "live": true }))
+}
+
+pub(super) fn ready(node: &Node) -> Response<Body> {
+    let ready = node.life.is_ready();
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    json(status, &json!({ "ready": ready, "phase": node.life.phase() }))
+}
+
+pub(super) fn metrics(node: &Node) -> Result<Response<Body>> {
+    let text = node.metrics.scrape().map_err(|e| Refusal::early(Cause::Internal, e.to_string()))?;
+    let mut response = Response::new(body::full(text));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    Ok(response)
+}
+
+pub(super) fn drain(node: &Node) -> Response<Body> {
+    info!(source = "operator"; "drain asked for");
+    node.life.advance(Phase::Leaving);
+    node.drain.cancel();
+    json(StatusCode::ACCEPTED, &json!({ "phase": node.life.phase() }))
+}
+
+pub(super) fn drain_upstream(node: &Node, name: &str) -> Result<Response<Body>> {
+    let unknown = || Refusal::early(Cause::Unknown, format!("no upstream {name}"));
+    let name: Upstream = name.parse().map_err(|_| unknown())?;
+    if !node.upstreams.load().rows.contains_key(&name) {
+        return Err(unknown());
+    }
+    node.upstreams.rcu(|table| Arc::new(with_leaving(table, &name)));
+    info!(upstream:% = name, source = "operator"; "upstream is leaving");
+    Ok(json(StatusCode::ACCEPTED, &json!({ "upstream": name, "leaving": true })))
+}
+
+fn with_leaving(table: &Table, name: &Upstream) -> Table {
+    let mut table = table.clone();
+    if let Some(row) = table.rows.get_mut(name) {
+        *row = Arc::new(Row { leaving: true, ..Row::clone(row) });
+    }
+    table
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/refusal.rs
@@ -0,0 +1,209 @@
+//! Final answers to requests that are given up on.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{
+    exchange::{Exchange, Unsent},
+    id::Request,
+    verdict::Verdict,
+};
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+
+use crate::{body, header as names};
+
+/// The result of serving one request.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Why a request was given up on; the text form is the `cause` of logs, metrics and bodies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// The request does not have the agreed form.
+    Malformed,
+    /// The body is larger than the limit.
+    Oversized,
+    /// The body did not arrive in time.
+    SlowBody,
+    /// The customer is unknown or the credential is wrong.
+    Credential,
+    /// The customer may not use the model or service.
+    NotBound,
+    /// No such path, model or service.
+    Unknown,
+    /// The path does not take this method.
+    Method,
+    /// Too many requests are in progress.
+    Busy,
+    /// The customer is over its limit.
+    Limit,
+    /// The request cannot meet its deadline.
+    Deadline,
+    /// No live upstream can serve the request.
+    NoUpstream,
+    /// The call needs an idempotency key.
+    KeyMissing,
+    /// The idempotency key is malformed, too old or of the future.
+    KeyInvalid,
+    /// The idempotency key was used for another request.
+    KeyReused,
+    /// Another call with the same key is in progress or its outcome is not known.
+    KeyClaimed,
+    /// The platform log cannot be reached.
+    LogOut,
+    /// The upstream failed.
+    Upstream,
+    /// The instance is starting and has no configuration yet.
+    Starting,
+    /// The instance is stopping.
+    Stopping,
+    /// The caller cancelled the request.
+    Cancelled,
+    /// A fault of this program.
+    Internal,
+}
+
+impl Cause {
+    /// Returns the text form.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::Oversized => "oversized",
+            Self::SlowBody => "slow-body",
+            Self::Credential => "credential",
+            Self::NotBound => "not-bound",
+            Self::Unknown => "unknown",
+            Self::Method => "method",
+            Self::Busy => "busy",
+            Self::Limit => "limit",
+            Self::Deadline => "deadline",
+            Self::NoUpstream => "no-upstream",
+            Self::KeyMissing => "key-missing",
+            Self::KeyInvalid => "key-invalid",
+            Self::KeyReused => "key-reused",
+            Self::KeyClaimed => "key-claimed",
+            Self::LogOut => "log-out",
+            Self::Upstream => "upstream",
+            Self::Starting => "starting",
+            Self::Stopping => "stopping",
+            Self::Cancelled => "cancelled",
+            Self::Internal => "internal",
+        }
+    }
+
+    /// Returns the HTTP status of a refusal with this cause.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed | Self::KeyMissing | Self::KeyInvalid => StatusCode::BAD_REQUEST,
+            Self::Oversized => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::Credential => StatusCode::UNAUTHORIZED,
+            Self::NotBound => StatusCode::FORBIDDEN,
+            Self::Unknown => StatusCode::NOT_FOUND,
+            Self::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Limit => StatusCode::TOO_MANY_REQUESTS,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyClaimed => StatusCode::CONFLICT,
+            Self::Upstream => StatusCode::BAD_GATEWAY,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+            Self::Busy
+            | Self::NoUpstream
+            | Self::LogOut
+            | Self::Starting
+            | Self::Stopping
+            | Self::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// A request that is given up on: why, whether it may have run, and when to come back.
+#[derive(Debug, Clone)]
+pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// A sentence for people.
+    pub detail: String,
+    /// When coming back helps.
+    pub retry_after: Option<Duration>,
+}
+
+/// The body of a refusal, after RFC 9457.
+#[derive(Debug, Serialize)]
+pub struct Problem<'a> {
+    r#type: &'static str,
+    title: &'static str,
+    status: u16,
+    detail: &'a str,
+    cause: Cause,
+    verdict: Verdict,
+    request: Request,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u128>,
+}
+
+impl Refusal {
+    /// Refuses a request of which nothing was sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_base::exchange::Exchange;
+    /// use goldcrestvale_entry::refusal::{Cause, Refusal};
+    ///
+    /// let refusal = Refusal::not_run(Exchange::new(), Cause::Busy, "4000 requests in progress");
+    /// assert!(refusal.verdict.is_not_run());
+    /// ```
+    pub fn not_run(exchange: Exchange<Unsent>, cause: Cause, detail: impl Into<String>) -> Self {
+        Self::new(exchange.refuse(), cause, detail)
+    }
+
+    /// Refuses a request before any exchange was started for it.
+    pub fn early(cause: Cause, detail: impl Into<String>) -> Self {
+        Self::not_run(Exchange::new(), cause, detail)
+    }
+
+    /// Gives up on a request with a verdict.
+    pub fn new(verdict: Verdict, cause: Cause, detail: impl Into<String>) -> Self {
+        Self { cause, verdict, detail: detail.into(), retry_after: None }
+    }
+
+    /// Adds the time after which coming back helps.
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the problem body.
+    pub fn problem(&self, request: Request) -> Problem<'_> {
+        let status = self.cause.status();
+        Problem {
+            r#type: "about:blank",
+            title: status.canonical_reason().unwrap_or("Refused"),
+            status: status.as_u16(),
+            detail: &self.detail,
+            cause: self.cause,
+            verdict: self.verdict,
+            request,
+            retry_after_ms: self.retry_after.map(|after| after.as_millis()),
+        }
+    }
+
+    /// Builds the whole response.
+    pub fn respond(&self, request: Request) -> Response<body::Body> {
+        let text = serde_json::to_vec(&self.problem(request)).unwrap_or_default();
+        let mut response = Response::new(body::full(text));
+        *response.status_mut() = self.cause.status();
+        let headers = response.headers_mut();
+        let problem = HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, problem);
+        headers.insert(names::VERDICT, HeaderValue::from_static(self.verdict.as_str()));
+        if let Some(after) = self.retry_after {
+            let seconds = after.as_millis().div_ceil(1_000).max(1) as u64;
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -0,0 +1,185 @@
+//! Settings of an entry instance, checked when they are read.
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestvale_base::id::{Domain, Instance};
+
+/// Settings of an entry instance, one field per section of the settings file.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_entry::settings::Settings;
+///
+/// let mut settings = Settings::default();
+/// settings.callers.streams = 10;
+/// assert!(settings.operators.token.is_none());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Settings {
+    /// Section `instance`.
+    pub instance: Identity,
+    /// Section `callers`.
+    pub callers: Callers,
+    /// Section `operators`.
+    pub operators: Operators,
+    /// Section `platform`.
+    pub platform: Platform,
+    /// Section `upstream`.
+    pub upstream: Upstreams,
+    /// Section `draft`.
+    pub draft: Draft,
+    /// Section `stop`.
+    pub stop: Stop,
+}
+
+/// Who this instance is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of the instance, unique among the entry instances.
+    pub name: Instance,
+    /// Failure domain of the instance.
+    pub domain: Domain,
+}
+
+impl Default for Identity {
+    fn default() -> Self {
+        Self {
+            name: "entry".parse().expect("a valid name"),
+            domain: "local".parse().expect("a valid name"),
+        }
+    }
+}
+
+/// The callers' interface.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// Largest accepted request head, in bytes.
+    pub header_bytes: u32,
+    /// Largest accepted request body, in bytes.
+    pub body_bytes: usize,
+    /// How long a request head may take to arrive; also bounds idle HTTP/1.1 connections.
+    pub header_timeout: Duration,
+    /// How long a request body may take to arrive.
+    pub body_timeout: Duration,
+    /// Most open connections; further ones are closed at once.
+    pub connections: usize,
+    /// Most drafts and service calls in progress; further ones are refused.
+    pub streams: usize,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Self {
+            address: loopback(8080),
+            header_bytes: 16 << 10,
+            body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(30),
+            body_timeout: Duration::from_secs(10),
+            connections: 10_000,
+            streams: 4_000,
+        }
+    }
+}
+
+/// The operators' interface.
+#[derive(Debug, Clone)]
+pub struct Operators {
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// Bearer token that operators present; may be absent on a loopback address only.
+    pub token: Option<String>,
+}
+
+impl Default for Operators {
+    fn default() -> Self {
+        Self { address: loopback(8081), token: None }
+    }
+}
+
+/// The platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// Address of the log and of the instance list.
+    pub address: SocketAddr,
+    /// How long a call may take, beyond a long poll's own wait.
+    pub timeout: Duration,
+    /// Wait of a long poll of the log.
+    pub poll: Duration,
+    /// How often the instance list is fetched.
+    pub list_interval: Duration,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            address: loopback(7000),
+            timeout: Duration::from_secs(1),
+            poll: Duration::from_secs(5),
+            list_interval: Duration::from_millis(500),
+        }
+    }
+}
+
+/// Calls to upstreams.
+#[derive(Debug, Clone)]
+pub struct Upstreams {
+    /// How long a connection attempt may take.
+    pub connect_timeout: Duration,
+    /// How often load reports are fetched.
+    pub load_interval: Duration,
+    /// How long the fetch of a load report may take.
+    pub load_timeout: Duration,
+    /// Largest accepted answer, in bytes.
+    pub answer_bytes: usize,
+    /// How long one step of an engine may take.
+    pub step_timeout: Duration,
+}
+
+impl Default for Upstreams {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            load_interval: Duration::from_millis(500),
+            load_timeout: Duration::from_millis(500),
+            answer_bytes: 8 << 20,
+            step_timeout: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Drafts.
+#[derive(Debug, Clone)]
+pub struct Draft {
+    /// Deadline of a draft whose caller names none.
+    pub deadline: Duration,
+    /// Most tokens that one draft may ask for.
+    pub max_tokens: u32,
+}
+
+impl Default for Draft {
+    fn default() -> Self {
+        Self { deadline: Duration::from_secs(120), max_tokens: 4_096 }
+    }
+}
+
+/// Planned stops.
+#[derive(Debug, Clone)]
+pub struct Stop {
+    /// How long after it stops being ready the instance still takes new connections.
+    pub notice: Duration,
+    /// How long requests in progress may still run.
+    pub timeout: Duration,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self { notice: Duration::from_secs(2), timeout: Duration::from_secs(150) }
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/table.rs
@@ -0,0 +1,128 @@
+//! The upstreams that this instance knows, as an immutable snapshot.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use goldcrestvale_base::{
+    id::{Domain, Upstream},
+    time::Instant,
+};
+use goldcrestvale_platform::message::Role;
+use goldcrestvale_upstream::message::{Load, ServiceLoad};
+use serde::Serialize;
+
+/// The newest load report of an upstream.
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Report {
+    /// Of an engine.
+    Engine(Load),
+    /// Of an instance of a plain service.
+    Service(ServiceLoad),
+}
+
+impl Report {
+    /// Returns whether the upstream reports that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        match self {
+            Self::Engine(load) => load.leaving,
+            Self::Service(load) => load.leaving,
+        }
+    }
+
+    /// Returns the requests or steps that run or wait at the upstream.
+    pub fn queued(&self) -> u32 {
+        match self {
+            Self::Engine(load) => load.running + load.waiting,
+            Self::Service(load) => load.running + load.waiting,
+        }
+    }
+
+    /// Returns the life of the upstream that made the report.
+    pub fn incarnation(&self) -> &str {
+        match self {
+            Self::Engine(load) => &load.incarnation,
+            Self::Service(load) => &load.incarnation,
+        }
+    }
+}
+
+/// One upstream.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// Name.
+    pub name: Upstream,
+    /// Engine or instance of a service.
+    pub role: Role,
+    /// Group of engines, or name of the service's pool.
+    pub pool: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Newest report, with the time at which it was fetched.
+    pub report: Option<(Instant, Report)>,
+    /// Requests and steps that this instance has in progress there.
+    #[serde(skip)]
+    pub in_progress: Arc<AtomicU32>,
+}
+
+impl Row {
+    /// Counts a request or step in progress until the guard is dropped.
+    pub fn enter(&self) -> Guard {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        Guard(self.in_progress.clone())
+    }
+
+    /// Returns the requests and steps that this instance has in progress there.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Acquire)
+    }
+
+    /// Returns the load report of an engine.
+    pub fn engine(&self) -> Option<&Load> {
+        match &self.report {
+            Some((_, Report::Engine(load))) => Some(load),
+            _ => None,
+        }
+    }
+}
+
+/// One request or step in progress at an upstream.
+#[derive(Debug)]
+pub struct Guard(Arc<AtomicU32>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// All upstreams by name.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Table {
+    /// The rows.
+    pub rows: BTreeMap<Upstream, Arc<Row>>,
+}
+
+impl Table {
+    /// Returns the engines that take new work and whose report is known.
+    pub fn iter_engines(&self) -> impl Iterator<Item = &Arc<Row>> {
+        self.rows.values().filter(|row| !row.leaving && row.engine().is_some())
+    }
+
+    /// Returns the instances of a pool of services that take new work.
+    pub fn iter_services<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Arc<Row>> {
+        let serves =
+            move |row: &&Arc<Row>| row.role == Role::Service && row.pool == pool && !row.leaving;
+        self.rows.values().filter(serves)
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -0,0 +1,167 @@
+//! Watching the instance list and the upstreams' load reports.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream};
+use goldcrestvale_base::id::Upstream;
+use goldcrestvale_platform::{
+    list::List,
+    message::{Listed, Listing, Role, State},
+};
+use log::{debug, info, warn};
+use opentelemetry::KeyValue;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    daemon::{Builder, Part},
+    node::Node,
+    table::{Report, Row, Table},
+};
+
+/// Load reports fetched at the same time.
+const CONCURRENT_REPORTS: usize = 64;
+
+/// Keeps the table of upstreams.
+#[derive(Debug, Clone, Copy)]
+pub struct Watch;
+
+impl Part for Watch {
+    fn register(self, builder: &mut Builder) {
+        let node = builder.node().clone();
+        let dumped = node.clone();
+        builder.insert_dump("upstreams", move || {
+            serde_json::to_value(&**dumped.upstreams.load()).unwrap_or_default()
+        });
+        let gauged = node.clone();
+        node.metrics.insert_gauge("goldcrestvale_upstreams", move || {
+            gauged.upstreams.load().rows.len() as u64
+        });
+        let stop = builder.stop();
+        builder.insert_task(watch_list(node.clone(), stop.clone()));
+        builder.insert_task(watch_loads(node, stop));
+    }
+}
+
+async fn watch_list(node: Arc<Node>, stop: CancellationToken) {
+    let list = List::new(node.settings.platform.address, node.settings.platform.timeout);
+    let interval = node.settings.platform.list_interval;
+    let mut up = true;
+    while sleep(&stop, if up { interval } else { interval * 2 }).await {
+        match list.fetch().await {
+            Ok(listing) => {
+                up = true;
+                node.upstreams.rcu(|table| Arc::new(merge(table, &listing)));
+            }
+            Err(e) => {
+                node.metrics.platform_failures.add(1, &[KeyValue::new("call", "list")]);
+                if up {
+                    warn!(error:% = e; "the instance list cannot be fetched");
+                }
+                up = false;
+            }
+        }
+    }
+}
+
+/// Waits for a time; returns whether to go on.
+async fn sleep(stop: &CancellationToken, time: Duration) -> bool {
+    tokio::select! {
+        () = stop.cancelled() => false,
+        () = tokio::time::sleep(time) => true,
+    }
+}
+
+/// Returns the table with the instances of a list; rows keep their reports and counts.
+fn merge(table: &Table, listing: &Listing) -> Table {
+    let mut rows = BTreeMap::new();
+    for listed in &listing.instances {
+        if listed.role == Role::Entry {
+            continue;
+        }
+        let Ok(name) = listed.name.parse::<Upstream>() else {
+            warn!(name = listed.name.as_str(); "the instance list holds an invalid name");
+            continue;
+        };
+        let row = match table.rows.get(&name) {
+            Some(old) if old.address == listed.address => update(old, listed),
+            _ => insert(name.clone(), listed),
+        };
+        rows.insert(name, row);
+    }
+    Table { rows }
+}
+
+fn update(old: &Arc<Row>, listed: &Listed) -> Arc<Row> {
+    let leaving = old.leaving || listed.state == State::Leaving;
+    if leaving == old.leaving {
+        return old.clone();
+    }
+    info!(upstream:% = old.name, source = "list"; "upstream is leaving");
+    Arc::new(Row { leaving, ..Row::clone(old) })
+}
+
+fn insert(name: Upstream, listed: &Listed) -> Arc<Row> {
+    info!(upstream:% = name, address:% = listed.address; "upstream is known");
+    Arc::new(Row {
+        name,
+        role: listed.role.clone(),
+        pool: listed.pool.clone(),
+        address: listed.address,
+        domain: listed.domain.clone(),
+        leaving: listed.state == State::Leaving,
+        report: None,
+        in_progress: Arc::default(),
+    })
+}
+
+async fn watch_loads(node: Arc<Node>, stop: CancellationToken) {
+    while sleep(&stop, node.settings.upstream.load_interval).await {
+        let table = node.upstreams.load_full();
+        let rows: Vec<Arc<Row>> = table.rows.values().cloned().collect();
+        let fetches = rows.into_iter().map(|row| fetch(node.clone(), row));
+        let reports: Vec<(Upstream, Report)> = stream::iter(fetches)
+            .buffer_unordered(CONCURRENT_REPORTS)
+            .filter_map(std::future::ready)
+            .collect()
+            .await;
+        let now = node.clock.now();
+        node.upstreams.rcu(|table| {
+            let mut table = Table::clone(table);
+            for (name, report) in &reports {
+                if let Some(row) = table.rows.get_mut(name) {
+                    *row = with_report(row, now, report);
+                }
+            }
+            Arc::new(table)
+        });
+    }
+}
+
+async fn fetch(node: Arc<Node>, row: Arc<Row>) -> Option<(Upstream, Report)> {
+    let limit = node.settings.upstream.load_timeout;
+    let report = match row.role {
+        Role::Engine => node.engines.load(row.address, limit).await.map(Report::Engine),
+        Role::Service => node.services.load(row.address, limit).await.map(Report::Service),
+        Role::Entry => return None,
+    };
+    match report {
+        Ok(report) => Some((row.name.clone(), report)),
+        Err(e) => {
+            debug!(upstream:% = row.name, error:% = e; "no load report");
+            None
+        }
+    }
+}
+
+fn with_report(
+    row: &Arc<Row>,
+    now: goldcrestvale_base::time::Instant,
+    report: &Report,
+) -> Arc<Row> {
+    // A new life of the upstream takes work again.
+    let same_life =
+        row.report.as_ref().is_some_and(|(_, old)| old.incarnation() == report.incarnation());
+    let leaving = report.is_leaving() || (row.leaving && (same_life || row.report.is_none()));
+    let report = Some((now, report.clone()));
+    Arc::new(Row { leaving, report, ..Row::clone(row) })
+}
--- a/crates/goldcrestvale_platform/src/lib.rs
+++ b/crates/goldcrestvale_platform/src/lib.rs
@@ -1,10 +1,24 @@
 //! Clients of the platform: the append-only log and the list of instances.
 //!
-//! The messages are in [`message`]; `docs/INTERFACES.md` states the protocol around them.
+//! [`log::Log`] appends to and reads from streams, [`reader::Reader`] follows one stream from an
+//! offset on, and [`list::List`] fetches the instance list. The messages are in [`message`];
+//! `docs/INTERFACES.md` states the protocol around them.
 
+mod client;
+pub mod error;
+pub mod list;
+pub mod log;
 pub mod message;
+pub mod reader;
+
+pub use error::{Error, Result};
 
 /// Re-exports the types that most users of this package name.
 pub mod prelude {
-    pub use crate::message::{Append, Appended, Listing, Page, Record};
+    pub use crate::{
+        list::List,
+        log::Log,
+        message::{Append, Appended, Entry, Listing, Page, Record},
+        reader::Reader,
+    };
 }
--- /dev/null
+++ b/crates/goldcrestvale_platform/src/log.rs
@@ -0,0 +1,75 @@
+//! Appending to and reading from the streams of the platform log.
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestvale_base::id::Offset;
+use http::StatusCode;
+
+use crate::{
+    client::Client,
+    error::{Result, TrimmedSnafu},
+    message::{Append, Appended, Entry, Page},
+};
+
+/// A client of the platform log.
+///
+/// # Examples
+///
+/// ```no_run
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::id::Offset;
+/// use goldcrestvale_platform::log::Log;
+///
+/// # async fn run() -> goldcrestvale_platform::Result<()> {
+/// let log = Log::new("127.0.0.1:7000".parse().expect("an address"), Duration::from_secs(1));
+/// let page = log.read("config", Offset(0), 100, Duration::ZERO).await?;
+/// assert!(page.records.len() <= 100);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct Log {
+    client: Client,
+}
+
+impl Log {
+    /// Creates a client; `timeout` bounds each call, beyond a read's own wait.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self { client: Client::new(address, timeout) }
+    }
+
+    /// Appends records together, in order.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::may_have_appended`](crate::Error::may_have_appended) tells whether the records
+    /// may stand in the log all the same; then the append is repeated with the same record ids.
+    pub async fn append(&self, stream: &str, records: Vec<Entry>) -> Result<Appended> {
+        let path = format!("/streams/{stream}/records");
+        self.client.post(&path, &Append { records }).await?.decode()
+    }
+
+    /// Reads records from an offset on, waiting up to `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Trimmed`](crate::Error::Trimmed) if the stream no longer holds the
+    /// offset, and with the transport's errors otherwise.
+    pub async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<Page> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
+        let answer = self.client.get(&path, wait).await?;
+        let page: Page = answer.decode()?;
+        if answer.status == StatusCode::GONE {
+            return TrimmedSnafu { stream, asked: from, oldest: page.oldest, end: page.end }.fail();
+        }
+        Ok(page)
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/fleet.rs
@@ -0,0 +1,403 @@
+//! A whole deployment on loopback: platform, engines, services and entry instances as processes.
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use goldcrestvale_base::id::Digest;
+use http::StatusCode;
+use serde_json::{Value, json};
+use tempfile::NamedTempFile;
+
+use crate::{
+    caller::Caller,
+    process::{Process, value_of},
+};
+
+/// Customer that every fleet has.
+pub const CUSTOMER: &str = "tester";
+
+/// Credential of that customer.
+pub const CREDENTIAL: &str = "tester-credential";
+
+/// Model that every fleet has.
+pub const MODEL: &str = "draft";
+
+/// Number of layers of that model.
+pub const LAYERS: u32 = 12;
+
+/// Service that every fleet has; `GET` is idempotent.
+pub const SERVICE: &str = "booking";
+
+/// Where the programs are.
+#[derive(Debug, Clone)]
+pub struct Programs {
+    /// The entry instance.
+    pub router: PathBuf,
+    /// The stand-ins.
+    pub standin: PathBuf,
+}
+
+impl Programs {
+    /// Finds the stand-ins beside the router.
+    pub fn beside(router: &str) -> Self {
+        let router = PathBuf::from(router);
+        let standin = router.with_file_name("goldcrestvale-standin");
+        Self { router, standin }
+    }
+}
+
+/// A stand-in that runs as a process.
+#[derive(Debug)]
+pub struct Standin {
+    /// The process.
+    pub process: Process,
+    /// Name on the instance list; empty for the platform.
+    pub name: String,
+    /// Address that it serves.
+    pub address: SocketAddr,
+    /// Address of its faults and counts.
+    pub control: SocketAddr,
+}
+
+/// An entry instance that runs as a process.
+#[derive(Debug)]
+pub struct Entry {
+    /// The process.
+    pub process: Process,
+    /// Name of the instance.
+    pub name: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    _settings: NamedTempFile,
+}
+
+/// A deployment under construction.
+#[derive(Debug)]
+pub struct Builder {
+    programs: Programs,
+    platform: Vec<String>,
+    engines: Vec<(String, Vec<String>)>,
+    services: Vec<String>,
+    entries: Vec<(String, String)>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Fleet {
+    programs: Programs,
+    /// The platform.
+    pub platform: Standin,
+    /// The engines.
+    pub engines: Vec<Standin>,
+    /// The instances of the service.
+    pub services: Vec<Standin>,
+    /// The entry instances.
+    pub entries: Vec<Entry>,
+    caller: Caller,
+}
+
+impl Builder {
+    /// Starts without engines, services and entry instances.
+    pub fn new(programs: Programs) -> Self {
+        Self {
+            programs,
+            platform: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+        }
+    }
+
+    /// Adds an argument of the platform, such as `--retention-ms=1000`.
+    pub fn platform(mut self, argument: &str) -> Self {
+        self.platform.push(argument.to_owned());
+        self
+    }
+
+    /// Adds an engine that holds layers `from..to`, with further arguments of the stand-in.
+    pub fn engine(mut self, name: &str, from: u32, to: u32, arguments: &[&str]) -> Self {
+        let mut all = vec![format!("--from={from}"), format!("--to={to}")];
+        all.extend(arguments.iter().map(|&argument| argument.to_owned()));
+        self.engines.push((name.to_owned(), all));
+        self
+    }
+
+    /// Adds an instance of the service.
+    pub fn service(mut self, name: &str) -> Self {
+        self.services.push(name.to_owned());
+        self
+    }
+
+    /// Adds an entry instance with further lines of settings.
+    pub fn entry(mut self, name: &str, settings: &str) -> Self {
+        self.entries.push((name.to_owned(), settings.to_owned()));
+        self
+    }
+
+    /// Starts all processes, lists the upstreams, puts the configuration and waits until every
+    /// entry instance is ready and knows every upstream's load.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a program cannot be started or does not become ready.
+    pub async fn start(self) -> io::Result<Fleet> {
+        let standin = &self.programs.standin;
+        let platform = Standin::start(standin, "platform", "", &self.platform).await?;
+        let mut engines = Vec::new();
+        for (name, arguments) in &self.engines {
+            engines.push(Standin::start(standin, "engine", name, arguments).await?);
+        }
+        let mut services = Vec::new();
+        for name in &self.services {
+            let arguments = [format!("--service={SERVICE}")];
+            services.push(Standin::start(standin, "service", name, &arguments).await?);
+        }
+        let mut fleet = Fleet {
+            programs: self.programs.clone(),
+            platform,
+            engines,
+            services,
+            entries: Vec::new(),
+            caller: Caller::default(),
+        };
+        fleet.list_all().await?;
+        for (name, settings) in &self.entries {
+            fleet.start_entry(name, settings).await?;
+        }
+        if !fleet.entries.is_empty() {
+            fleet.put_defaults().await?;
+            fleet.wait_ready().await?;
+        }
+        Ok(fleet)
+    }
+}
+
+impl Standin {
+    /// Starts a stand-in of a kind: `platform`, `engine` or `service`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub async fn start(
+        program: &Path,
+        kind: &str,
+        name: &str,
+        arguments: &[String],
+    ) -> io::Result<Self> {
+        let mut all = vec![kind.to_owned(), "--address=127.0.0.1:0".to_owned()];
+        if !name.is_empty() {
+            all.push(format!("--name={name}"));
+        }
+        all.extend_from_slice(arguments);
+        let mut process = Process::spawn(program, &all)?;
+        let address = address_in(&process.wait_line("listening on ").await?)?;
+        let control = address_in(&process.wait_line("control on ").await?)?;
+        Ok(Self { process, name: name.to_owned(), address, control })
+    }
+
+    /// Returns the counts of the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub async fn counts(&self) -> io::Result<Value> {
+        Ok(Caller::default().get(self.control, "/counts").await?.json())
+    }
+
+    /// Sets the faults of the stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not take them.
+    pub async fn fault(&self, faults: &Value) -> io::Result<()> {
+        let put = http::Method::PUT;
+        let answer =
+            Caller::default().send(self.control, put, "/faults", faults.to_string()).await?;
+        check(answer.status, "faults")
+    }
+}
+
+impl Fleet {
+    /// Starts one more entry instance, without waiting until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub async fn start_entry(&mut self, name: &str, settings: &str) -> io::Result<()> {
+        let mut file = NamedTempFile::with_suffix(".ini")?;
+        let platform = self.platform.address;
+        write!(
+            file,
+            "[instance]\nname = {name}\ndomain = local\n\
+             [callers]\naddress = 127.0.0.1:0\n\
+             [operators]\naddress = 127.0.0.1:0\n\
+             [platform]\naddress = {platform}\nlist_interval_ms = 50\n\
+             [upstream]\nload_interval_ms = 50\n\
+             [stop]\nnotice_ms = 100\ntimeout_ms = 20000\n\
+             {settings}\n"
+        )?;
+        let arguments =
+            ["serve".to_owned(), "--settings".to_owned(), file.path().display().to_string()];
+        let mut process = Process::spawn(&self.programs.router, &arguments)?;
+        let line = process.wait_line("event=\"listening\"").await?;
+        let address = |key| {
+            value_of(&line, key)
+                .and_then(|address| address.parse().ok())
+                .ok_or_else(|| io::Error::other(format!("no {key} in {line}")))
+        };
+        let (callers, operators) = (address("callers")?, address("operators")?);
+        let name = name.to_owned();
+        self.entries.push(Entry { process, name, callers, operators, _settings: file });
+        Ok(())
+    }
+
+    /// Puts one upstream on the platform's list: role, pool and state as the list names them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not take it.
+    pub async fn list(
+        &self,
+        upstream: &Standin,
+        role: &str,
+        pool: &str,
+        state: &str,
+    ) -> io::Result<()> {
+        let listed = json!({
+            "name": upstream.name, "role": role, "pool": pool, "address": upstream.address,
+            "domain": "local", "state": state,
+        });
+        let answer = self.caller.post(self.platform.address, "/instances", &listed).await?;
+        check(answer.status, "instances")
+    }
+
+    /// Changes the configuration through an entry instance and returns the answer's body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change is not accepted.
+    pub async fn put(
+        &self,
+        entry: usize,
+        kind: &str,
+        name: &str,
+        body: &Value,
+    ) -> io::Result<Value> {
+        let operators = self.entries[entry].operators;
+        let present = self.caller.get(operators, &format!("/config/{kind}/{name}")).await?;
+        let change = json!({
+            "schema": { "major": 1, "minor": 0 }, "kind": kind, "name": name,
+            "base": present.json()["version"], "body": body, "operator": "test",
+        });
+        let answer = self.caller.post(operators, "/config/changes", &change).await?;
+        if answer.status != StatusCode::OK {
+            return Err(io::Error::other(format!("{kind} {name}: {}", answer.json())));
+        }
+        Ok(answer.json())
+    }
+
+    /// Returns a caller with the credential of the fleet's customer.
+    pub fn customer(&self) -> Caller {
+        Caller::customer(CUSTOMER, CREDENTIAL)
+    }
+
+    /// Returns the state dump of an entry instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not answer.
+    pub async fn dump(&self, entry: usize) -> io::Result<Value> {
+        Ok(self.caller.get(self.entries[entry].operators, "/dump").await?.json())
+    }
+
+    /// Waits until the dump of an entry instance satisfies a condition.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not answer.
+    pub async fn wait_dump(
+        &self,
+        entry: usize,
+        mut holds: impl FnMut(&Value) -> bool,
+    ) -> io::Result<Value> {
+        loop {
+            let dump = self.dump(entry).await?;
+            if holds(&dump) {
+                return Ok(dump);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    async fn list_all(&self) -> io::Result<()> {
+        for engine in &self.engines {
+            self.list(engine, "engine", "drafting", "live").await?;
+        }
+        for service in &self.services {
+            self.list(service, "service", SERVICE, "live").await?;
+        }
+        Ok(())
+    }
+
+    async fn put_defaults(&self) -> io::Result<()> {
+        let credential = Digest::of(CREDENTIAL.as_bytes());
+        let customer = json!({ "credential": credential, "weight": 1, "max_in_flight": 1000 });
+        let model = json!({
+            "layers": LAYERS, "version": "1", "context_tokens": 16384, "activation_bytes": 8192,
+        });
+        let service = json!({
+            "pool": SERVICE, "timeout_ms": 5000, "run_without_log": true,
+            "methods": [{ "method": "GET", "path": "/", "idempotent": true }],
+        });
+        let bind = |target: Value| json!({ "customer": CUSTOMER, "target": target, "priority": 1 });
+        self.put(0, "customer", CUSTOMER, &customer).await?;
+        self.put(0, "model", MODEL, &model).await?;
+        self.put(0, "service", SERVICE, &service).await?;
+        self.put(0, "binding", "tester-draft", &bind(json!({ "model": MODEL }))).await?;
+        self.put(0, "binding", "tester-booking", &bind(json!({ "service": SERVICE }))).await?;
+        Ok(())
+    }
+
+    /// Waits until every entry instance is ready, has the newest configuration and knows the
+    /// load of every upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an instance does not answer.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let version = self.dump(0).await?["config"]["version"].as_u64();
+        let upstreams = self.engines.len() + self.services.len();
+        for entry in 0..self.entries.len() {
+            let ready = |dump: &Value| {
+                let rows = dump["upstreams"]["rows"].as_object();
+                let known = rows
+                    .map_or(0, |rows| rows.values().filter(|row| !row["report"].is_null()).count());
+                dump["instance"]["phase"] == "serving"
+                    && dump["config"]["version"].as_u64() >= version
+                    && known >= upstreams
+            };
+            self.wait_dump(entry, ready).await?;
+        }
+        Ok(())
+    }
+}
+
+/// How often a condition on a dump is looked at.
+const POLL: std::time::Duration = std::time::Duration::from_millis(10);
+
+fn address_in(line: &str) -> io::Result<SocketAddr> {
+    let word = line.rsplit(' ').next().unwrap_or_default();
+    word.parse().map_err(|_| io::Error::other(format!("no address in {line:?}")))
+}
+
+fn check(status: StatusCode, what: &str) -> io::Result<()> {
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(io::Error::other(format!("{what}: status {status}")))
+}
--- a/crates/goldcrestvale_standin/src/lib.rs
+++ b/crates/goldcrestvale_standin/src/lib.rs
@@ -6,8 +6,11 @@
 //!
 //! Never a dependency of the router.
 
+pub mod caller;
 pub mod engine;
+pub mod fleet;
 pub mod platform;
+pub mod process;
 pub mod reference;
 mod reply;
 pub mod server;
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/process.rs
@@ -0,0 +1,137 @@
+//! Running programs as processes of their own, for tests and measurement.
+
+use std::{
+    io,
+    path::Path,
+    process::Stdio,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use nix::{sys::signal, unistd::Pid};
+pub use signal::Signal;
+use tokio::{
+    io::{AsyncBufReadExt, AsyncRead, BufReader},
+    process::{Child, Command},
+    sync::Notify,
+};
+
+/// A running program whose output is kept line by line; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    id: Pid,
+    output: Arc<Output>,
+}
+
+/// The lines of standard output and standard error so far.
+#[derive(Debug, Default)]
+struct Output {
+    lines: Mutex<Vec<String>>,
+    changed: Notify,
+}
+
+impl Process {
+    /// Starts a program.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn spawn(program: &Path, arguments: &[String]) -> io::Result<Self> {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
+        let id = child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
+        let output = Arc::new(Output::default());
+        if let Some(stdout) = child.stdout.take() {
+            tokio::spawn(collect(stdout, output.clone()));
+        }
+        if let Some(stderr) = child.stderr.take() {
+            tokio::spawn(collect(stderr, output.clone()));
+        }
+        Ok(Self { child, id: Pid::from_raw(id as i32), output })
+    }
+
+    /// Waits for a line that contains a text and returns it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process ends without such a line.
+    pub async fn wait_line(&mut self, text: &str) -> io::Result<String> {
+        loop {
+            let changed = self.output.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if let Some(line) = self.find_line(text) {
+                return Ok(line);
+            }
+            tokio::select! {
+                () = changed => {}
+                status = self.child.wait() => {
+                    let lines = self.lines().join("\n");
+                    let status = status?;
+                    return Err(io::Error::other(format!("ended with {status}:\n{lines}")));
+                }
+            }
+        }
+    }
+
+    /// Returns the first line so far that contains a text.
+    pub fn find_line(&self, text: &str) -> Option<String> {
+        self.lines().into_iter().find(|line| line.contains(text))
+    }
+
+    /// Returns all lines so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.output.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the id of the process.
+    pub fn id(&self) -> i32 {
+        self.id.as_raw()
+    }
+
+    /// Sends a signal, such as `SIGTERM`, `SIGKILL`, `SIGSTOP` or `SIGCONT`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        signal::kill(self.id, signal).map_err(io::Error::from)
+    }
+
+    /// Waits for the end of the process and returns its exit code, `None` after a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be waited for.
+    pub async fn wait(&mut self) -> io::Result<Option<i32>> {
+        Ok(self.child.wait().await?.code())
+    }
+}
+
+async fn collect(stream: impl AsyncRead + Unpin, output: Arc<Output>) {
+    let mut lines = BufReader::new(stream).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        output.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        output.changed.notify_waiters();
+    }
+}
+
+/// Returns the value of a `key=value` pair in a log line.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_standin::process::value_of;
+///
+/// assert_eq!(value_of("event=listening callers=127.0.0.1:80", "callers"), Some("127.0.0.1:80"));
+/// ```
+pub fn value_of<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let pair = |word: &'a str| word.strip_prefix(key)?.strip_prefix('=');
+    line.split(' ').find_map(pair)
+}
--- /dev/null
+++ b/crates/goldcrestvale_upstream/src/carrier.rs
@@ -0,0 +1,55 @@
+//! A request body that owns the proof that the request was not sent.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use goldcrestvale_base::exchange::{Exchange, Unsent};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+
+/// A whole request body together with the unsent exchange that it belongs to.
+///
+/// The transport takes the carrier by value and hands it back only if it wrote no byte of the
+/// request. So whoever holds a carrier may refuse the exchange, and nobody else can.
+#[derive(Debug)]
+pub struct Carrier {
+    body: Full<Bytes>,
+    bytes: Bytes,
+    exchange: Exchange<Unsent>,
+}
+
+impl Carrier {
+    /// Joins a body and an unsent exchange.
+    pub fn new(bytes: Bytes, exchange: Exchange<Unsent>) -> Self {
+        Self { body: Full::new(bytes.clone()), bytes, exchange }
+    }
+
+    /// Returns the body and the exchange, which is still unsent.
+    pub fn into_parts(self) -> (Bytes, Exchange<Unsent>) {
+        (self.bytes, self.exchange)
+    }
+}
+
+impl Body for Carrier {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_upstream/src/connection.rs
@@ -0,0 +1,87 @@
+//! One connection to an upstream.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{Request, Response};
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1, http2},
+};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+
+use crate::carrier::Carrier;
+
+/// How often an idle HTTP/2 connection is probed.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a probe may stay unanswered before the connection is closed.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The protocol spoken on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Protocol {
+    /// One request at a time.
+    Http1,
+    /// Many requests at a time, without TLS, by prior knowledge.
+    Http2,
+}
+
+/// The sending half of a connection; its task runs until the connection ends.
+#[derive(Debug)]
+pub(crate) enum Connection {
+    Http1(http1::SendRequest<Carrier>),
+    Http2(http2::SendRequest<Carrier>),
+}
+
+impl Connection {
+    pub(crate) async fn open(address: SocketAddr, protocol: Protocol) -> Result<Self, String> {
+        let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        let io = TokioIo::new(stream);
+        match protocol {
+            Protocol::Http1 => {
+                let (sender, task) = http1::handshake(io).await.map_err(|e| e.to_string())?;
+                tokio::spawn(task);
+                Ok(Self::Http1(sender))
+            }
+            Protocol::Http2 => {
+                let (sender, task) = http2::Builder::new(TokioExecutor::new())
+                    .timer(TokioTimer::new())
+                    .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+                    .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+                    .handshake(io)
+                    .await
+                    .map_err(|e| e.to_string())?;
+                tokio::spawn(task);
+                Ok(Self::Http2(sender))
+            }
+        }
+    }
+
+    /// Returns whether the connection can take a request now.
+    pub(crate) fn is_ready(&self) -> bool {
+        match self {
+            Self::Http1(sender) => sender.is_ready(),
+            Self::Http2(sender) => sender.is_ready(),
+        }
+    }
+
+    /// Returns another handle of the connection, if it carries several requests at a time.
+    pub(crate) fn try_share(&self) -> Option<Self> {
+        match self {
+            Self::Http1(_) => None,
+            Self::Http2(sender) => Some(Self::Http2(sender.clone())),
+        }
+    }
+
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Carrier>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Carrier>>> {
+        match self {
+            Self::Http1(sender) => sender.try_send_request(request).await,
+            Self::Http2(sender) => sender.try_send_request(request).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_upstream/src/engine.rs
@@ -0,0 +1,176 @@
+//! The client of model engines.
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestvale_base::{exchange::Exchange, id::Request};
+use http::{Method, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    error::{Error, RefusedSnafu, Result},
+    message::{CacheEvents, Cancel, Kv, Load, Order, RefusalBody, Step, StepAnswer},
+    pool::{Limits, Pool, Protocol, decode, json_request},
+};
+
+/// A client of any number of engines, over HTTP/2.
+///
+/// # Examples
+///
+/// ```no_run
+/// use std::time::Duration;
+///
+/// use goldcrestvale_upstream::{engine::Engine, pool::Limits};
+///
+/// # async fn run() -> goldcrestvale_upstream::Result<()> {
+/// let engines = Engine::new(Limits::default());
+/// let address = "127.0.0.1:7100".parse().expect("an address");
+/// let load = engines.load(address, Duration::from_millis(200)).await?;
+/// println!("{} holds {:?}", load.upstream, load.holds);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pool: Pool,
+}
+
+impl Engine {
+    /// Creates a client without connections.
+    pub fn new(limits: Limits) -> Self {
+        Self { pool: Pool::new(Protocol::Http2, limits) }
+    }
+
+    /// Returns the connections, to inspect or to drop some.
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Runs one step.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the engine's refusal or the transport's failure.
+    pub async fn step(
+        &self,
+        address: SocketAddr,
+        step: &Step,
+        limit: Duration,
+    ) -> Result<StepAnswer> {
+        self.post(address, "/v1/steps", step, limit).await
+    }
+
+    /// Drops the state of an attempt, or of all attempts of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the transport's failure; the engine drops the state later by itself.
+    pub async fn cancel(
+        &self,
+        address: SocketAddr,
+        cancel: &Cancel,
+        limit: Duration,
+    ) -> Result<()> {
+        let _: serde::de::IgnoredAny = self.post(address, "/v1/cancel", cancel, limit).await?;
+        Ok(())
+    }
+
+    /// Fetches the engine's load report, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the transport's failure.
+    pub async fn load(&self, address: SocketAddr, limit: Duration) -> Result<Load> {
+        self.get(address, "/v1/load", limit).await
+    }
+
+    /// Fetches cache events from a sequence number on; some may be missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the transport's failure.
+    pub async fn events(
+        &self,
+        address: SocketAddr,
+        from: u64,
+        limit: Duration,
+    ) -> Result<CacheEvents> {
+        self.get(address, &format!("/v1/events?from={from}"), limit).await
+    }
+
+    /// Exports the KV cache of one attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the engine's refusal or the transport's failure.
+    pub async fn export_kv(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        attempt: u32,
+        limit: Duration,
+    ) -> Result<Kv> {
+        self.get(address, &format!("/v1/kv/{request}/{attempt}"), limit).await
+    }
+
+    /// Imports a KV cache under the attempt that it names.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the engine's refusal or the transport's failure.
+    pub async fn import_kv(&self, address: SocketAddr, kv: &Kv, limit: Duration) -> Result<()> {
+        let _: serde::de::IgnoredAny = self.post(address, "/v1/kv", kv, limit).await?;
+        Ok(())
+    }
+
+    /// Gives an order.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the engine's refusal or the transport's failure.
+    pub async fn order(&self, address: SocketAddr, order: &Order, limit: Duration) -> Result<()> {
+        let _: serde::de::IgnoredAny = self.post(address, "/v1/orders", order, limit).await?;
+        Ok(())
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<T> {
+        self.call(Method::GET, address, path, Vec::new(), limit).await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+        limit: Duration,
+    ) -> Result<T> {
+        let body = serde_json::to_vec(body)
+            .map_err(|e| Error::Malformed { address, detail: e.to_string() })?;
+        self.call(Method::POST, address, path, body, limit).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<T> {
+        let request = json_request(method, address, path, body)?;
+        let reply = self.pool.call(address, request, Exchange::new(), limit).await?;
+        match reply.head.status {
+            StatusCode::NO_CONTENT => decode(address, b"null"),
+            status if status.is_success() && reply.body.is_empty() => decode(address, b"null"),
+            status if status.is_success() => decode(address, &reply.body),
+            _ => {
+                let body: RefusalBody = decode(address, &reply.body)?;
+                RefusedSnafu { address, refusal: body.refusal, detail: body.detail }.fail()
+            }
+        }
+    }
+}
--- a/crates/goldcrestvale_upstream/src/lib.rs
+++ b/crates/goldcrestvale_upstream/src/lib.rs
@@ -1,10 +1,26 @@
 //! Clients of model engines and of plain services.
 //!
-//! The engine's messages are in [`message`]; `docs/INTERFACES.md` states the protocol around them.
+//! [`engine::Engine`] speaks to engines over HTTP/2 and [`service::Service`] to plain services
+//! over HTTP/1.1, both through [`pool::Pool`]. Every failure carries a verdict: a request is
+//! `NotRun` only while the transport still holds it unsent, which [`carrier::Carrier`] ties to
+//! ownership. The messages are in [`message`]; `docs/INTERFACES.md` states the protocols.
 
+pub mod carrier;
+mod connection;
+pub mod engine;
+pub mod error;
 pub mod message;
+pub mod pool;
+pub mod service;
+
+pub use error::{Error, Result};
 
 /// Re-exports the types that most users of this package name.
 pub mod prelude {
-    pub use crate::message::{Layers, Load, Order, Step, StepOutput};
+    pub use crate::{
+        engine::Engine,
+        message::{Layers, Load, Order, Step, StepAnswer, StepInput, StepOutput},
+        pool::{Limits, Pool},
+        service::{Answer, Call, Service},
+    };
 }
--- /dev/null
+++ b/crates/goldcrestvale_upstream/src/service.rs
@@ -0,0 +1,94 @@
+//! The client of plain services.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use goldcrestvale_base::exchange::{Exchange, Unsent};
+use http::{HeaderMap, Method, Request, StatusCode};
+
+use crate::{
+    error::{Error, Result},
+    message::ServiceLoad,
+    pool::{Limits, Pool, Protocol, decode, json_request},
+};
+
+/// One call of a plain service.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query, from `/` on.
+    pub path: String,
+    /// Headers to hand over.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A whole answer of a plain service.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A client of any number of instances of plain services, over HTTP/1.1.
+#[derive(Debug, Clone)]
+pub struct Service {
+    pool: Pool,
+}
+
+impl Service {
+    /// Creates a client without connections.
+    pub fn new(limits: Limits) -> Self {
+        Self { pool: Pool::new(Protocol::Http1, limits) }
+    }
+
+    /// Returns the connections, to inspect or to drop some.
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Sends a call once and returns its whole answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the transport's failure; its verdict says whether the call may have run.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        exchange: Exchange<Unsent>,
+        limit: Duration,
+    ) -> Result<Answer> {
+        let mut request = Request::new(call.body);
+        *request.method_mut() = call.method;
+        *request.headers_mut() = call.headers;
+        match call.path.parse() {
+            Ok(uri) => *request.uri_mut() = uri,
+            Err(_) => {
+                let detail = format!("{:?} is not a path", call.path);
+                return Err(Error::Unsent { address, detail, verdict: exchange.refuse() });
+            }
+        }
+        let host = address.to_string().try_into().expect("an address is a valid header value");
+        request.headers_mut().insert(http::header::HOST, host);
+        let reply = self.pool.call(address, request, exchange, limit).await?;
+        Ok(Answer { status: reply.head.status, headers: reply.head.headers, body: reply.body })
+    }
+
+    /// Fetches an instance's load report, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the transport's failure.
+    pub async fn load(&self, address: SocketAddr, limit: Duration) -> Result<ServiceLoad> {
+        let request = json_request(Method::GET, address, "/load", Vec::new())?;
+        let reply = self.pool.call(address, request, Exchange::new(), limit).await?;
+        decode(address, &reply.body)
+    }
+}
--- /dev/null
+++ b/src/cli/operate.rs
@@ -0,0 +1,56 @@
+//! `goldcrestvale dump` and `goldcrestvale drain`.
+
+use std::{net::SocketAddr, process::ExitCode};
+
+use clap::Args;
+use http::Method;
+
+use super::{At, Exit, client};
+
+/// Prints the state of an instance as JSON.
+#[derive(Debug, Args)]
+pub struct Dump {
+    /// Address of the instance's operators' interface.
+    #[arg(value_name = "IP:PORT")]
+    address: SocketAddr,
+    /// Token of the operators' interface.
+    #[arg(long, env = "GOLDCRESTVALE_TOKEN", hide_env_values = true)]
+    token: Option<String>,
+}
+
+impl Dump {
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        let at = At { at: self.address, token: self.token };
+        client::finish(client::call(&at, Method::GET, "/dump", &[])).into()
+    }
+}
+
+/// Tells an instance to leave, or one upstream to be given no new work.
+#[derive(Debug, Args)]
+pub struct Drain {
+    /// Address of the instance's operators' interface.
+    #[arg(value_name = "IP:PORT")]
+    address: SocketAddr,
+    /// The upstream; without it the instance itself leaves.
+    upstream: Option<String>,
+    /// Token of the operators' interface.
+    #[arg(long, env = "GOLDCRESTVALE_TOKEN", hide_env_values = true)]
+    token: Option<String>,
+}
+
+impl Drain {
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        let at = At { at: self.address, token: self.token };
+        let path = match &self.upstream {
+            Some(upstream) => format!("/drain/{upstream}"),
+            None => "/drain".to_owned(),
+        };
+        match client::finish(client::call(&at, Method::POST, &path, &[])) {
+            // Accepted means that the drain has begun.
+            Exit::Unknown => Exit::Done.into(),
+            exit => exit.into(),
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/serve.rs
@@ -0,0 +1,51 @@
+//! `goldcrestvale serve`.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::Args;
+
+use super::{Exit, client::complain};
+use crate::{logging, serve::Instance, settings::File};
+
+/// Runs an entry instance until it is told to stop.
+#[derive(Debug, Args)]
+pub struct Serve {
+    /// The settings file.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+impl Serve {
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        let file = match File::read(&self.settings) {
+            Ok(file) => file,
+            Err(e) => {
+                complain(&e.to_string());
+                return Exit::Usage.into();
+            }
+        };
+        if let Err(e) = logging::init(&file.logging) {
+            complain(&format!("cannot set up logging: {e}"));
+            return Exit::Failed.into();
+        }
+        match run(file) {
+            Ok(true) => Exit::Done.into(),
+            Ok(false) => Exit::CutOff.into(),
+            Err(e) => {
+                complain(&e.to_string());
+                Exit::Failed.into()
+            }
+        }
+    }
+}
+
+fn run(file: File) -> crate::serve::Result<bool> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| crate::serve::Error::Runtime { source })?;
+    let clean = runtime.block_on(async { Instance::start(file.entry).await?.run().await })?;
+    runtime.shutdown_background();
+    Ok(clean)
+}
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,110 @@
+//! Structured logs: one line an event, as key=value or JSON.
+
+use std::io;
+
+use log::{
+    LevelFilter, Record,
+    kv::{Key, Source, Value, VisitSource},
+};
+use serde_json::Map;
+
+/// The form of a log line.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Format {
+    /// `time=… level=… event="…" key=value`.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// Settings of the logs, section `log`.
+#[derive(Debug, Clone, Copy)]
+pub struct Logging {
+    /// Least severe level that is written.
+    pub level: LevelFilter,
+    /// Form of a line.
+    pub format: Format,
+}
+
+impl Default for Logging {
+    fn default() -> Self {
+        Self { level: LevelFilter::Info, format: Format::Text }
+    }
+}
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// Fails if a logger is already set.
+pub fn init(logging: &Logging) -> Result<(), log::SetLoggerError> {
+    let format = logging.format;
+    fern::Dispatch::new()
+        .level(logging.level)
+        .level_for("hyper", LevelFilter::Warn)
+        .level_for("h2", LevelFilter::Warn)
+        .format(move |out, _, record| match format {
+            Format::Text => out.finish(format_args!("{}", text_line(record))),
+            Format::Json => out.finish(format_args!("{}", json_line(record))),
+        })
+        .chain(io::stderr())
+        .apply()
+}
+
+/// Collects the key-value pairs of a record.
+#[derive(Default)]
+struct Pairs(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let value = serde_json::to_value(&value)
+            .unwrap_or_else(|_| serde_json::Value::String(value.to_string()));
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn pairs(record: &Record<'_>) -> Map<String, serde_json::Value> {
+    let mut pairs = Pairs::default();
+    // Collecting into a map does not fail.
+    let _ = Source::visit(record.key_values(), &mut pairs);
+    pairs.0
+}
+
+fn time() -> String {
+    jiff::Timestamp::now().strftime("%Y-%m-%dT%H:%M:%S%.3fZ").to_string()
+}
+
+fn json_line(record: &Record<'_>) -> String {
+    let mut line = Map::new();
+    line.insert("time".to_owned(), time().into());
+    line.insert("level".to_owned(), record.level().as_str().into());
+    line.insert("event".to_owned(), record.args().to_string().into());
+    line.extend(pairs(record));
+    serde_json::Value::Object(line).to_string()
+}
+
+fn text_line(record: &Record<'_>) -> String {
+    let mut line = format!(
+        "time={} level={} event={}",
+        time(),
+        record.level(),
+        serde_json::Value::from(record.args().to_string())
+    );
+    for (key, value) in pairs(record) {
+        line.push_str(&format!(" {key}={}", text_value(&value)));
+    }
+    line
+}
+
+/// Leaves simple words bare and quotes all other text.
+fn text_value(value: &serde_json::Value) -> String {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_./:".contains(c);
+    match value {
+        serde_json::Value::String(text) if !text.is_empty() && text.chars().all(plain) => {
+            text.clone()
+        }
+        value => value.to_string(),
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,18 @@
 //! The `goldcrestvale` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use goldcrestvale::cli::{Command, Line};
+
+fn main() -> ExitCode {
+    match Line::parse().command {
+        Command::Serve(command) => command.run(),
+        Command::Check(command) => command.run(),
+        Command::Config(command) => command.run(),
+        Command::Customer(command) => command.run(),
+        Command::Service(command) => command.run(),
+        Command::Dump(command) => command.run(),
+        Command::Drain(command) => command.run(),
+    }
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,269 @@
+//! The life cycle of an entry instance: start, serve, drain, end.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use goldcrestvale_base::id::Incarnation;
+use goldcrestvale_entry::{
+    callers,
+    daemon::{Builder, Daemon},
+    metrics::{self, Metrics},
+    node::Node,
+    operators::Desk,
+    phase::Phase,
+    server::{Bounds, Server},
+    settings::Settings,
+    tail::Tail,
+    watch::Watch,
+};
+use log::{info, warn};
+use rand::{SeedableRng, rngs::StdRng};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+/// The result of running an instance.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Most connections of operators.
+const OPERATOR_CONNECTIONS: usize = 64;
+
+/// A failure to run an instance.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The runtime cannot be started.
+    #[snafu(display("cannot start the runtime: {source}"))]
+    Runtime {
+        /// What the operating system reported.
+        source: std::io::Error,
+    },
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address} for {interface}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Who would speak to it.
+        interface: &'static str,
+        /// What the operating system reported.
+        source: std::io::Error,
+    },
+    /// A signal handler cannot be set.
+    #[snafu(display("cannot handle signals: {source}"))]
+    Signals {
+        /// What the operating system reported.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// What failed.
+        source: metrics::Error,
+    },
+}
+
+/// A started entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    daemon: Daemon,
+    callers: Listening,
+    operators: Listening,
+}
+
+/// A server that runs in a task.
+#[derive(Debug)]
+struct Listening {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Instance {
+    /// Binds the addresses and starts the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or the metrics cannot be set up.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let metrics = Metrics::new().context(MetricsSnafu)?;
+        let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
+        let node = Node::new(settings, incarnation, metrics);
+        let (tail, state) = Tail::new();
+        let daemon = Builder::new(node.clone()).with(Identity).with(tail).with(Watch).start();
+        let callers = listen_callers(&node).await?;
+        let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
+        let operators = listen_operators(&node, operators).await?;
+        info!(
+            instance:% = node.settings.instance.name,
+            incarnation:% = incarnation,
+            callers:% = callers.address,
+            operators:% = operators.address;
+            "listening"
+        );
+        Ok(Self { daemon, callers, operators })
+    }
+
+    /// Returns the address of the callers' interface.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// Returns the address of the operators' interface.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address
+    }
+
+    /// Returns the state that the instance's parts share.
+    pub fn node(&self) -> &Arc<Node> {
+        self.daemon.node()
+    }
+
+    /// Serves until a signal or an operator asks for a stop, then drains.
+    ///
+    /// Returns whether every request in progress could finish.
+    ///
+    /// # Errors
+    ///
+    /// Fails if signal handlers cannot be set.
+    pub async fn run(self) -> Result<bool> {
+        let mut signals = Signals::new().context(SignalsSnafu)?;
+        let dump = self.daemon.dump().clone();
+        let drain = self.node().drain.clone();
+        loop {
+            tokio::select! {
+                () = drain.cancelled() => break,
+                asked = signals.next() => match asked {
+                    Asked::Stop => break,
+                    Asked::Dump => info!(state:% = dump.collect(); "state dump"),
+                },
+            }
+        }
+        tokio::select! {
+            clean = self.stop() => Ok(clean),
+            () = signals.next_stop() => {
+                warn!("second signal: requests in progress are cut off");
+                Ok(false)
+            }
+        }
+    }
+
+    /// Drains and ends the instance; returns whether every request in progress could finish.
+    ///
+    /// The instance first stops being ready, so that the balancer sends no more, then stops
+    /// accepting, finishes the requests in progress, and says its farewells.
+    pub async fn stop(self) -> bool {
+        let node = self.node().clone();
+        node.life.advance(Phase::Leaving);
+        info!(in_progress = node.gate.inside(); "leaving");
+        tokio::time::sleep(node.settings.stop.notice).await;
+        node.life.advance(Phase::Draining);
+        self.callers.finish().await;
+        let clean = node.gate.inside() == 0;
+        self.daemon.finish().await;
+        self.operators.finish().await;
+        info!(clean; "stopped");
+        clean
+    }
+}
+
+impl Listening {
+    async fn finish(self) {
+        self.stop.cancel();
+        // The task ends by itself and does not panic.
+        let _ = self.task.await;
+    }
+}
+
+async fn listen_callers(node: &Arc<Node>) -> Result<Listening> {
+    let callers = &node.settings.callers;
+    let bounds = Bounds {
+        header_bytes: callers.header_bytes,
+        header_timeout: callers.header_timeout,
+        connections: callers.connections,
+    };
+    let server = bind(callers.address, bounds, "callers").await?;
+    let shared = node.clone();
+    let drain = node.settings.stop.timeout;
+    Ok(spawn(server, drain, move |request| callers::serve(shared.clone(), request)))
+}
+
+async fn listen_operators(node: &Arc<Node>, desk: Desk) -> Result<Listening> {
+    let callers = &node.settings.callers;
+    let bounds = Bounds {
+        header_bytes: callers.header_bytes,
+        header_timeout: callers.header_timeout,
+        connections: OPERATOR_CONNECTIONS,
+    };
+    let server = bind(node.settings.operators.address, bounds, "operators").await?;
+    let drain = node.settings.callers.body_timeout;
+    Ok(spawn(server, drain, move |request| desk.clone().serve(request)))
+}
+
+async fn bind(address: SocketAddr, bounds: Bounds, interface: &'static str) -> Result<Server> {
+    Server::bind(address, bounds).await.context(ListenSnafu { address, interface })
+}
+
+fn spawn<H, F>(server: Server, drain: std::time::Duration, handler: H) -> Listening
+where
+    H: Fn(http::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = http::Response<goldcrestvale_entry::body::Body>> + Send + 'static,
+{
+    let stop = CancellationToken::new();
+    let address = server.address().expect("a bound listener has an address");
+    let task = tokio::spawn(server.run(handler, stop.clone(), drain));
+    Listening { address, stop, task }
+}
+
+/// The signals that an instance reacts to.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    dump: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            dump: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    async fn next(&mut self) -> Asked {
+        tokio::select! {
+            _ = self.terminate.recv() => Asked::Stop,
+            _ = self.interrupt.recv() => Asked::Stop,
+            _ = self.dump.recv() => Asked::Dump,
+        }
+    }
+
+    async fn next_stop(&mut self) {
+        while !matches!(self.next().await, Asked::Stop) {}
+    }
+}
+
+/// What a signal asks for.
+enum Asked {
+    Stop,
+    Dump,
+}
+
+/// Shows who the instance is in the state dump.
+struct Identity;
+
+impl goldcrestvale_entry::daemon::Part for Identity {
+    fn register(self, builder: &mut Builder) {
+        let node = builder.node().clone();
+        builder.insert_dump("instance", move || {
+            serde_json::json!({
+                "name": node.settings.instance.name,
+                "domain": node.settings.instance.domain,
+                "incarnation": node.incarnation,
+                "phase": node.life.phase(),
+                "requests_in_progress": node.gate.inside(),
+            })
+        });
+    }
+}
--- /dev/null
+++ b/src/settings/field.rs
@@ -0,0 +1,83 @@
+//! The known settings, one row a key.
+
+use super::{File, parse};
+
+/// One known key of the settings file.
+pub(super) struct Field {
+    pub(super) section: &'static str,
+    pub(super) key: &'static str,
+    /// What a right value is.
+    pub(super) expected: &'static str,
+    pub(super) set: fn(&mut File, &str) -> parse::Result<()>,
+}
+
+const NAME: &str = "a name of letters, digits, '-', '_' and '.', as in bole-1";
+const ADDRESS: &str = "an IP address and port, as in 127.0.0.1:8080";
+const MILLIS: &str = "milliseconds from 1 to 86400000";
+const COUNT: &str = "a whole number from 1 to 1000000";
+const BYTES: &str = "bytes from 1024 to 1073741824";
+const HEADER_BYTES: &str = "bytes from 8192 to 1048576";
+
+/// Builds one row: section, key, what is expected, the field, and how its value is parsed.
+macro_rules! field {
+    ($section:literal, $key:literal, $expected:expr, $($target:ident).+, $parse:expr) => {
+        Field {
+            section: $section,
+            key: $key,
+            expected: $expected,
+            set: |file, value| {
+                file.$($target).+ = $parse(value)?;
+                Ok(())
+            },
+        }
+    };
+}
+
+fn count<T: std::str::FromStr + PartialOrd + std::fmt::Display + From<u8> + TryFrom<u32>>(
+    value: &str,
+) -> parse::Result<T> {
+    let most = T::try_from(1_000_000_u32).unwrap_or_else(|_| T::from(u8::MAX));
+    parse::number(value, T::from(1)..=most)
+}
+
+fn bytes(value: &str) -> parse::Result<usize> {
+    parse::number(value, 1_024..=1_073_741_824)
+}
+
+fn header_bytes(value: &str) -> parse::Result<u32> {
+    parse::number(value, 8_192..=1_048_576)
+}
+
+fn token(value: &str) -> parse::Result<Option<String>> {
+    parse::text(value).map(Some)
+}
+
+/// All known settings; keys of one section stand together.
+pub(super) const FIELDS: &[Field] = &[
+    field!("instance", "name", NAME, entry.instance.name, parse::from_str),
+    field!("instance", "domain", NAME, entry.instance.domain, parse::from_str),
+    field!("callers", "address", ADDRESS, entry.callers.address, parse::from_str),
+    field!("callers", "header_bytes", HEADER_BYTES, entry.callers.header_bytes, header_bytes),
+    field!("callers", "body_bytes", BYTES, entry.callers.body_bytes, bytes),
+    field!("callers", "header_timeout_ms", MILLIS, entry.callers.header_timeout, parse::millis),
+    field!("callers", "body_timeout_ms", MILLIS, entry.callers.body_timeout, parse::millis),
+    field!("callers", "connections", COUNT, entry.callers.connections, count),
+    field!("callers", "streams", COUNT, entry.callers.streams, count),
+    field!("operators", "address", ADDRESS, entry.operators.address, parse::from_str),
+    field!("operators", "token", "a secret text", entry.operators.token, token),
+    field!("platform", "address", ADDRESS, entry.platform.address, parse::from_str),
+    field!("platform", "timeout_ms", MILLIS, entry.platform.timeout, parse::millis),
+    field!("platform", "poll_ms", MILLIS, entry.platform.poll, parse::millis),
+    field!("platform", "list_interval_ms", MILLIS, entry.platform.list_interval, parse::millis),
+    field!("upstream", "connect_timeout_ms", MILLIS, entry.upstream.connect_timeout, parse::millis),
+    field!("upstream", "load_interval_ms", MILLIS, entry.upstream.load_interval, parse::millis),
+    field!("upstream", "load_timeout_ms", MILLIS, entry.upstream.load_timeout, parse::millis),
+    field!("upstream", "step_timeout_ms", MILLIS, entry.upstream.step_timeout, parse::millis),
+    field!("upstream", "answer_bytes", BYTES, entry.upstream.answer_bytes, bytes),
+    field!("draft", "deadline_ms", MILLIS, entry.draft.deadline, parse::millis),
+    field!("draft", "max_tokens", COUNT, entry.draft.max_tokens, count),
+    field!("stop", "notice_ms", MILLIS, entry.stop.notice, parse::millis),
+    field!("stop", "timeout_ms", MILLIS, entry.stop.timeout, parse::millis),
+    field!("log", "level", "off, error, warn, info, debug or trace", logging.level, parse::level),
+    field!("log", "format", "text or json", logging.format, parse::format),
+];
--- /dev/null
+++ b/src/settings/parse.rs
@@ -0,0 +1,55 @@
+//! Parsing single values; each error continues the sentence "VALUE …".
+
+use std::{fmt::Display, ops::RangeInclusive, str::FromStr, time::Duration};
+
+use log::LevelFilter;
+
+use crate::logging::Format;
+
+/// The result of parsing one value.
+pub(super) type Result<T> = std::result::Result<T, String>;
+
+/// Longest time that a setting may state, in milliseconds.
+const MAX_MILLIS: u64 = 24 * 60 * 60 * 1_000;
+
+pub(super) fn from_str<T>(value: &str) -> Result<T>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    value.parse().map_err(|e| format!("is not valid: {e}"))
+}
+
+pub(super) fn number<T>(value: &str, range: RangeInclusive<T>) -> Result<T>
+where
+    T: FromStr + PartialOrd + Display,
+{
+    let number: T = value.parse().map_err(|_| "is not a whole number in its range".to_owned())?;
+    if range.contains(&number) {
+        return Ok(number);
+    }
+    Err(format!("is not from {} to {}", range.start(), range.end()))
+}
+
+pub(super) fn millis(value: &str) -> Result<Duration> {
+    number(value, 1..=MAX_MILLIS).map(Duration::from_millis)
+}
+
+pub(super) fn text(value: &str) -> Result<String> {
+    if value.is_empty() {
+        return Err("is empty".to_owned());
+    }
+    Ok(value.to_owned())
+}
+
+pub(super) fn level(value: &str) -> Result<LevelFilter> {
+    value.parse().map_err(|_| "is not a level".to_owned())
+}
+
+pub(super) fn format(value: &str) -> Result<Format> {
+    match value {
+        "text" => Ok(Format::Text),
+        "json" => Ok(Format::Json),
+        _ => Err("is not a format".to_owned()),
+    }
+}
