--- /dev/null
+++ b/crates/goldcrestvale_entry/src/activity.rs
@@ -0,0 +1,88 @@
+//! Whether a connection has requests in progress.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, SizeHint};
+use tokio::sync::watch;
+
+use crate::body::Body;
+
+/// Counts the requests in progress on one connection.
+#[derive(Debug, Clone)]
+pub(crate) struct Activity {
+    requests: Arc<watch::Sender<usize>>,
+}
+
+/// One request in progress, from its head to the end of its answer.
+#[derive(Debug)]
+pub(crate) struct Request {
+    requests: Arc<watch::Sender<usize>>,
+}
+
+impl Activity {
+    pub(crate) fn new() -> Self {
+        Self { requests: Arc::new(watch::Sender::new(0)) }
+    }
+
+    pub(crate) fn enter(&self) -> Request {
+        self.requests.send_modify(|requests| *requests += 1);
+        Request { requests: self.requests.clone() }
+    }
+
+    /// Waits until no request was in progress for a whole time.
+    pub(crate) async fn idle(&self, time: Duration) {
+        let mut requests = self.requests.subscribe();
+        loop {
+            let quiet = requests.wait_for(|&requests| requests == 0).await.is_ok();
+            let busy = requests.wait_for(|&requests| requests > 0);
+            if quiet && tokio::time::timeout(time, busy).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl Request {
+    /// Ties the request to the body of its answer.
+    pub(crate) fn guard(self, body: Body) -> Body {
+        Guarded { body, _request: self }.boxed()
+    }
+}
+
+impl Drop for Request {
+    fn drop(&mut self) {
+        self.requests.send_modify(|requests| *requests -= 1);
+    }
+}
+
+struct Guarded {
+    body: Body,
+    _request: Request,
+}
+
+impl hyper::body::Body for Guarded {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`daemon::Builder`] assembles an instance from parts that register themselves; every part
 //! shares a [`node::Node`]. Requests read immutable snapshots and count by atomics.
 
+mod activity;
 pub mod body;
 pub mod callers;
 pub mod clock;
--- a/crates/goldcrestvale_entry/src/metrics.rs
+++ b/crates/goldcrestvale_entry/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics of an instance, recorded by OpenTelemetry and scraped as text.
 
+use goldcrestvale_base::id::Upstream;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _, UpDownCounter},
+    metrics::{AsyncInstrument, Counter, Histogram, MeterProvider as _, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -93,6 +94,21 @@
         meter.u64_observable_gauge(name).with_callback(move |o| o.observe(read(), &[])).build();
     }
 
+    /// Registers a gauge with one value per upstream, read when the metrics are scraped.
+    pub fn insert_upstream_gauge(
+        &self,
+        name: &'static str,
+        read: impl Fn() -> Vec<(Upstream, u64)> + Send + Sync + 'static,
+    ) {
+        let observe = move |observer: &dyn AsyncInstrument<u64>| {
+            for (upstream, value) in read() {
+                observer.observe(value, &[KeyValue::new("upstream", upstream.to_string())]);
+            }
+        };
+        let meter = self.provider.meter("goldcrestvale");
+        meter.u64_observable_gauge(name).with_callback(observe).build();
+    }
+
     /// Counts a refusal.
     pub fn count_refusal(&self, cause: Cause) {
         self.refusals.add(1, &[KeyValue::new("cause", cause.as_str())]);
--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -1,21 +1,21 @@
 //! Accepting connections, with bounds and a graceful end.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto, graceful::GracefulShutdown},
+    server::conn::auto,
 };
 use log::debug;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{OwnedSemaphorePermit, Semaphore},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::body::Body;
+use crate::{activity::Activity, body::Body};
 
 /// How long the listener pauses after it failed to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -25,8 +25,10 @@
 pub struct Bounds {
     /// Largest accepted request head, in bytes.
     pub header_bytes: u32,
-    /// How long a request head may take to arrive; also bounds idle HTTP/1.1 connections.
+    /// How long a request head may take to arrive.
     pub header_timeout: Duration,
+    /// How long a connection without a request in progress stays open.
+    pub idle_timeout: Duration,
     /// Most open connections; further ones are closed at once.
     pub connections: usize,
 }
@@ -36,6 +38,8 @@
 pub struct Server {
     listener: TcpListener,
     bounds: Bounds,
+    room: Arc<Semaphore>,
+    open: TaskTracker,
 }
 
 impl Server {
@@ -45,7 +49,9 @@
     ///
     /// Fails if the address cannot be bound.
     pub async fn bind(address: SocketAddr, bounds: Bounds) -> std::io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(address).await?, bounds })
+        let listener = TcpListener::bind(address).await?;
+        let room = Arc::new(Semaphore::new(bounds.connections));
+        Ok(Self { listener, bounds, room, open: TaskTracker::new() })
     }
 
     /// Returns the bound address.
@@ -59,79 +65,49 @@
 
     /// Serves until the token is cancelled, then lets the requests in progress finish.
     ///
-    /// Connections still open after `drain` are dropped.
-    pub async fn run<H, F>(self, handler: H, stop: CancellationToken, drain: Duration)
+    /// Returns whether all of them finished within `drain`; those that did not are cut off.
+    pub async fn run<H, F>(self, handler: H, stop: CancellationToken, drain: Duration) -> bool
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let graceful = GracefulShutdown::new();
-        let builder = self.connection_builder();
-        let room = std::sync::Arc::new(Semaphore::new(self.bounds.connections));
-        loop {
-            let stream = tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
-                    Err(e) => {
-                        debug!(error:% = e; "accept failed");
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                        continue;
-                    }
-                },
-            };
-            let Ok(permit) = room.clone().try_acquire_owned() else {
-                drop(stream);
-                continue;
-            };
-            let connection = serve(&builder, stream, handler.clone());
-            let connection = graceful.watch(connection);
-            tokio::spawn(async move {
-                if let Err(e) = connection.await {
-                    debug!(error:% = e; "connection ended");
-                }
+        let cut = CancellationToken::new();
+        while let Some((stream, permit)) = self.accept(&stop).await {
+            let connection = serve(stream, self.bounds, handler.clone(), stop.clone());
+            let cut = cut.clone();
+            self.open.spawn(async move {
+                cut.run_until_cancelled(connection).await;
                 drop(permit);
             });
         }
         drop(self.listener);
-        if tokio::time::timeout(drain, graceful.shutdown()).await.is_err() {
-            log::warn!(waited_ms = drain.as_millis() as u64; "requests cut off by the stop timeout");
-        }
+        self.open.close();
+        let clean = tokio::time::timeout(drain, self.open.wait()).await.is_ok();
+        cut.cancel();
+        clean
     }
 
-    fn connection_builder(&self) -> auto::Builder<TokioExecutor> {
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        let header_bytes = self.bounds.header_bytes;
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.bounds.header_timeout)
-            .max_buf_size((header_bytes as usize).max(8 << 10));
-        builder
-            .http2()
-            .timer(TokioTimer::new())
-            .max_header_list_size(header_bytes)
-            .keep_alive_interval(self.bounds.header_timeout)
-            .keep_alive_timeout(self.bounds.header_timeout);
-        builder
+    /// Accepts one connection, or returns `None` once the token is cancelled.
+    async fn accept(&self, stop: &CancellationToken) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        loop {
+            let accepted = stop.run_until_cancelled(self.listener.accept()).await?;
+            match accepted {
+                Ok((stream, _)) => {
+                    // A connection beyond the bound is closed by dropping it.
+                    if let Ok(permit) = self.room.clone().try_acquire_owned() {
+                        return Some((stream, permit));
+                    }
+                }
+                Err(e) => {
+                    debug!(error:% = e; "accept failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
     }
 }
 
-fn serve<H, F>(
-    builder: &auto::Builder<TokioExecutor>,
-    stream: TcpStream,
-    handler: H,
-) -> auto::Connection<
-    'static,
-    TokioIo<TcpStream>,
-    impl hyper::service::Service<
-        Request<Incoming>,
-        Response = Response<Body>,
-        Error = Infallible,
-        Future: Send + 'static,
-    > + use<H, F>,
-    TokioExecutor,
->
+async fn serve<H, F>(stream: TcpStream, bounds: Bounds, handler: H, stop: CancellationToken)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -139,9 +115,45 @@
     if let Err(e) = stream.set_nodelay(true) {
         debug!(error:% = e; "TCP_NODELAY cannot be set");
     }
+    let activity = Activity::new();
+    let counted = activity.clone();
     let service = service_fn(move |request| {
+        let in_progress = counted.enter();
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(answer.await.map(|body| in_progress.guard(body))) }
     });
-    builder.serve_connection(TokioIo::new(stream), service).into_owned()
+    let builder = builder(bounds);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = stop.cancelled() => None,
+        () = activity.idle(bounds.idle_timeout) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        debug!(error:% = e; "connection ended");
+    }
+}
+
+fn builder(bounds: Bounds) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.header_timeout)
+        .max_buf_size(bounds.header_bytes as usize);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(bounds.header_bytes)
+        .keep_alive_interval(bounds.idle_timeout)
+        .keep_alive_timeout(bounds.header_timeout);
+    builder
 }
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -60,10 +60,12 @@
     pub header_bytes: u32,
     /// Largest accepted request body, in bytes.
     pub body_bytes: usize,
-    /// How long a request head may take to arrive; also bounds idle HTTP/1.1 connections.
+    /// How long a request head may take to arrive.
     pub header_timeout: Duration,
     /// How long a request body may take to arrive.
     pub body_timeout: Duration,
+    /// How long a connection without a request in progress stays open.
+    pub idle_timeout: Duration,
     /// Most open connections; further ones are closed at once.
     pub connections: usize,
     /// Most drafts and service calls in progress; further ones are refused.
@@ -76,8 +78,9 @@
             address: loopback(8080),
             header_bytes: 16 << 10,
             body_bytes: 1 << 20,
-            header_timeout: Duration::from_secs(30),
+            header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
             connections: 10_000,
             streams: 4_000,
         }
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -36,6 +36,13 @@
         node.metrics.insert_gauge("goldcrestvale_upstreams", move || {
             gauged.upstreams.load().rows.len() as u64
         });
+        let loaded = node.clone();
+        node.metrics.insert_upstream_gauge("goldcrestvale_upstream_load", move || {
+            let load = |row: &Arc<Row>| Some((row.name.clone(), row.report.as_ref()?.1.queued()));
+            let table = loaded.upstreams.load();
+            let known = table.rows.values().filter_map(load);
+            known.map(|(name, queued)| (name, u64::from(queued))).collect()
+        });
         let stop = builder.stop();
         builder.insert_task(watch_list(node.clone(), stop.clone()));
         builder.insert_task(watch_loads(node, stop));
--- a/crates/goldcrestvale_standin/src/fleet.rs
+++ b/crates/goldcrestvale_standin/src/fleet.rs
@@ -22,6 +22,9 @@
 /// Credential of that customer.
 pub const CREDENTIAL: &str = "tester-credential";
 
+/// Token of the operators' interface of every entry instance.
+pub const TOKEN: &str = "operator-token";
+
 /// Model that every fleet has.
 pub const MODEL: &str = "draft";
 
@@ -146,6 +149,21 @@
     ///
     /// Fails when a program cannot be started or does not become ready.
     pub async fn start(self) -> io::Result<Fleet> {
+        let fleet = self.start_without_defaults().await?;
+        if !fleet.entries.is_empty() {
+            fleet.put_defaults().await?;
+            fleet.wait_ready().await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts all processes, lists the upstreams and waits until every entry instance is ready
+    /// and knows every upstream's load, but puts no configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a program cannot be started or does not become ready.
+    pub async fn start_without_defaults(self) -> io::Result<Fleet> {
         let standin = &self.programs.standin;
         let platform = Standin::start(standin, "platform", "", &self.platform).await?;
         let mut engines = Vec::new();
@@ -163,16 +181,13 @@
             engines,
             services,
             entries: Vec::new(),
-            caller: Caller::default(),
+            caller: Caller::default().with("authorization", &format!("Bearer {TOKEN}")),
         };
         fleet.list_all().await?;
         for (name, settings) in &self.entries {
             fleet.start_entry(name, settings).await?;
         }
-        if !fleet.entries.is_empty() {
-            fleet.put_defaults().await?;
-            fleet.wait_ready().await?;
-        }
+        fleet.wait_ready().await?;
         Ok(fleet)
     }
 }
@@ -235,7 +250,7 @@
             file,
             "[instance]\nname = {name}\ndomain = local\n\
              [callers]\naddress = 127.0.0.1:0\n\
-             [operators]\naddress = 127.0.0.1:0\n\
+             [operators]\naddress = 127.0.0.1:0\ntoken = {TOKEN}\n\
              [platform]\naddress = {platform}\nlist_interval_ms = 50\n\
              [upstream]\nload_interval_ms = 50\n\
              [stop]\nnotice_ms = 100\ntimeout_ms = 20000\n\
@@ -370,6 +385,9 @@
     ///
     /// Fails when an instance does not answer.
     pub async fn wait_ready(&self) -> io::Result<()> {
+        if self.entries.is_empty() {
+            return Ok(());
+        }
         let version = self.dump(0).await?["config"]["version"].as_u64();
         let upstreams = self.engines.len() + self.services.len();
         for entry in 0..self.entries.len() {
--- a/crates/goldcrestvale_standin/src/process.rs
+++ b/crates/goldcrestvale_standin/src/process.rs
@@ -14,6 +14,7 @@
     process::{Child, Command},
     sync::Notify,
 };
+use tokio_util::task::TaskTracker;
 
 /// A running program whose output is kept line by line; dropping it kills it.
 #[derive(Debug)]
@@ -21,6 +22,7 @@
     child: Child,
     id: Pid,
     output: Arc<Output>,
+    readers: TaskTracker,
 }
 
 /// The lines of standard output and standard error so far.
@@ -47,13 +49,15 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
         let id = child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
         let output = Arc::new(Output::default());
+        let readers = TaskTracker::new();
         if let Some(stdout) = child.stdout.take() {
-            tokio::spawn(collect(stdout, output.clone()));
+            readers.spawn(collect(stdout, output.clone()));
         }
         if let Some(stderr) = child.stderr.take() {
-            tokio::spawn(collect(stderr, output.clone()));
+            readers.spawn(collect(stderr, output.clone()));
         }
-        Ok(Self { child, id: Pid::from_raw(id as i32), output })
+        readers.close();
+        Ok(Self { child, id: Pid::from_raw(id as i32), output, readers })
     }
 
     /// Waits for a line that contains a text and returns it.
@@ -90,6 +94,12 @@
         self.output.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Waits until the process has closed its output and returns all of it.
+    pub async fn output(&self) -> String {
+        self.readers.wait().await;
+        self.lines().join("\n")
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> i32 {
         self.id.as_raw()
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -76,7 +76,7 @@
 struct Listening {
     address: SocketAddr,
     stop: CancellationToken,
-    task: JoinHandle<()>,
+    task: JoinHandle<bool>,
 }
 
 impl Instance {
@@ -158,8 +158,7 @@
         info!(in_progress = node.gate.inside(); "leaving");
         tokio::time::sleep(node.settings.stop.notice).await;
         node.life.advance(Phase::Draining);
-        self.callers.finish().await;
-        let clean = node.gate.inside() == 0;
+        let clean = self.callers.finish().await;
         self.daemon.finish().await;
         self.operators.finish().await;
         info!(clean; "stopped");
@@ -168,10 +167,10 @@
 }
 
 impl Listening {
-    async fn finish(self) {
+    /// Stops accepting; returns whether every request in progress could finish.
+    async fn finish(self) -> bool {
         self.stop.cancel();
-        // The task ends by itself and does not panic.
-        let _ = self.task.await;
+        self.task.await.unwrap_or(false)
     }
 }
 
@@ -180,6 +179,7 @@
     let bounds = Bounds {
         header_bytes: callers.header_bytes,
         header_timeout: callers.header_timeout,
+        idle_timeout: callers.idle_timeout,
         connections: callers.connections,
     };
     let server = bind(callers.address, bounds, "callers").await?;
@@ -193,6 +193,7 @@
     let bounds = Bounds {
         header_bytes: callers.header_bytes,
         header_timeout: callers.header_timeout,
+        idle_timeout: callers.idle_timeout,
         connections: OPERATOR_CONNECTIONS,
     };
     let server = bind(node.settings.operators.address, bounds, "operators").await?;
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -61,6 +61,7 @@
     field!("callers", "body_bytes", BYTES, entry.callers.body_bytes, bytes),
     field!("callers", "header_timeout_ms", MILLIS, entry.callers.header_timeout, parse::millis),
     field!("callers", "body_timeout_ms", MILLIS, entry.callers.body_timeout, parse::millis),
+    field!("callers", "idle_timeout_ms", MILLIS, entry.callers.idle_timeout, parse::millis),
     field!("callers", "connections", COUNT, entry.callers.connections, count),
     field!("callers", "streams", COUNT, entry.callers.streams, count),
     field!("operators", "address", ADDRESS, entry.operators.address, parse::from_str),
