Add claims, leases, batches and the desk of keyed calls

Cause: non-idempotent calls need one arbiter for who may run a key, and duties such as orders need one holder at a time; both are to be decided from the order of the platform log, without I/O.

Ruled out: taking a claim over from a dead owner (a paused one may wake and run it), a lease on claims (needs clocks), a claim skew as a setting (instances that differ in it would differ in the first claim), removing a lost append without its identity (its first copy may be in the log).

Change: claim::Fold and lease::Fold are pure functions of a prefix; claim::Claim and lease::Lease are typestates, with compile_fail tests for dispatch and abandon of one claim, dispatch of an unwon claim, and "not run" after dispatch; batch::{Fixed, Size, Adaptive} and batch::Queue gather appends; shard::Layout leads a key to its stream; desk::Desk ties them together.

--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/batch/size.rs
@@ -0,0 +1,42 @@
+use std::time::Duration;
+
+use goldcrestvale_base::time::Instant;
+
+use super::{Policy, Waiting};
+
+/// Appends once a number of records wait, or once the oldest has waited for a time.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::time::Instant;
+/// use goldcrestvale_ledger::batch::{Policy, Size, Waiting};
+///
+/// let policy = Size::new(8, Duration::from_millis(20));
+/// let few = Waiting { count: 7, oldest: Instant(5_000), last_append: None };
+/// assert_eq!(policy.due(&few), Instant(25_000));
+/// assert_eq!(policy.due(&Waiting { count: 8, ..few }), Instant(5_000));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Size {
+    count: usize,
+    longest: Duration,
+}
+
+impl Size {
+    /// Makes a policy with this number of records and this longest wait.
+    pub fn new(count: usize, longest: Duration) -> Self {
+        Self { count, longest }
+    }
+}
+
+impl Policy for Size {
+    fn due(&self, waiting: &Waiting) -> Instant {
+        if waiting.count >= self.count {
+            return waiting.oldest;
+        }
+        waiting.oldest + self.longest
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/claim/checkpoint.rs
@@ -0,0 +1,148 @@
+use std::collections::BTreeMap;
+
+use goldcrestvale_base::{
+    domain,
+    id::{Digest, Key, Offset},
+};
+use snafu::{Snafu, ensure};
+
+use super::{
+    entry::{Entry, Fingerprint, Owner, Standing},
+    fold::Fold,
+    owners::Owners,
+    record::SCHEMA,
+    window::Window,
+};
+use crate::{prefix::Prefix, seen::Seen};
+
+/// The result of restoring a checkpoint.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A reason why a checkpoint cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// The checkpoint has another schema than this build.
+    #[snafu(display("the checkpoint has schema {found}, this build reads {SCHEMA}"))]
+    Schema {
+        /// Schema of the checkpoint.
+        found: u32,
+    },
+    /// The checkpoint was made with another window.
+    #[snafu(display("the checkpoint has a window of {found:?}, the settings say {expected:?}"))]
+    OtherWindow {
+        /// Window of the settings.
+        expected: Window,
+        /// Window of the checkpoint.
+        found: Window,
+    },
+    /// A claim names an owner that the checkpoint does not hold.
+    #[snafu(display("the claim of key {key} names owner {owner}, which is not listed"))]
+    UnknownOwner {
+        /// Key of the claim.
+        key: Key,
+        /// Number of the owner.
+        owner: u32,
+    },
+    /// The content does not match its digest.
+    #[snafu(display("the checkpoint at offset {offset} does not match its digest"))]
+    Damaged {
+        /// Offset of the checkpoint.
+        offset: Offset,
+    },
+}
+
+domain! {
+    value
+    /// The state of a claim fold at one offset, from which another instance goes on.
+    pub struct Checkpoint {
+        schema: u32,
+        window: Window,
+        prefix: Prefix,
+        owners: Vec<Owner>,
+        claims: Vec<Row>,
+        seen: Seen,
+        digest: Digest,
+    }
+
+    /// One live claim.
+    struct Row {
+        key: Key,
+        fingerprint: Fingerprint,
+        claim: Offset,
+        owner: u32,
+        standing: Standing,
+    }
+}
+
+impl Checkpoint {
+    /// Returns the offset from which to read on.
+    pub fn next(&self) -> Offset {
+        self.prefix.next()
+    }
+}
+
+impl Fold {
+    /// Returns the state as a checkpoint.
+    pub fn checkpoint(&self) -> Checkpoint {
+        let mut numbers = BTreeMap::new();
+        let mut owners = Vec::new();
+        let mut number_of = |slot: u32| {
+            *numbers.entry(slot).or_insert_with(|| {
+                owners.push(self.owners.get(slot).clone());
+                u32::try_from(owners.len() - 1).expect("live owners number far below 2^32")
+            })
+        };
+        let row = |(&key, entry): (&Key, &Entry)| Row {
+            key,
+            fingerprint: entry.fingerprint,
+            claim: entry.claim,
+            owner: number_of(entry.owner),
+            standing: entry.standing,
+        };
+        let claims = self.entries.iter().map(row).collect();
+        Checkpoint {
+            schema: SCHEMA,
+            window: self.window,
+            prefix: self.prefix.clone(),
+            owners,
+            claims,
+            seen: self.seen.clone(),
+            digest: self.digest(),
+        }
+    }
+
+    /// Rebuilds the state that a checkpoint holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the checkpoint is damaged or was made for another schema or window.
+    pub fn restore(window: Window, checkpoint: &Checkpoint) -> Result<Self> {
+        ensure!(checkpoint.schema == SCHEMA, SchemaSnafu { found: checkpoint.schema });
+        let found = checkpoint.window;
+        ensure!(found == window, OtherWindowSnafu { expected: window, found });
+        let mut fold = Self::new(window, checkpoint.prefix.clone());
+        fold.seen = checkpoint.seen.clone();
+        for row in &checkpoint.claims {
+            let owner = fold.owners.restore(row, &checkpoint.owners)?;
+            let entry = Entry {
+                fingerprint: row.fingerprint,
+                claim: row.claim,
+                owner,
+                standing: row.standing,
+            };
+            fold.entries.insert(row.key, entry);
+        }
+        let offset = checkpoint.next();
+        ensure!(fold.digest() == checkpoint.digest, DamagedSnafu { offset });
+        Ok(fold)
+    }
+}
+
+impl Owners {
+    fn restore(&mut self, row: &Row, owners: &[Owner]) -> Result<u32> {
+        match owners.get(row.owner as usize) {
+            Some(owner) => Ok(self.add(owner.incarnation, &owner.instance)),
+            None => UnknownOwnerSnafu { key: row.key, owner: row.owner }.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/claim/life.rs
@@ -0,0 +1,244 @@
+use goldcrestvale_base::{
+    domain,
+    exchange::{Exchange, Sent, Unsent},
+    id::{Key, Offset},
+    verdict::Verdict,
+};
+
+use super::record::{Abandonment, Kind, Settlement};
+
+/// The claim's place in the log is not known yet.
+#[derive(Debug)]
+pub struct Pending {
+    exchange: Exchange<Unsent>,
+}
+
+/// Another claim holds the key; this one is never dispatched.
+#[derive(Debug)]
+pub struct Lost {
+    exchange: Exchange<Unsent>,
+}
+
+/// The claim was read at its place in the log and is the first for its key.
+#[derive(Debug)]
+pub struct Won {
+    offset: Offset,
+    exchange: Exchange<Unsent>,
+}
+
+/// The call may have reached the service.
+#[derive(Debug)]
+pub struct Dispatched {
+    offset: Offset,
+    exchange: Exchange<Sent>,
+}
+
+/// The service answered the call.
+#[derive(Debug)]
+pub struct Settled {
+    offset: Offset,
+    status: u16,
+    verdict: Verdict,
+}
+
+/// No answer came from the service; the call may have run.
+#[derive(Debug)]
+pub struct Unanswered {
+    verdict: Verdict,
+}
+
+/// The claim was given up before it was dispatched.
+#[derive(Debug)]
+pub struct Abandoned {
+    offset: Offset,
+    verdict: Verdict,
+}
+
+/// One call's claim of an idempotency key, at its owner.
+///
+/// A claim is dispatched or abandoned, never both; either consumes it:
+///
+/// ```compile_fail,E0382
+/// use goldcrestvale_ledger::claim::{Claim, Won};
+///
+/// fn both(claim: Claim<Won>) {
+///     let dispatched = claim.dispatch();
+///     let abandoned = claim.abandon();
+/// }
+/// ```
+///
+/// A claim that was not won cannot be dispatched:
+///
+/// ```compile_fail,E0599
+/// use goldcrestvale_ledger::claim::Claim;
+///
+/// let key = "0190a000-0000-7000-8000-000000000000".parse().unwrap();
+/// let dispatched = Claim::new(key).dispatch();
+/// ```
+///
+/// And a dispatched claim cannot be said not to have run:
+///
+/// ```compile_fail,E0599
+/// use goldcrestvale_ledger::claim::{Claim, Won};
+///
+/// fn refuse(claim: Claim<Won>) {
+///     let verdict = claim.dispatch().give_up();
+/// }
+/// ```
+#[derive(Debug)]
+#[must_use = "a claim ends in a verdict"]
+pub struct Claim<S> {
+    key: Key,
+    state: S,
+}
+
+domain! {
+    value
+    /// What the owner of a key says about its call.
+    #[serde(rename_all = "kebab-case")]
+    pub enum OwnerAnswer {
+        /// The call ran; the owner hands over the answer.
+        Ran,
+        /// The call is under way or its outcome is not known.
+        MayHaveRun,
+        /// The owner gave its claim up and will never dispatch it.
+        GivenUp,
+        /// No answer came from the owner, or it knows nothing of the key.
+        Silent,
+    }
+}
+
+impl<S> Claim<S> {
+    /// Returns the idempotency key.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+}
+
+impl Claim<Pending> {
+    /// Starts the claim of a call.
+    pub fn new(key: Key) -> Self {
+        Self { key, state: Pending { exchange: Exchange::new() } }
+    }
+
+    /// Gives the claim up while its place in the log is not known.
+    ///
+    /// The call did not run and will not: only this claim could have been dispatched for it, and
+    /// it is gone. A record of it that shows up in the log later must be abandoned there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_ledger::claim::Claim;
+    ///
+    /// let claim = Claim::new("0190a000-0000-7000-8000-000000000000".parse()?);
+    /// assert!(claim.give_up().is_not_run());
+    /// # Ok::<(), goldcrestvale_base::id::Error>(())
+    /// ```
+    pub fn give_up(self) -> Verdict {
+        self.state.exchange.refuse()
+    }
+
+    /// Ends a claim that stands behind another one.
+    pub fn lose(self) -> Claim<Lost> {
+        Claim { key: self.key, state: Lost { exchange: self.state.exchange } }
+    }
+
+    /// Marks the claim as the first for its key, once the stream is read up to it.
+    pub(crate) fn win(self, offset: Offset) -> Claim<Won> {
+        Claim { key: self.key, state: Won { offset, exchange: self.state.exchange } }
+    }
+}
+
+impl Claim<Lost> {
+    /// Ends the call with what the owner of the key says.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_base::verdict::Verdict;
+    /// use goldcrestvale_ledger::claim::{Claim, OwnerAnswer};
+    ///
+    /// let claim = Claim::new("0190a000-0000-7000-8000-000000000000".parse()?).lose();
+    /// assert_eq!(claim.end(&OwnerAnswer::Silent), Verdict::MayHaveRun);
+    /// # Ok::<(), goldcrestvale_base::id::Error>(())
+    /// ```
+    pub fn end(self, answer: &OwnerAnswer) -> Verdict {
+        match answer {
+            OwnerAnswer::Ran => Verdict::Ran,
+            OwnerAnswer::GivenUp => self.state.exchange.refuse(),
+            OwnerAnswer::MayHaveRun | OwnerAnswer::Silent => Verdict::MayHaveRun,
+        }
+    }
+
+    /// Refuses a call that asks for something else than the call that holds its key.
+    pub fn refuse(self) -> Verdict {
+        self.state.exchange.refuse()
+    }
+}
+
+impl Claim<Won> {
+    /// Returns the offset of the claim.
+    pub fn offset(&self) -> Offset {
+        self.state.offset
+    }
+
+    /// Marks the call as dispatched; call it before the first byte is handed over.
+    pub fn dispatch(self) -> Claim<Dispatched> {
+        let Won { offset, exchange } = self.state;
+        Claim { key: self.key, state: Dispatched { offset, exchange: exchange.send() } }
+    }
+
+    /// Gives the claim up before anything was sent.
+    pub fn abandon(self) -> Claim<Abandoned> {
+        let Won { offset, exchange } = self.state;
+        Claim { key: self.key, state: Abandoned { offset, verdict: exchange.refuse() } }
+    }
+}
+
+impl Claim<Dispatched> {
+    /// Ends the claim with the status of the service's whole answer.
+    pub fn settle(self, status: u16) -> Claim<Settled> {
+        let Dispatched { offset, exchange } = self.state;
+        let verdict = exchange.complete();
+        Claim { key: self.key, state: Settled { offset, status, verdict } }
+    }
+
+    /// Ends the claim without an answer.
+    pub fn lose(self) -> Claim<Unanswered> {
+        let verdict = self.state.exchange.lose();
+        Claim { key: self.key, state: Unanswered { verdict } }
+    }
+}
+
+impl Claim<Settled> {
+    /// Returns that the call ran.
+    pub fn verdict(&self) -> Verdict {
+        self.state.verdict
+    }
+
+    /// Returns the record that tells the other instances.
+    pub fn record(&self) -> Kind {
+        let Settled { offset, status, .. } = self.state;
+        Kind::Settle(Settlement { key: self.key, claim: offset, status })
+    }
+}
+
+impl Claim<Unanswered> {
+    /// Returns that the call may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.state.verdict
+    }
+}
+
+impl Claim<Abandoned> {
+    /// Returns that the call did not run.
+    pub fn verdict(&self) -> Verdict {
+        self.state.verdict
+    }
+
+    /// Returns the record that frees the key for the next claim.
+    pub fn record(&self) -> Kind {
+        Kind::Abandon(Abandonment { key: self.key, claim: self.state.offset })
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/desk.rs
@@ -0,0 +1,18 @@
+//! Ties claims, their fold and their appends together at one entry instance.
+//!
+//! A [`Desk`] handles the keyed calls of one claim stream. It is fed events and returns actions;
+//! the program around it appends, reads, dispatches and asks other instances.
+
+mod call;
+mod ending;
+mod event;
+mod machine;
+mod reading;
+mod refusal;
+mod settings;
+
+pub use call::{Call, Ticket};
+pub use event::{Action, Event, Page};
+pub use machine::Desk;
+pub use refusal::{Cause, Refused, Scope};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/desk/machine.rs
@@ -0,0 +1,333 @@
+use std::collections::BTreeMap;
+
+use goldcrestvale_base::{
+    id::{Key, Offset},
+    time::Instant,
+};
+use rand::rngs::StdRng;
+
+use super::{
+    call::{Call, Follower, Slot, Stage, Ticket},
+    event::{Action, Event},
+    refusal::{Cause, Scope},
+    settings::Settings,
+};
+use crate::{
+    batch::{Policy, Queue},
+    claim::{
+        Abandoned, Claim, Fingerprint, Fold, Intent, Kind, Lost, OwnerAnswer, Pending, Record,
+        Refusal, Settled, Standing, Unanswered, Won,
+    },
+    prefix::Prefix,
+    record::{Draft, Sequence},
+};
+
+/// The keyed calls of one claim stream at one entry instance.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::{id::Incarnation, time::Instant};
+/// use goldcrestvale_ledger::{
+///     batch::Fixed, claim::Window, desk::{Desk, Event, Settings}, prefix::Prefix,
+///     record::Sequence,
+/// };
+/// use rand::{SeedableRng, rngs::StdRng};
+///
+/// let window = Window { length: Duration::from_secs(600) };
+/// let settings = Settings::new("yeka-1".parse()?, window);
+/// let sequence = Sequence::new(Incarnation(1), 0);
+/// let policy = Fixed::new(Duration::from_millis(10));
+/// let mut desk =
+///     Desk::new(settings, policy, Prefix::whole(), sequence, StdRng::seed_from_u64(1));
+/// let mut actions = Vec::new();
+/// desk.handle(Event::Tick, Instant(0), &mut actions);
+/// assert!(actions.is_empty() && desk.is_idle());
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Desk<P> {
+    pub(super) settings: Settings,
+    pub(super) fold: Fold,
+    pub(super) queue: Queue<P>,
+    pub(super) sequence: Sequence,
+    pub(super) rng: StdRng,
+    pub(super) slots: BTreeMap<Key, Slot>,
+    /// Claims that stand in the log as won by this process and were given up.
+    pub(super) abandons: BTreeMap<Key, Offset>,
+    pub(super) next_deadline: Option<Instant>,
+    pub(super) log_out: bool,
+    pub(super) log_reset: bool,
+    pub(super) draining: bool,
+    pub(super) marked: bool,
+}
+
+impl<P: Policy> Desk<P> {
+    /// Makes a desk that has read nothing yet and reads from the start of a prefix.
+    pub fn new(
+        settings: Settings,
+        policy: P,
+        prefix: Prefix,
+        sequence: Sequence,
+        rng: StdRng,
+    ) -> Self {
+        let fold = Fold::new(settings.window, prefix);
+        Self::with_fold(settings, policy, fold, sequence, rng)
+    }
+
+    /// Makes a desk that goes on from a fold, such as a restored checkpoint.
+    pub fn with_fold(
+        settings: Settings,
+        policy: P,
+        fold: Fold,
+        sequence: Sequence,
+        rng: StdRng,
+    ) -> Self {
+        Self {
+            queue: Queue::new(policy, settings.limits),
+            settings,
+            fold,
+            sequence,
+            rng,
+            slots: BTreeMap::new(),
+            abandons: BTreeMap::new(),
+            next_deadline: None,
+            log_out: false,
+            log_reset: false,
+            draining: false,
+            marked: false,
+        }
+    }
+
+    /// Handles an event and adds the actions to take.
+    pub fn handle(&mut self, event: Event<'_>, now: Instant, out: &mut Vec<Action>) {
+        match event {
+            Event::Call(call) => self.call(call, now, out),
+            Event::Appended(number) => self.queue.acknowledge(number),
+            Event::AppendLost(number) => self.queue.lose(number, now),
+            Event::Read(page) => self.read(page, now, out),
+            Event::LogOut => self.lose_log(out),
+            Event::LogBack => self.log_out = false,
+            Event::Returned(claim) => self.take_back(claim, now, out),
+            Event::Settled(claim) => self.settle(claim, now, out),
+            Event::Unanswered(claim) => self.end_unanswered(claim, out),
+            Event::Gone(ticket, key) => self.drop_caller(ticket, key, out),
+            Event::Tick => {}
+            Event::Drain => self.draining = true,
+        }
+        self.give_up_late(now, out);
+        self.append(now, out);
+    }
+
+    /// Answers another instance that asks for the outcome of a key.
+    ///
+    /// A key that this process knows nothing of was given up: whatever claim of it this process
+    /// wrote will never be dispatched.
+    pub fn ask(&self, key: &Key) -> OwnerAnswer {
+        if self.slots.contains_key(key) {
+            return OwnerAnswer::MayHaveRun;
+        }
+        if let Some(outcome) = self.own_outcome(key) {
+            return outcome;
+        }
+        let unknown = self.fold.get(key).is_none() && self.fold.check(key).is_ok();
+        if unknown && !self.log_reset { OwnerAnswer::GivenUp } else { OwnerAnswer::Silent }
+    }
+
+    /// Returns the time at which the desk wants a tick, if it wants one.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let append = if self.can_append() { self.queue.due() } else { None };
+        [append, self.next_deadline].into_iter().flatten().min()
+    }
+
+    /// Returns whether nothing is in progress: no call, and no record on its way.
+    pub fn is_idle(&self) -> bool {
+        self.slots.is_empty() && self.queue.is_empty()
+    }
+
+    /// Returns the claims of the stream as far as they were read.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Returns the records on their way to the log.
+    pub fn queue(&self) -> &Queue<P> {
+        &self.queue
+    }
+
+    /// Returns the number of keys in progress.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether no key is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns whether the log went back to an older state.
+    pub fn is_log_reset(&self) -> bool {
+        self.log_reset
+    }
+
+    fn call(&mut self, call: Call, now: Instant, out: &mut Vec<Action>) {
+        let Call { ticket, key, deadline, .. } = call;
+        let claim = Claim::new(key);
+        let intent = call.intent(&self.settings.instance);
+        let fingerprint = Fingerprint::of(&intent);
+        if let Some(slot) = self.slots.get_mut(&key) {
+            if slot.fingerprint != fingerprint {
+                let cause = Cause::Key(Refusal::Mismatch);
+                return self.refuse(ticket, claim.give_up(), cause, out);
+            }
+            slot.followers.push(Follower { ticket, deadline, claim });
+            return self.note_deadline(deadline);
+        }
+        if let Err(cause) = self.admit(&key, deadline, now) {
+            let Some(claim) = self.defer(ticket, claim, fingerprint, out) else { return };
+            return self.refuse(ticket, claim.give_up(), cause, out);
+        }
+        let Some(claim) = self.defer(ticket, claim, fingerprint, out) else { return };
+        self.open_slot(ticket, deadline, intent, fingerprint, claim, now);
+    }
+
+    /// Answers a call whose key the log shows as held; returns the claim if it is free.
+    fn defer(
+        &mut self,
+        ticket: Ticket,
+        claim: Claim<Pending>,
+        fingerprint: Fingerprint,
+        out: &mut Vec<Action>,
+    ) -> Option<Claim<Pending>> {
+        let key = claim.key();
+        let Some(holding) = self.fold.get(&key) else { return Some(claim) };
+        if holding.fingerprint != fingerprint {
+            self.refuse(ticket, claim.give_up(), Cause::Key(Refusal::Mismatch), out);
+            return None;
+        }
+        if self.abandons.contains_key(&key) {
+            return Some(claim);
+        }
+        self.follow_holder(ticket, claim.lose(), out);
+        None
+    }
+
+    /// Sends a call after the outcome of the claim that holds its key.
+    pub(super) fn follow_holder(&self, ticket: Ticket, claim: Claim<Lost>, out: &mut Vec<Action>) {
+        let key = claim.key();
+        if let Some(outcome) = self.own_outcome(&key) {
+            out.push(Action::Replay { ticket, claim, outcome });
+        } else if let Some(holding) = self.fold.get(&key) {
+            let owner = holding.owner.clone();
+            out.push(Action::AskOwner { ticket, claim, owner, standing: holding.standing });
+        } else {
+            out.push(Action::Replay { ticket, claim, outcome: OwnerAnswer::Silent });
+        }
+    }
+
+    fn admit(&self, key: &Key, deadline: Instant, now: Instant) -> Result<(), Cause> {
+        self.fold.check(key).map_err(Cause::Key)?;
+        if self.log_reset {
+            return Err(Cause::LogReset);
+        }
+        if self.draining {
+            return Err(Cause::Draining);
+        }
+        if self.log_out {
+            return Err(Cause::LogOut);
+        }
+        if deadline <= now {
+            return Err(Cause::Deadline);
+        }
+        if self.slots.len() >= self.settings.calls {
+            return Err(Cause::Busy);
+        }
+        Ok(())
+    }
+
+    fn open_slot(
+        &mut self,
+        ticket: Ticket,
+        deadline: Instant,
+        intent: Intent,
+        fingerprint: Fingerprint,
+        claim: Claim<Pending>,
+        now: Instant,
+    ) {
+        let key = claim.key();
+        let stage = if self.abandons.contains_key(&key) {
+            Stage::Blocked(claim)
+        } else {
+            let id = self.write(Kind::Claim(intent.clone()), now);
+            Stage::Claiming { id, claim }
+        };
+        let followers = Default::default();
+        self.slots.insert(key, Slot { ticket, deadline, intent, fingerprint, stage, followers });
+        self.note_deadline(deadline);
+    }
+
+    /// Queues a record; the bound on calls also bounds the records that they lead to.
+    pub(super) fn write(&mut self, kind: Kind, now: Instant) -> goldcrestvale_base::id::RecordId {
+        let id = self.sequence.draw();
+        self.queue.push(Draft { id, data: Record::new(kind).to_json() }, now);
+        id
+    }
+
+    fn take_back(&mut self, claim: Claim<Won>, now: Instant, out: &mut Vec<Action>) {
+        let key = claim.key();
+        let abandoned = self.abandon(claim, now);
+        let Some(slot) = self.slots.remove(&key) else { return };
+        self.refuse_in(Scope::Key, slot.ticket, abandoned.verdict(), Cause::GivenUp, out);
+        self.end_followers(slot, OwnerAnswer::GivenUp, out);
+    }
+
+    /// Abandons a claim that was won, here and in the log.
+    pub(super) fn abandon(&mut self, claim: Claim<Won>, now: Instant) -> Claim<Abandoned> {
+        self.abandons.insert(claim.key(), claim.offset());
+        let abandoned = claim.abandon();
+        self.write(abandoned.record(), now);
+        abandoned
+    }
+
+    fn settle(&mut self, claim: Claim<Settled>, now: Instant, out: &mut Vec<Action>) {
+        self.write(claim.record(), now);
+        if let Some(slot) = self.slots.remove(&claim.key()) {
+            self.end_followers(slot, OwnerAnswer::Ran, out);
+        }
+    }
+
+    fn end_unanswered(&mut self, claim: Claim<Unanswered>, out: &mut Vec<Action>) {
+        if let Some(slot) = self.slots.remove(&claim.key()) {
+            self.end_followers(slot, OwnerAnswer::MayHaveRun, out);
+        }
+    }
+
+    fn append(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while self.can_append()
+            && let Some(batch) = self.queue.poll(now)
+        {
+            out.push(Action::Append(batch));
+        }
+    }
+
+    fn can_append(&self) -> bool {
+        !self.log_out && !self.log_reset
+    }
+
+    /// Returns the outcome of a key that this process won and no longer works on.
+    fn own_outcome(&self, key: &Key) -> Option<OwnerAnswer> {
+        let holding = self.fold.get(key)?;
+        if holding.owner.incarnation != self.sequence.incarnation() {
+            return None;
+        }
+        if self.abandons.contains_key(key) {
+            return Some(OwnerAnswer::GivenUp);
+        }
+        Some(match holding.standing {
+            Standing::Settled(_) => OwnerAnswer::Ran,
+            Standing::Claimed => OwnerAnswer::MayHaveRun,
+        })
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/desk/reading.rs
@@ -0,0 +1,160 @@
+use goldcrestvale_base::{
+    id::{Key, Offset},
+    time::Instant,
+};
+
+use super::{
+    call::{Slot, Stage},
+    event::{Action, Page},
+    machine::Desk,
+    refusal::{Cause, Scope},
+};
+use crate::{
+    batch::Policy,
+    claim::{Abandonment, Kind, Outcome, OwnerAnswer, Refusal},
+    record::View,
+};
+
+impl<P: Policy> Desk<P> {
+    /// Reads on; a stream that went back is an alarm, and one that was trimmed is read anew.
+    pub(super) fn read(&mut self, page: Page<'_>, now: Instant, out: &mut Vec<Action>) {
+        if self.fold.prefix().check_end(page.end).is_err() {
+            return self.reset_log(out);
+        }
+        if page.oldest > self.fold.next() {
+            self.fold.restart(page.oldest);
+        }
+        self.observe(page, now);
+        for &record in page.records {
+            if record.offset < self.fold.next() {
+                continue;
+            }
+            let Ok(outcome) = self.fold.apply(record) else { return };
+            self.decide(outcome, record, now, out);
+        }
+        self.abandons
+            .retain(|key, claim| self.fold.get(key).is_some_and(|holding| holding.claim == *claim));
+        self.mark(page.end, now);
+    }
+
+    fn reset_log(&mut self, out: &mut Vec<Action>) {
+        self.log_reset = true;
+        self.give_up_all(Cause::LogReset, out);
+    }
+
+    fn decide(&mut self, outcome: Outcome, record: View<'_>, now: Instant, out: &mut Vec<Action>) {
+        let own = record.id.incarnation == self.sequence.incarnation();
+        match outcome {
+            Outcome::Won(key) if own => self.win(key, record, now, out),
+            Outcome::Lost(key) if own => self.lose(key, record, out),
+            Outcome::Refused(key, refusal) if own => {
+                self.end_refused(key, refusal, record, now, out);
+            }
+            Outcome::Abandoned(key) => self.unblock(key, now),
+            _ => {}
+        }
+    }
+
+    /// Dispatches a claim that was won in time; any other claim of this process is abandoned.
+    fn win(&mut self, key: Key, record: View<'_>, now: Instant, out: &mut Vec<Action>) {
+        let Some(slot) = self.take_claiming(key, record) else {
+            return self.abandon_orphan(key, record.offset, now);
+        };
+        let Stage::Claiming { claim, .. } = slot.stage else { return };
+        let won = claim.win(record.offset);
+        if slot.deadline <= now {
+            let abandoned = self.abandon(won, now);
+            let (ticket, verdict) = (slot.ticket, abandoned.verdict());
+            self.refuse_in(Scope::Key, ticket, verdict, Cause::Deadline, out);
+            for follower in slot.followers {
+                let (ticket, claim) = (follower.ticket, follower.claim.lose());
+                out.push(Action::Replay { ticket, claim, outcome: OwnerAnswer::GivenUp });
+            }
+            return;
+        }
+        let ticket = slot.ticket;
+        self.slots.insert(key, Slot { stage: Stage::Out, ..slot });
+        out.push(Action::Dispatch { ticket, claim: won });
+    }
+
+    /// Abandons a claim that was given up before it was read.
+    fn abandon_orphan(&mut self, key: Key, claim: Offset, now: Instant) {
+        self.abandons.insert(key, claim);
+        self.write(Kind::Abandon(Abandonment { key, claim }), now);
+    }
+
+    fn lose(&mut self, key: Key, record: View<'_>, out: &mut Vec<Action>) {
+        let Some(mut slot) = self.take_claiming(key, record) else { return };
+        let Stage::Claiming { claim, .. } = slot.stage else { return };
+        if self.abandons.contains_key(&key) {
+            slot.stage = Stage::Blocked(claim);
+            self.slots.insert(key, slot);
+            return;
+        }
+        self.follow_holder(slot.ticket, claim.lose(), out);
+        for follower in slot.followers {
+            self.follow_holder(follower.ticket, follower.claim.lose(), out);
+        }
+    }
+
+    /// Ends a claim that counts for nothing here; where it may count elsewhere, it is abandoned.
+    fn end_refused(
+        &mut self,
+        key: Key,
+        refusal: Refusal,
+        record: View<'_>,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) {
+        if refusal == Refusal::Unproven {
+            self.write(Kind::Abandon(Abandonment { key, claim: record.offset }), now);
+        }
+        let Some(slot) = self.take_claiming(key, record) else { return };
+        let Stage::Claiming { claim, .. } = slot.stage else { return };
+        let cause = Cause::Key(refusal);
+        self.refuse(slot.ticket, claim.give_up(), cause, out);
+        for follower in slot.followers {
+            self.refuse(follower.ticket, follower.claim.give_up(), cause, out);
+        }
+    }
+
+    /// Claims a key again after this process's older claim of it was abandoned in the log.
+    fn unblock(&mut self, key: Key, now: Instant) {
+        self.abandons.remove(&key);
+        let Some(mut slot) = self.slots.remove(&key) else { return };
+        if let Stage::Blocked(claim) = slot.stage {
+            let id = self.write(Kind::Claim(slot.intent.clone()), now);
+            slot.stage = Stage::Claiming { id, claim };
+        }
+        self.slots.insert(key, slot);
+    }
+
+    /// Takes the slot of a key if this record is the claim that it waits for.
+    fn take_claiming(&mut self, key: Key, record: View<'_>) -> Option<Slot> {
+        let slot = self.slots.get(&key)?;
+        let awaited = matches!(slot.stage, Stage::Claiming { id, .. } if id == record.id);
+        if awaited { self.slots.remove(&key) } else { None }
+    }
+
+    /// Counts the appends in a page: records of one append share their writer and their time.
+    fn observe(&mut self, page: Page<'_>, now: Instant) {
+        let mut appends = 0;
+        let mut last = None;
+        for record in page.records {
+            let append = (record.id.incarnation, record.written);
+            if last.replace(append) != Some(append) {
+                appends += 1;
+            }
+        }
+        self.queue.observe(now, appends);
+    }
+
+    /// Writes a mark if the stream is idle and its time is not known, once.
+    fn mark(&mut self, end: Offset, now: Instant) {
+        let idle = self.fold.prefix().since().is_none() && self.fold.next() == end;
+        if idle && !self.marked {
+            self.marked = true;
+            self.write(Kind::Mark, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/lease.rs
@@ -0,0 +1,17 @@
+//! Leases: duties that one instance at a time holds, granted by the order of the log.
+//!
+//! A grant names the last record of the lease that its writer had read and counts only if that is
+//! still the last, so racing candidates are decided by log order alone. The fencing number is the
+//! offset of the grant. No wall clock is involved: a holder counts its time on its own monotonic
+//! clock from before the append of its last renewal, and a new holder waits out the old lease and
+//! the longest delay of an order, counted from when it read its own grant.
+
+mod fold;
+mod hold;
+mod order;
+mod record;
+
+pub use fold::{Current, FORGET_AFTER, Fold, LONGEST, Outcome};
+pub use hold::{Asked, Ended, Granted, Held, Lease, Waiting, Wish};
+pub use order::{Action, Queue};
+pub use record::{Grant, Kind, Record, Release, Renewal, SCHEMA};
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/lease/hold.rs
@@ -0,0 +1,227 @@
+use std::time::Duration;
+
+use goldcrestvale_base::{
+    id::{Instance, Offset, RecordId},
+    time::Instant,
+};
+
+use super::record::{Grant, Kind, Record, Release, Renewal};
+
+/// The grant was handed to the log and has not been read yet.
+#[derive(Debug)]
+pub struct Asked {
+    grant: RecordId,
+}
+
+/// The lease is granted; the holder before may still act.
+#[derive(Debug)]
+pub struct Waiting {
+    fence: Offset,
+    ready: Instant,
+}
+
+/// The lease is held.
+#[derive(Debug)]
+pub struct Held {
+    fence: Offset,
+}
+
+/// The lease was given back, lost or taken over.
+#[derive(Debug)]
+pub struct Ended;
+
+/// A state in which the fencing number is known.
+pub trait Granted {
+    /// Returns the fencing number.
+    fn fence(&self) -> Offset;
+}
+
+impl Granted for Waiting {
+    fn fence(&self) -> Offset {
+        self.fence
+    }
+}
+
+impl Granted for Held {
+    fn fence(&self) -> Offset {
+        self.fence
+    }
+}
+
+/// A lease at its candidate or holder.
+///
+/// Only a held lease lets orders pass:
+///
+/// ```compile_fail,E0599
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::time::Instant;
+/// use goldcrestvale_ledger::lease::{Lease, Waiting};
+///
+/// fn early(lease: &Lease<Waiting>) -> bool {
+///     lease.lasts(Instant(0), Duration::from_secs(1))
+/// }
+/// ```
+#[derive(Debug)]
+#[must_use = "a lease that is dropped blocks its duty until it lapses"]
+pub struct Lease<S> {
+    name: String,
+    length: Duration,
+    deadline: Instant,
+    /// Number of the record that renews the lease, and the time before its append.
+    renewal: Option<(u64, Instant)>,
+    state: S,
+}
+
+/// The wish for a lease, before it is written.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    /// Name of the lease.
+    pub name: String,
+    /// The candidate's instance.
+    pub instance: Instance,
+    /// Time that the lease lasts after its grant or its last renewal.
+    pub length: Duration,
+    /// Offset of the last record of the lease that the candidate has read.
+    pub after: Option<Offset>,
+}
+
+impl Lease<Asked> {
+    /// Makes the record that asks for a lease; call it before the append starts.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use goldcrestvale_base::{id::{Incarnation, Offset, RecordId}, time::Instant};
+    /// use goldcrestvale_ledger::lease::{Lease, Wish};
+    ///
+    /// let wish = Wish {
+    ///     name: "orders".into(),
+    ///     instance: "yeka-1".parse()?,
+    ///     length: Duration::from_secs(10),
+    ///     after: None,
+    /// };
+    /// let id = RecordId { incarnation: Incarnation(1), sequence: 0 };
+    /// let delay = Duration::from_secs(2);
+    /// let (asked, _record) = Lease::ask(&wish, id, Instant(0));
+    /// let waiting = asked.granted(Offset(7), None, delay, Instant(50_000));
+    /// let waiting = waiting.try_hold(Instant(60_000)).expect_err("the old lease may still last");
+    /// # let _ = waiting.end();
+    /// # Ok::<(), goldcrestvale_base::id::Error>(())
+    /// ```
+    pub fn ask(wish: &Wish, id: RecordId, now: Instant) -> (Self, Record) {
+        let grant =
+            Grant { instance: wish.instance.clone(), length: wish.length, after: wish.after };
+        let lease = Self {
+            name: wish.name.clone(),
+            length: wish.length,
+            deadline: now + wish.length,
+            renewal: None,
+            state: Asked { grant: id },
+        };
+        (lease, Record::new(&*wish.name, Kind::Grant(grant)))
+    }
+
+    /// Returns the identity of the record that asks for the lease.
+    pub fn grant(&self) -> RecordId {
+        self.state.grant
+    }
+
+    /// Marks the lease as granted, once its record was read and counted.
+    ///
+    /// `before` is the length of the lease that was taken over; where it is not known, the length
+    /// of this one stands in. `order_delay` is the longest time that an order takes to arrive.
+    pub fn granted(
+        self,
+        fence: Offset,
+        before: Option<Duration>,
+        order_delay: Duration,
+        now: Instant,
+    ) -> Lease<Waiting> {
+        let ready = now + before.unwrap_or(self.length) + order_delay;
+        self.into_state(Waiting { fence, ready })
+    }
+
+    /// Ends a wish that the log refused.
+    pub fn refused(self) -> Lease<Ended> {
+        self.into_state(Ended)
+    }
+}
+
+impl Lease<Waiting> {
+    /// Holds the lease if the one before has lapsed and its last order has arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the lease unchanged if it is too early.
+    pub fn try_hold(self, now: Instant) -> Result<Lease<Held>, Self> {
+        if now < self.state.ready {
+            return Err(self);
+        }
+        let fence = self.state.fence;
+        Ok(self.into_state(Held { fence }))
+    }
+
+    /// Returns the time at which the lease can be held.
+    pub fn ready(&self) -> Instant {
+        self.state.ready
+    }
+}
+
+impl Lease<Held> {
+    /// Returns whether an order that takes up to `order_delay` arrives while the lease lasts.
+    pub fn lasts(&self, now: Instant, order_delay: Duration) -> bool {
+        now + order_delay < self.deadline
+    }
+
+    /// Gives the lease back; every order must have been answered or waited out before.
+    pub fn release(self) -> (Lease<Ended>, Record) {
+        let release = Release { fence: self.state.fence };
+        let record = Record::new(&*self.name, Kind::Release(release));
+        (self.into_state(Ended), record)
+    }
+}
+
+impl<S: Granted> Lease<S> {
+    /// Returns the fencing number.
+    pub fn fence(&self) -> Offset {
+        self.state.fence()
+    }
+
+    /// Makes the record that prolongs the lease; call it before the append starts.
+    pub fn renew(&mut self, id: RecordId, now: Instant) -> Record {
+        self.renewal = Some((id.sequence, now));
+        Record::new(&*self.name, Kind::Renew(Renewal { fence: self.state.fence() }))
+    }
+
+    /// Prolongs the lease, once the record of its renewal was read and counted.
+    pub fn renewed(&mut self, id: RecordId) {
+        if let Some((_, asked)) = self.renewal.take_if(|(renewal, _)| *renewal == id.sequence) {
+            self.deadline = self.deadline.max(asked + self.length);
+        }
+    }
+
+    /// Ends a lease that lapsed or was taken over.
+    pub fn end(self) -> Lease<Ended> {
+        self.into_state(Ended)
+    }
+}
+
+impl<S> Lease<S> {
+    /// Returns the name of the lease.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the time at which the lease lapses on the holder's own clock.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    fn into_state<T>(self, state: T) -> Lease<T> {
+        let Self { name, length, deadline, renewal, .. } = self;
+        Lease { name, length, deadline, renewal, state }
+    }
+}
