Race instances for keys through one log in a property test

Cause: "at most once" and "not run is true" had no proof.

Ruled out: a check of the wrong readers by a switch in the product; the test's own log client hands pages out wrongly instead.

Change: tests/claim_race.rs drives three desks, a log and a service over random steps: duplicate sends, lost, late and repeated appends, crash, pause, log out, late reads, empty or checkpoint restart, trimming, jumps past the window. It counts effects a key, checks every "not run" and every owner's "given up" to the end, compares digests at equal offsets and asks for an answer to every call. Two wrong readers are found out: one that dispatches on the acknowledgement of the append and one that takes a trimmed log for a whole one. A caller that leaves is answered in every state now (the run found a follower without an answer).

Conclusion: the property holds and fails for both wrong readers.

--- a/crates/goldcrestvale_ledger/src/desk/call.rs
+++ b/crates/goldcrestvale_ledger/src/desk/call.rs
@@ -82,6 +82,14 @@
 }
 
 impl Slot {
+    /// Takes the followers out and parts them into those that leave and those that stay.
+    pub(super) fn split_followers(
+        &mut self,
+        leaves: impl FnMut(&Follower) -> bool,
+    ) -> (Followers, Followers) {
+        std::mem::take(&mut self.followers).into_iter().partition(leaves)
+    }
+
     /// Returns the times at which something of this key must be given up.
     pub(super) fn deadlines(&self) -> impl Iterator<Item = Instant> {
         let decided = matches!(self.stage, Stage::Out);
--- a/crates/goldcrestvale_ledger/src/desk/ending.rs
+++ b/crates/goldcrestvale_ledger/src/desk/ending.rs
@@ -23,10 +23,12 @@
 
     pub(super) fn drop_caller(&mut self, ticket: Ticket, key: Key, out: &mut Vec<Action>) {
         let Some(slot) = self.slots.get_mut(&key) else { return };
-        slot.followers.retain(|follower| follower.ticket != ticket);
         if slot.ticket == ticket {
-            self.give_up(key, Cause::GivenUp, out);
+            return self.give_up(key, Cause::GivenUp, out);
         }
+        let (gone, kept) = slot.split_followers(|follower| follower.ticket == ticket);
+        slot.followers = kept;
+        self.leave_behind(gone, Cause::GivenUp, out);
     }
 
     pub(super) fn lose_log(&mut self, out: &mut Vec<Action>) {
@@ -109,17 +111,20 @@
 
     /// Ends followers past their deadline; the call that they follow may still run.
     fn end_late_followers(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let mut late = Vec::new();
+        let mut late = Followers::new();
         for slot in self.slots.values_mut() {
-            let (gone, kept): (Followers, Followers) = std::mem::take(&mut slot.followers)
-                .into_iter()
-                .partition(|follower| follower.deadline <= now);
+            let (gone, kept) = slot.split_followers(|follower| follower.deadline <= now);
             slot.followers = kept;
-            late.push(gone);
+            late.extend(gone);
         }
-        for Follower { ticket, claim, .. } in late.into_iter().flatten() {
+        self.leave_behind(late, Cause::Deadline, out);
+    }
+
+    /// Ends calls whose key another call at this instance may still run.
+    fn leave_behind(&mut self, gone: Followers, cause: Cause, out: &mut Vec<Action>) {
+        for Follower { ticket, claim, .. } in gone {
             let verdict = claim.lose().end(&OwnerAnswer::MayHaveRun);
-            self.refuse(ticket, verdict, Cause::Deadline, out);
+            self.refuse(ticket, verdict, cause, out);
         }
     }
 
--- a/crates/goldcrestvale_ledger/src/desk/machine.rs
+++ b/crates/goldcrestvale_ledger/src/desk/machine.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use goldcrestvale_base::{
-    id::{Key, Offset},
+    id::{Incarnation, Key, Offset},
     time::Instant,
 };
 use rand::rngs::StdRng;
@@ -147,6 +147,11 @@
         self.slots.is_empty() && self.queue.is_empty()
     }
 
+    /// Returns this life of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.sequence.incarnation()
+    }
+
     /// Returns the claims of the stream as far as they were read.
     pub fn fold(&self) -> &Fold {
         &self.fold
--- /dev/null
+++ b/crates/goldcrestvale_ledger/tests/claim_race.rs
@@ -0,0 +1,533 @@
+//! Several instances race for keys through one log, under every fault of log and instances.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use goldcrestvale_base::{
+    id::{Digest, Incarnation, Key, Offset, RecordId},
+    time::{Instant, Wall},
+    verdict::Verdict,
+};
+use goldcrestvale_ledger::{
+    batch::{Batch, Fixed},
+    claim::{Checkpoint, Claim, Fold, Lost, Owner, OwnerAnswer, Window, Won},
+    desk::{Action, Call, Desk, Event, Page, Scope, Settings, Ticket},
+    prefix::Prefix,
+    record::{Draft, Sequence, View},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+const INSTANCES: usize = 3;
+const KEYS: usize = 3;
+const WINDOW: Window = Window { length: Duration::from_secs(60) };
+const START: u64 = 1_700_000_000_000;
+
+/// How instances read the log; all but the first are wrong and must be found out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Reader {
+    InOrder,
+    /// Takes the acknowledgement of an append for the reading of it.
+    AckFirst,
+    /// Takes the oldest record that the log still holds for the first that it ever held.
+    GuessStart,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Call { at: usize, key: usize, other_body: bool, deadline_ms: u64 },
+    Append { at: usize, fate: Fate },
+    Land,
+    Read { at: usize, most: usize },
+    Send { at: usize, fate: Fate },
+    Ask { at: usize, reached: bool },
+    Pause { at: usize },
+    Wake { at: usize },
+    Crash { at: usize, from_checkpoint: bool },
+    LogOut { at: usize },
+    LogBack { at: usize },
+    Leave { at: usize, ticket: u64 },
+    Advance { ms: u64 },
+    Trim { keep: usize },
+}
+
+/// What becomes of a message.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fate {
+    Done,
+    AnswerLost,
+    NeverArrived,
+    /// Reported lost, and arrives later.
+    Late,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        5 => Just(Fate::Done), 2 => Just(Fate::AnswerLost),
+        1 => Just(Fate::NeverArrived), 1 => Just(Fate::Late),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = 0..INSTANCES;
+    let deadline = prop_oneof![1 => 1..50_u64, 4 => 500..20_000_u64];
+    let advance = prop_oneof![8 => 1..400_u64, 3 => 400..8_000_u64, 1 => Just(61_000_u64)];
+    prop_oneof![
+        8 => (at.clone(), 0..KEYS, prop::bool::weighted(0.1), deadline).prop_map(
+            |(at, key, other_body, deadline_ms)| Step::Call { at, key, other_body, deadline_ms }
+        ),
+        8 => (at.clone(), fate()).prop_map(|(at, fate)| Step::Append { at, fate }),
+        2 => Just(Step::Land),
+        10 => (at.clone(), 1..6_usize).prop_map(|(at, most)| Step::Read { at, most }),
+        6 => (at.clone(), fate()).prop_map(|(at, fate)| Step::Send { at, fate }),
+        4 => (at.clone(), prop::bool::weighted(0.8))
+            .prop_map(|(at, reached)| Step::Ask { at, reached }),
+        1 => at.clone().prop_map(|at| Step::Pause { at }),
+        2 => at.clone().prop_map(|at| Step::Wake { at }),
+        1 => (at.clone(), any::<bool>())
+            .prop_map(|(at, from_checkpoint)| Step::Crash { at, from_checkpoint }),
+        1 => at.clone().prop_map(|at| Step::LogOut { at }),
+        2 => at.clone().prop_map(|at| Step::LogBack { at }),
+        1 => (at, 0..30_u64).prop_map(|(at, ticket)| Step::Leave { at, ticket }),
+        6 => advance.prop_map(|ms| Step::Advance { ms }),
+        1 => (0..12_usize).prop_map(|keep| Step::Trim { keep }),
+    ]
+}
+
+struct Stored {
+    id: RecordId,
+    written: Wall,
+    data: String,
+}
+
+struct Node {
+    desk: Desk<Fixed>,
+    paused: bool,
+    log_out: bool,
+    appends: VecDeque<Batch>,
+    sends: VecDeque<(Ticket, Claim<Won>)>,
+    asks: VecDeque<(Ticket, Claim<Lost>, Owner)>,
+    tickets: BTreeMap<Ticket, Key>,
+    /// Offset that a wrong reader has come to, and what it took out of order.
+    guess: u64,
+    ahead: BTreeSet<RecordId>,
+}
+
+struct World {
+    reader: Reader,
+    now: Instant,
+    log: Vec<Stored>,
+    oldest: usize,
+    stray: Vec<Batch>,
+    nodes: Vec<Node>,
+    lives: u128,
+    tickets: u64,
+    keys: BTreeMap<usize, Key>,
+    effects: BTreeMap<Key, Vec<Ticket>>,
+    answers: BTreeMap<Ticket, Option<Verdict>>,
+    /// Calls of which their instance said that they will never run.
+    denied: BTreeSet<Ticket>,
+    /// Digest of the live claims at each offset, from folds that prove the window.
+    digests: BTreeMap<Offset, Digest>,
+}
+
+type Check = Result<(), TestCaseError>;
+
+impl World {
+    fn new(reader: Reader) -> Self {
+        let mut world = Self {
+            reader,
+            now: Instant(0),
+            log: Vec::new(),
+            oldest: 0,
+            stray: Vec::new(),
+            nodes: Vec::new(),
+            lives: 0,
+            tickets: 0,
+            keys: BTreeMap::new(),
+            effects: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            denied: BTreeSet::new(),
+            digests: BTreeMap::new(),
+        };
+        world.nodes = (0..INSTANCES).map(|at| world.start(at, None)).collect();
+        world
+    }
+
+    fn wall(&self) -> Wall {
+        Wall(START + self.now.0 / 1_000)
+    }
+
+    fn start(&mut self, at: usize, checkpoint: Option<&Checkpoint>) -> Node {
+        self.lives += 1;
+        let settings = Settings::new(format!("node-{at}").parse().unwrap(), WINDOW).calls(16);
+        let sequence = Sequence::new(Incarnation(self.lives), 0);
+        let fold = match (checkpoint, self.reader) {
+            (Some(checkpoint), _) => Fold::restore(WINDOW, checkpoint).unwrap(),
+            (None, Reader::InOrder) => {
+                Fold::new(WINDOW, Prefix::trimmed(Offset(self.oldest as u64)))
+            }
+            (None, _) => Fold::new(WINDOW, Prefix::whole()),
+        };
+        let policy = Fixed::new(Duration::from_millis(10));
+        let rng = StdRng::seed_from_u64(1);
+        Node {
+            desk: Desk::with_fold(settings, policy, fold, sequence, rng),
+            paused: false,
+            log_out: false,
+            appends: VecDeque::new(),
+            sends: VecDeque::new(),
+            asks: VecDeque::new(),
+            tickets: BTreeMap::new(),
+            guess: self.oldest as u64,
+            ahead: BTreeSet::new(),
+        }
+    }
+
+    fn key(&mut self, number: usize) -> Key {
+        let late = [0, 2_000, 9_000][number % 3];
+        let issued = u128::from(self.wall().0 + late);
+        let bits = issued << 80 | 7 << 76 | 2 << 62 | number as u128;
+        *self.keys.entry(number).or_insert(Key(uuid::Uuid::from_u128(bits)))
+    }
+
+    fn handle(&mut self, at: usize, event: Event<'_>) -> Check {
+        let mut out = Vec::new();
+        self.nodes[at].desk.handle(event, self.now, &mut out);
+        for action in out {
+            match action {
+                Action::Append(batch) => self.nodes[at].appends.push_back(batch),
+                Action::Dispatch { ticket, claim } => {
+                    self.nodes[at].sends.push_back((ticket, claim));
+                }
+                Action::Refuse { ticket, refused } => {
+                    let ran = self.effects.contains_key(&self.nodes[at].tickets[&ticket]);
+                    let not_run = refused.verdict.is_not_run();
+                    let key_free = refused.scope == Scope::Key && not_run;
+                    prop_assert!(!(key_free && ran), "key said free of effects has one");
+                    self.answer(ticket, refused.verdict)?;
+                }
+                Action::AskOwner { ticket, claim, owner, .. } => {
+                    self.nodes[at].asks.push_back((ticket, claim, owner));
+                }
+                Action::Replay { ticket, claim, outcome } => {
+                    self.note_denied(at, claim.key(), &outcome);
+                    self.answer(ticket, claim.end(&outcome))?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, ticket: Ticket, verdict: Verdict) -> Check {
+        let before = self.answers.insert(ticket, Some(verdict));
+        prop_assert_eq!(before, Some(None), "call answered twice");
+        Ok(())
+    }
+
+    fn run(&mut self, step: &Step) -> Check {
+        match *step {
+            Step::Advance { ms } => self.now = self.now + Duration::from_millis(ms),
+            Step::Trim { keep } => {
+                self.oldest = self.oldest.max(self.log.len().saturating_sub(keep));
+            }
+            Step::Land => {
+                if let Some(batch) = self.stray.pop() {
+                    self.store(&batch.records);
+                }
+            }
+            Step::Wake { at } => self.nodes[at].paused = false,
+            Step::Pause { at } => self.nodes[at].paused = true,
+            Step::Crash { at, from_checkpoint } => self.crash(at, from_checkpoint),
+            Step::Call { at, .. }
+            | Step::Append { at, .. }
+            | Step::Read { at, .. }
+            | Step::Send { at, .. }
+            | Step::Ask { at, .. }
+            | Step::LogOut { at }
+            | Step::LogBack { at }
+            | Step::Leave { at, .. } => {
+                if !self.nodes[at].paused {
+                    self.run_at(at, step)?;
+                }
+            }
+        }
+        self.check()
+    }
+
+    fn run_at(&mut self, at: usize, step: &Step) -> Check {
+        match *step {
+            Step::Call { key, other_body, deadline_ms, .. } => {
+                self.call(at, key, other_body, deadline_ms)
+            }
+            Step::Append { fate, .. } => self.append(at, fate),
+            Step::Read { most, .. } => self.read(at, most),
+            Step::Send { fate, .. } => self.send(at, fate),
+            Step::Ask { reached, .. } => self.ask(at, reached),
+            Step::LogOut { .. } => {
+                self.nodes[at].log_out = true;
+                self.handle(at, Event::LogOut)
+            }
+            Step::LogBack { .. } => {
+                self.nodes[at].log_out = false;
+                self.handle(at, Event::LogBack)
+            }
+            Step::Leave { ticket, .. } => {
+                let ticket = Ticket(ticket);
+                match self.nodes[at].tickets.get(&ticket).copied() {
+                    Some(key) => self.handle(at, Event::Gone(ticket, key)),
+                    None => Ok(()),
+                }
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn call(&mut self, at: usize, key: usize, other_body: bool, deadline_ms: u64) -> Check {
+        let ticket = Ticket(self.tickets);
+        self.tickets += 1;
+        let key = self.key(key);
+        self.answers.insert(ticket, None);
+        self.nodes[at].tickets.insert(ticket, key);
+        let call = Call {
+            ticket,
+            key,
+            customer: "tezeta".parse().unwrap(),
+            service: "booking".parse().unwrap(),
+            digest: Digest::of(if other_body { b"b" } else { b"a" }),
+            deadline: self.now + Duration::from_millis(deadline_ms),
+        };
+        self.handle(at, Event::Call(call))
+    }
+
+    fn store(&mut self, records: &[Draft]) {
+        let written = self.wall();
+        let stored = |draft: &Draft| Stored { id: draft.id, written, data: draft.data.clone() };
+        self.log.extend(records.iter().map(stored));
+    }
+
+    fn append(&mut self, at: usize, fate: Fate) -> Check {
+        let Some(batch) = self.nodes[at].appends.pop_front() else {
+            return self.handle(at, Event::Tick);
+        };
+        let out = self.nodes[at].log_out;
+        if !out && matches!(fate, Fate::Done | Fate::AnswerLost) {
+            self.store(&batch.records);
+        }
+        let number = batch.number;
+        match fate {
+            Fate::Done if !out => {
+                self.handle(at, Event::Appended(number))?;
+                if self.reader == Reader::AckFirst { self.take_own(at, &batch) } else { Ok(()) }
+            }
+            Fate::Late => {
+                self.stray.push(batch);
+                self.handle(at, Event::AppendLost(number))
+            }
+            _ => self.handle(at, Event::AppendLost(number)),
+        }
+    }
+
+    fn take_own(&mut self, at: usize, batch: &Batch) -> Check {
+        let written = self.wall();
+        for Draft { id, data } in &batch.records {
+            let offset = self.nodes[at].desk.fold().next();
+            self.nodes[at].ahead.insert(*id);
+            let records = [View { offset, id: *id, written, data }];
+            let page = Page { oldest: Offset(0), end: offset.next(), records: &records };
+            self.handle(at, Event::Read(page))?;
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, at: usize, most: usize) -> Check {
+        if self.nodes[at].log_out {
+            return self.handle(at, Event::Tick);
+        }
+        if self.reader != Reader::InOrder {
+            return self.read_wrong(at, most);
+        }
+        let from = usize::try_from(self.nodes[at].desk.fold().next().0).unwrap();
+        let from = from.max(self.oldest);
+        let upto = self.log.len().min(from + most);
+        let log = std::mem::take(&mut self.log);
+        let views: Vec<_> = (from..upto).map(|place| view(&log, place, place as u64)).collect();
+        let (oldest, end) = (Offset(self.oldest as u64), Offset(log.len() as u64));
+        let done = self.handle(at, Event::Read(Page { oldest, end, records: &views }));
+        self.log = log;
+        done
+    }
+
+    /// Reads with offsets that the instance makes up.
+    fn read_wrong(&mut self, at: usize, most: usize) -> Check {
+        let log = std::mem::take(&mut self.log);
+        for _ in 0..most {
+            let place = usize::try_from(self.nodes[at].guess).unwrap().max(self.oldest);
+            if place >= log.len() {
+                break;
+            }
+            self.nodes[at].guess = place as u64 + 1;
+            if self.nodes[at].ahead.contains(&log[place].id) {
+                continue;
+            }
+            let next = self.nodes[at].desk.fold().next();
+            let records = [view(&log, place, next.0)];
+            let page = Page { oldest: Offset(0), end: next.next(), records: &records };
+            self.handle(at, Event::Read(page))?;
+        }
+        self.log = log;
+        Ok(())
+    }
+
+    fn send(&mut self, at: usize, fate: Fate) -> Check {
+        let Some((ticket, claim)) = self.nodes[at].sends.pop_front() else { return Ok(()) };
+        let key = claim.key();
+        if fate == Fate::NeverArrived {
+            return self.handle(at, Event::Returned(claim));
+        }
+        let claim = claim.dispatch();
+        self.effects.entry(key).or_default().push(ticket);
+        match fate {
+            Fate::Done => {
+                let settled = claim.settle(200);
+                self.answer(ticket, settled.verdict())?;
+                self.handle(at, Event::Settled(settled))
+            }
+            _ => {
+                let unanswered = claim.lose();
+                self.answer(ticket, unanswered.verdict())?;
+                self.handle(at, Event::Unanswered(unanswered))
+            }
+        }
+    }
+
+    fn ask(&mut self, at: usize, reached: bool) -> Check {
+        let Some((ticket, claim, owner)) = self.nodes[at].asks.pop_front() else { return Ok(()) };
+        let is_owner = |node: &Node| node.desk.incarnation() == owner.incarnation && !node.paused;
+        let asked = self.nodes.iter().position(is_owner).filter(|_| reached);
+        let mut answer = OwnerAnswer::Silent;
+        if let Some(asked) = asked {
+            answer = self.nodes[asked].desk.ask(&claim.key());
+            self.note_denied(asked, claim.key(), &answer);
+        }
+        self.answer(ticket, claim.end(&answer))
+    }
+
+    /// Remembers which calls an instance says it gave up.
+    fn note_denied(&mut self, at: usize, key: Key, outcome: &OwnerAnswer) {
+        if *outcome == OwnerAnswer::GivenUp {
+            let tickets = &self.nodes[at].tickets;
+            let of_key = tickets.iter().filter(|(_, of)| **of == key);
+            self.denied.extend(of_key.map(|(ticket, _)| *ticket));
+        }
+    }
+
+    fn crash(&mut self, at: usize, from_checkpoint: bool) {
+        let donor = &self.nodes[(at + 1) % INSTANCES].desk;
+        let checkpoint = from_checkpoint.then(|| donor.fold().checkpoint());
+        let tickets = std::mem::take(&mut self.nodes[at].tickets);
+        for ticket in tickets.into_keys() {
+            self.answers.entry(ticket).and_modify(|answer| {
+                answer.get_or_insert(Verdict::MayHaveRun);
+            });
+        }
+        self.nodes[at] = self.start(at, checkpoint.as_ref());
+    }
+
+    fn check(&mut self) -> Check {
+        for (key, effects) in &self.effects {
+            prop_assert!(effects.len() <= 1, "key {key} ran for {effects:?}");
+            for ticket in effects {
+                let verdict = self.answers[ticket];
+                let denied = verdict.is_some_and(Verdict::is_not_run);
+                prop_assert!(!denied, "{ticket:?} ran and was answered not run");
+                let given_up = self.denied.contains(ticket);
+                prop_assert!(!given_up, "{ticket:?} ran and was said to be given up");
+            }
+        }
+        for node in &self.nodes {
+            let fold = node.desk.fold();
+            if self.reader == Reader::InOrder && fold.proves_all() {
+                let digest = fold.digest();
+                let known = *self.digests.entry(fold.next()).or_insert(digest);
+                prop_assert_eq!(known, digest, "folds differ at {}", fold.next());
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets every message arrive and every deadline pass; each call must be answered then.
+    fn finish(&mut self) -> Check {
+        for at in 0..INSTANCES {
+            self.nodes[at].paused = false;
+            self.nodes[at].log_out = false;
+            self.handle(at, Event::LogBack)?;
+        }
+        for _ in 0..12 {
+            self.now = self.now + Duration::from_secs(2);
+            for at in 0..INSTANCES {
+                self.handle(at, Event::Tick)?;
+                while !self.nodes[at].appends.is_empty() {
+                    self.append(at, Fate::Done)?;
+                }
+                self.read(at, usize::MAX / 2)?;
+                while !self.nodes[at].sends.is_empty() {
+                    self.send(at, Fate::Done)?;
+                }
+                while !self.nodes[at].asks.is_empty() {
+                    self.ask(at, true)?;
+                }
+            }
+        }
+        self.check()?;
+        for (ticket, answer) in &self.answers {
+            prop_assert!(answer.is_some(), "{ticket:?} was never answered");
+        }
+        let idle = self.nodes.iter().all(|node| node.desk.is_idle());
+        prop_assert!(idle, "an instance never comes to rest");
+        Ok(())
+    }
+}
+
+fn view(log: &[Stored], place: usize, offset: u64) -> View<'_> {
+    let Stored { id, written, data } = &log[place];
+    View { offset: Offset(offset), id: *id, written: *written, data }
+}
+
+fn race(reader: Reader, cases: u32) -> Result<(), proptest::test_runner::TestError<Vec<Step>>> {
+    let config =
+        Config { cases, failure_persistence: None, max_shrink_iters: 0, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let steps = prop::collection::vec(step(), 10..120);
+    TestRunner::new_with_rng(config, rng).run(&steps, |steps| {
+        let mut world = World::new(reader);
+        for step in &steps {
+            world.run(step)?;
+        }
+        world.finish()
+    })
+}
+
+#[test]
+fn a_key_runs_at_most_once_and_not_run_is_true() {
+    race(Reader::InOrder, 1_500).unwrap();
+}
+
+#[test]
+fn dispatching_on_the_acknowledgement_runs_a_key_twice() {
+    let found = race(Reader::AckFirst, 1_500).unwrap_err().to_string();
+    assert!(found.contains("ran for"), "{found}");
+}
+
+#[test]
+fn guessing_that_a_trimmed_log_is_whole_runs_a_key_twice() {
+    let found = race(Reader::GuessStart, 1_500).unwrap_err().to_string();
+    assert!(found.contains("ran for"), "{found}");
+}
