--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -168,10 +168,7 @@
         place.work = Work::Idle;
         place.kv += positions;
         place.input.trim(place.kv);
-        let layers = u64::from(place.stage.layers.len());
-        let again = place.before.clamp(name.position, place.kv) - name.position;
-        self.tally.rebuilt += u64::from(again) * layers;
-        self.tally.run += u64::from(positions - again) * layers;
+        self.tally.run += u64::from(positions) * u64::from(place.stage.layers.len());
         if let StepOutput::Activations(values) = output {
             self.places[index + 1].input.extend(name.position, values);
             self.keep_budget();
@@ -183,6 +180,8 @@
     }
 
     fn commit(&mut self, now: Instant, token: u32) {
+        let layers = self.places.last().map_or(0, |place| place.stage.layers.to);
+        self.tally.needed = u64::from(self.length()) * u64::from(layers);
         self.actions.push(Action::Commit { position: self.length(), token });
         self.prompt.tokens.push(token);
         if let Some(loss) = self.loss.take() {
--- a/crates/goldcrestvale_route/src/draft/place.rs
+++ b/crates/goldcrestvale_route/src/draft/place.rs
@@ -44,8 +44,6 @@
     pub(super) number: u32,
     /// Positions in the KV cache of the engine under this attempt.
     pub(super) kv: u32,
-    /// Positions that the stage ran before it was placed here, in this or a lost place.
-    pub(super) before: u32,
     /// Inputs; unused at the first stage, whose inputs are the tokens.
     pub(super) input: Boundary,
     pub(super) work: Work,
@@ -60,7 +58,6 @@
             attempt,
             number,
             kv: 0,
-            before: 0,
             input: Boundary::default(),
             work: Work::Idle,
             leaving: false,
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -220,14 +220,6 @@
         let mut placed = self.placed(chain, number);
         let after: SmallVec<[Place; 4]> = self.places.drain(last + 1..).collect();
         let mut lost: SmallVec<[Place; 4]> = self.places.drain(first..).collect();
-        for place in &mut placed {
-            let layers = place.stage.layers;
-            let shared = |lost: &&Place| {
-                lost.stage.layers.from < layers.to && layers.from < lost.stage.layers.to
-            };
-            let ran = lost.iter().filter(shared).map(|lost| lost.kv.max(lost.before));
-            place.before = ran.min().unwrap_or(0);
-        }
         placed[0].input = std::mem::take(&mut lost[0].input);
         self.places.extend(placed);
         self.places.extend(after);
