--- a/crates/goldcrestvale_route/src/draft/action.rs
+++ b/crates/goldcrestvale_route/src/draft/action.rs
@@ -73,6 +73,8 @@
         upstream: Upstream,
         /// The step.
         step: Step,
+        /// Expected time to the answer, for judging the engine's health.
+        expected: Duration,
         /// Time after which the step counts as lost.
         timeout: Duration,
     },
--- a/crates/goldcrestvale_route/src/draft/event.rs
+++ b/crates/goldcrestvale_route/src/draft/event.rs
@@ -50,7 +50,7 @@
             /// Name of the engine.
             upstream: Upstream,
         },
-        /// An engine is leaving.
+        /// An engine is leaving, or is to be left because it or its link is slow.
         Leaving {
             /// Name of the engine.
             upstream: Upstream,
--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -265,7 +265,8 @@
     pub(super) fn send(&mut self, now: Instant, index: usize) {
         let place = &mut self.places[index];
         let Work::Awaiting(sent) = &mut place.work else { return };
-        let timeout = self.prompt.settings.timeout(place.stage.time(sent.positions));
+        let expected = place.stage.time(sent.positions);
+        let timeout = self.prompt.settings.timeout(expected);
         sent.tries += 1;
         sent.until = now + timeout;
         sent.again = None;
@@ -283,7 +284,8 @@
             input,
         };
         self.tally.steps += 1;
-        self.actions.push(Action::Send { upstream: place.stage.upstream.clone(), step, timeout });
+        let upstream = place.stage.upstream.clone();
+        self.actions.push(Action::Send { upstream, step, expected, timeout });
     }
 
     /// Gives up used activations until the retained ones fit the budget.
--- /dev/null
+++ b/crates/goldcrestvale_route/tests/engine_health.rs
@@ -0,0 +1,185 @@
+//! Suspicion, ejection, slow start and leaving of upstreams, on virtual time.
+
+use std::time::Duration;
+
+use goldcrestvale_base::prelude::*;
+use goldcrestvale_route::{
+    draft::Fault,
+    health::{Change, Changes, Monitor, Outcome, Settings},
+};
+
+const STEP: Duration = Duration::from_millis(10);
+
+fn at(millis: u64) -> Instant {
+    Instant(millis * 1_000)
+}
+
+fn name(index: usize) -> Upstream {
+    format!("e{index}").parse().expect("a valid name")
+}
+
+/// Returns a monitor of ten engines in two domains, past their slow start.
+fn fleet(settings: Settings) -> Monitor {
+    let mut monitor = Monitor::new(settings);
+    for index in 0..10 {
+        let domain = ["bole", "yeka"][index % 2].parse().expect("a valid name");
+        monitor.join(at(0), &name(index), &domain, Incarnation(index as u128));
+    }
+    monitor
+}
+
+fn answer(monitor: &mut Monitor, now: Instant, index: usize, factor: u32) -> Changes {
+    let outcome = Outcome::Answered { took: STEP * factor, expected: STEP };
+    monitor.observe(now, &name(index), outcome)
+}
+
+fn usable(monitor: &Monitor, now: Instant) -> usize {
+    (0..10).filter(|&index| monitor.is_usable(now, &name(index))).count()
+}
+
+#[test]
+fn faults_that_eject() {
+    let rows = [
+        (Fault::Lost, true),
+        (Fault::Timeout, true),
+        (Fault::Refused, true),
+        (Fault::Busy, false),
+        (Fault::NotHeld, false),
+        (Fault::Gap, false),
+    ];
+    for (fault, ejects) in rows {
+        let mut monitor = fleet(Settings::default());
+        let now = at(20_000);
+        for _ in 0..2 {
+            assert!(monitor.observe(now, &name(3), Outcome::Failed(fault)).is_empty());
+        }
+        answer(&mut monitor, now, 3, 1);
+        for _ in 0..2 {
+            assert!(monitor.observe(now, &name(3), Outcome::Failed(fault)).is_empty());
+        }
+        let changes = monitor.observe(now, &name(3), Outcome::Failed(fault));
+        let until = now + Settings::default().ejection;
+        let expected = Change::Ejected { upstream: name(3), until };
+        assert_eq!(changes.first(), ejects.then_some(&expected), "{fault:?}");
+        assert_eq!(usable(&monitor, now), if ejects { 9 } else { 10 }, "{fault:?}");
+    }
+}
+
+#[test]
+fn no_more_than_a_share_is_ejected() {
+    let mut monitor = fleet(Settings { ejected_share: 0.3, ..Settings::default() });
+    let now = at(20_000);
+    for index in 0..10 {
+        for _ in 0..5 {
+            monitor.observe(now, &name(index), Outcome::Failed(Fault::Timeout));
+        }
+        assert_eq!(usable(&monitor, now), 10 - (index + 1).min(3));
+    }
+}
+
+#[test]
+fn ejections_grow_and_are_forgotten() {
+    let settings = Settings::default();
+    let mut monitor = fleet(settings.clone());
+    let mut now = at(20_000);
+    let eject = |monitor: &mut Monitor, now: Instant| {
+        let failures =
+            (0..3).flat_map(|_| monitor.observe(now, &name(1), Outcome::Failed(Fault::Lost)));
+        let changes: Vec<_> = failures.collect();
+        let [Change::Ejected { until, .. }] = changes[..] else { panic!("{changes:?}") };
+        until
+    };
+    for factor in [1, 2, 4, 8, 16, 32, 60, 60] {
+        let until = eject(&mut monitor, now);
+        assert_eq!(until.since(now), settings.ejection * factor);
+        assert!(!monitor.is_usable(until - Duration::from_millis(1), &name(1)));
+        now = until;
+        assert!(monitor.is_usable(now, &name(1)));
+    }
+    now = now + settings.ejection_ceiling + Duration::from_secs(1);
+    answer(&mut monitor, now, 1, 1);
+    assert_eq!(eject(&mut monitor, now).since(now), settings.ejection);
+}
+
+#[test]
+fn slow_engine_is_ejected_and_slow_link_is_not() {
+    let settings = Settings { ejected_share: 1.0, ..Settings::default() };
+    let now = at(20_000);
+    let mut alone = fleet(settings.clone());
+    let changes: Vec<_> = (0..10).flat_map(|_| answer(&mut alone, now, 0, 100)).collect();
+    assert!(matches!(changes[..], [Change::Ejected { .. }]), "{changes:?}");
+
+    // Five engines share the domain; the first slow ones are blamed before the link is.
+    let mut together = fleet(settings);
+    let mut changes = Vec::new();
+    for _ in 0..10 {
+        for index in [0, 2, 4, 6, 8] {
+            changes.extend(answer(&mut together, now, index, 4));
+        }
+    }
+    assert_eq!(changes, [], "four times the expected time is not slow");
+    let plan = |monitor: &Monitor| monitor.cost(now, &name(8), STEP).unwrap();
+    assert!(plan(&together) > STEP * 3, "a slower engine costs more: {:?}", plan(&together));
+    assert_eq!(together.cost(now, &name(1), STEP), Some(STEP));
+}
+
+#[test]
+fn link_is_suspected_where_most_of_a_domain_is_slow() {
+    // The share bars ejections here, as it does when a whole domain slows at once.
+    let mut monitor = fleet(Settings { ejected_share: 0.0, ..Settings::default() });
+    let bole: Domain = "bole".parse().unwrap();
+    let (now, mut changes) = (at(20_000), Vec::new());
+    for _ in 0..10 {
+        for index in [0, 2, 4, 6, 8] {
+            changes.extend(answer(&mut monitor, now, index, 100));
+        }
+    }
+    assert_eq!(changes, [Change::LinkSlow { domain: bole.clone() }]);
+    assert!(monitor.is_link_slow(&bole));
+    assert_eq!(usable(&monitor, now), 10);
+    changes.clear();
+    for _ in 0..30 {
+        for index in [0, 2, 4, 6, 8] {
+            changes.extend(answer(&mut monitor, now, index, 1));
+        }
+    }
+    assert_eq!(changes, [Change::LinkRestored { domain: bole.clone() }]);
+}
+
+#[test]
+fn joiners_start_slowly() {
+    let settings = Settings::default();
+    let mut monitor = fleet(settings.clone());
+    let joined = at(20_000);
+    monitor.join(joined, &name(3), &"yeka".parse().unwrap(), Incarnation(99));
+    let rows = [(0, 0.1), (2_500, 0.325), (5_000, 0.55), (10_000, 1.0), (60_000, 1.0)];
+    for (millis, share) in rows {
+        let now = joined + Duration::from_millis(millis);
+        assert!((monitor.share(now, &name(3)) - share).abs() < 1e-9, "after {millis} ms");
+        let cost = monitor.cost(now, &name(3), STEP).unwrap();
+        assert!((cost.as_secs_f64() * share - STEP.as_secs_f64()).abs() < 1e-6);
+        assert!((monitor.share(now, &name(4)) - 1.0).abs() < 1e-9, "the others are not touched");
+    }
+}
+
+#[test]
+fn leaving_is_final_for_an_incarnation() {
+    let mut monitor = fleet(Settings::default());
+    let (now, yeka) = (at(20_000), "yeka".parse().unwrap());
+    assert_eq!(monitor.leave(&name(3), Incarnation(77)), None, "another incarnation");
+    let left = Change::Leaving { upstream: name(3) };
+    assert_eq!(monitor.leave(&name(3), Incarnation(3)), Some(left));
+    assert_eq!(monitor.leave(&name(3), Incarnation(3)), None, "known already");
+    answer(&mut monitor, now, 3, 1);
+    monitor.join(now, &name(3), &yeka, Incarnation(3));
+    assert!(!monitor.is_usable(at(900_000), &name(3)), "a report that lags does not undo it");
+    assert_eq!(monitor.cost(now, &name(3), STEP), None);
+    monitor.join(now, &name(3), &yeka, Incarnation(4));
+    assert!(monitor.is_usable(now, &name(3)));
+
+    let refused = monitor.observe(now, &name(5), Outcome::Failed(Fault::Leaving));
+    assert_eq!(refused[..], [Change::Leaving { upstream: name(5) }]);
+    assert!(!monitor.is_usable(now, &name(5)));
+    monitor.remove(&name(5));
+    assert_eq!(monitor.observe(now, &name(5), Outcome::Failed(Fault::Lost))[..], []);
+}
--- a/crates/goldcrestvale_route/tests/support/mod.rs
+++ b/crates/goldcrestvale_route/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use goldcrestvale_route::{
     chain::{Candidate, Planner},
     draft::{Action, Actions, Draft, Event, Failure, Fault, Prompt, Tally},
+    health::{Change, Monitor, Outcome as Observed},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -65,6 +66,24 @@
     (0..length).map(|i| i * 7 + 3).collect()
 }
 
+/// Returns an engine of a kind of accelerator.
+///
+/// The time model: a step of one position takes 250, 500 or 1,000 microseconds a layer on a
+/// large, medium or small accelerator, each further position 2, 5 or 12 microseconds a layer.
+pub fn candidate_of(kind: Accelerator, name: &str, from: u32, to: u32) -> Candidate {
+    let (step, prefill) = match kind {
+        Accelerator::Large => (250, 2),
+        Accelerator::Medium => (500, 5),
+        Accelerator::Small => (1_000, 12),
+    };
+    Candidate {
+        accelerator: kind,
+        step: Duration::from_micros(step),
+        prefill: Duration::from_micros(prefill),
+        ..candidate(name, from, to)
+    }
+}
+
 pub fn candidate(name: &str, from: u32, to: u32) -> Candidate {
     Candidate {
         upstream: name.parse().expect("a valid name"),
@@ -208,6 +227,11 @@
     pub ignore_attempt: bool,
     /// Cancels the draft when so many tokens were committed.
     pub cancel_after: Option<usize>,
+    /// Judges the engines by their answers; an ejected engine is left.
+    pub monitor: Option<Monitor>,
+    sent: BTreeMap<StepName, (Upstream, Instant, Duration)>,
+    /// When each engine met its first trouble.
+    pub troubled: BTreeMap<Upstream, Instant>,
     depth: u32,
     engines: BTreeMap<Upstream, Engine>,
     now: Instant,
@@ -226,6 +250,9 @@
             chances: Chances::default(),
             ignore_attempt: false,
             cancel_after: None,
+            monitor: None,
+            sent: BTreeMap::new(),
+            troubled: BTreeMap::new(),
             depth,
             engines: BTreeMap::new(),
             now: Instant(0),
@@ -245,7 +272,7 @@
                 dead: false,
                 vanished: false,
                 leaving: false,
-                exports: false,
+                exports: true,
                 slow: 1,
                 refuses: None,
                 caches: BTreeMap::new(),
@@ -326,12 +353,35 @@
             let ((at, _), arrival) = self.queue.pop_first().expect("the queue is not empty");
             self.now = at;
             match arrival {
-                Arrival::Event(event) => return self.seam(event),
+                Arrival::Event(event) => {
+                    self.observe(&event);
+                    return self.seam(event);
+                }
                 Arrival::Step(upstream, step) => self.arrive(&upstream, step),
             }
         }
     }
 
+    /// Shows an answer or a failure to the monitor.
+    fn observe(&mut self, event: &Event) {
+        let (name, outcome) = match event {
+            Event::Answered { name, .. } => (name, None),
+            Event::Failed { name, fault } => (name, Some(Observed::Failed(*fault))),
+            _ => return,
+        };
+        let (Some(monitor), Some((upstream, at, expected))) =
+            (&mut self.monitor, self.sent.remove(name))
+        else {
+            return;
+        };
+        let answered = Observed::Answered { took: self.now.since(at), expected };
+        for change in monitor.observe(self.now, &upstream, outcome.unwrap_or(answered)) {
+            if let Change::Ejected { upstream, .. } = change {
+                self.push(Duration::ZERO, Arrival::Event(Event::Leaving { upstream }));
+            }
+        }
+    }
+
     /// Renames a late answer to the awaited step of the same position and stage.
     fn seam(&self, event: Event) -> Event {
         match event {
@@ -355,8 +405,9 @@
     fn carry_out(&mut self, actions: Actions, outcome: &mut Outcome) {
         for action in actions {
             match action {
-                Action::Send { upstream, step, .. } => {
+                Action::Send { upstream, step, expected, .. } => {
                     let name = step.name;
+                    self.sent.insert(name, (upstream.clone(), self.now, expected));
                     self.awaited.insert((name.position, name.stage), name);
                     let way = self.way(&upstream);
                     self.push(way, Arrival::Step(upstream, step));
@@ -454,6 +505,9 @@
         let steps = engine.steps;
         let due: Vec<_> = engine.troubles.iter().filter(|t| t.0 == steps).map(|t| t.1).collect();
         let mut leaves = false;
+        if !due.is_empty() {
+            self.troubled.entry(upstream.clone()).or_insert(self.now);
+        }
         for trouble in due {
             match trouble {
                 Trouble::Die => engine.dead = true,
@@ -494,6 +548,14 @@
     }
 }
 
+impl Outcome {
+    /// Returns the longest time between two tokens.
+    pub fn longest_gap(&self) -> Duration {
+        let gaps = self.tokens.windows(2).map(|pair| pair[1].2.since(pair[0].2));
+        gaps.max().unwrap_or_default()
+    }
+}
+
 /// Judges a finished draft: the answer is the reference's, in order, each token once.
 ///
 /// # Errors
