Cut prefill into chunks and prune candidates that no plan needs

Change: steps are cut at 512 positions only where the next stage waits. The planner drops candidates behind dearer links that are no faster than three others of their range, and stops once the least bottleneck bounds the rounds left.

--- /dev/null
+++ b/crates/goldcrestvale_route/examples/recovery_time.rs
@@ -0,0 +1,106 @@
+//! Prints the time from the loss of a stage to the next token, on virtual time, for each way of
+//! recovery, kind of accelerator and length of context; and the memory that a draft holds.
+//!
+//! The time model is that of `tests/support`: a model of 48 layers in four stages, links of
+//! 512 microseconds there and back, a step of 250, 500 or 1,000 microseconds a layer and each
+//! further position 2, 5 or 12 microseconds a layer on a large, medium or small accelerator.
+
+#![allow(clippy::print_stdout, reason = "the example prints a table")]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use goldcrestvale_base::engine::Accelerator;
+use goldcrestvale_route::draft::{Settings, Way};
+use support::{Outcome, Trouble, World, candidate_of, judge, prompt};
+
+const DEPTH: u32 = 48;
+const STAGES: u32 = 4;
+
+/// Tokens asked for, and the step at which the third stage is lost.
+const MOST: u32 = 8;
+const LOST_AT: u32 = 4;
+
+/// A way of recovery, with the trouble that calls for it.
+struct Row {
+    way: &'static str,
+    trouble: Trouble,
+    settings: Settings,
+}
+
+fn world(kind: &Accelerator) -> World {
+    let each = DEPTH / STAGES;
+    let engines = (0..STAGES * 2).map(|index| {
+        let stage = index / 2;
+        let name = format!("s{stage}-{}", index % 2);
+        candidate_of(kind.clone(), &name, stage * each, (stage + 1) * each)
+    });
+    World::new(DEPTH, engines)
+}
+
+fn run(kind: &Accelerator, context: u32, row: &Row) -> Outcome {
+    let mut world = world(kind);
+    // The steps of a prefill in chunks come before those of the tokens.
+    let prefill = context.div_ceil(row.settings.chunk.min(context));
+    world.trouble("s2-0", prefill + LOST_AT - 1, row.trouble);
+    let outcome = world.run(prompt(context, MOST).settings(row.settings.clone()));
+    judge(&outcome, context, MOST, DEPTH).expect("the answer is the reference's");
+    outcome
+}
+
+fn rows() -> Vec<Row> {
+    let whole = Settings {
+        way: Way::Whole,
+        moves: false,
+        chunk: u32::MAX,
+        retain_bytes: 1 << 30,
+        ..Settings::default()
+    };
+    let stage = Settings { way: Way::Stage, ..whole.clone() };
+    let chunked = |settings: &Settings| Settings { chunk: 512, ..settings.clone() };
+    let none = Settings { retain_bytes: 0, ..stage.clone() };
+    let moved = Settings { moves: true, ..stage.clone() };
+    let row = |way, trouble, settings| Row { way, trouble, settings };
+    let leave = Trouble::Leave { export: true };
+    vec![
+        row("whole replay", Trouble::Die, whole.clone()),
+        row("whole replay, chunks of 512", Trouble::Die, chunked(&whole)),
+        row("stage, nothing retained", Trouble::Die, none.clone()),
+        row("stage, nothing retained, chunks of 512", Trouble::Die, chunked(&none)),
+        row("stage, retained", Trouble::Die, stage.clone()),
+        row("stage, retained, chunks of 512", Trouble::Die, chunked(&stage)),
+        row("stage, retained, silent death", Trouble::Vanish, stage.clone()),
+        row("KV move, the engine leaves", leave, moved),
+    ]
+}
+
+fn millis(span: Duration) -> String {
+    format!("{:.1}", span.as_secs_f64() * 1e3)
+}
+
+fn main() {
+    println!(
+        "| accelerator | context | way | detection ms | rebuild ms | gap ms | usual gap ms | bytes |"
+    );
+    println!("|---|--:|---|--:|--:|--:|--:|--:|");
+    for kind in [Accelerator::Large, Accelerator::Medium, Accelerator::Small] {
+        for context in [100, 1_000, 8_000] {
+            for row in rows() {
+                let outcome = run(&kind, context, &row);
+                let (detection, rebuild) = outcome.recoveries.first().copied().unzip();
+                let usual = outcome.tokens[1].2.since(outcome.tokens[0].2);
+                println!(
+                    "| {kind:?} | {context} | {} | {} | {} | {} | {} | {} |",
+                    row.way,
+                    detection.map_or("-".into(), millis),
+                    rebuild.map_or("-".into(), millis),
+                    millis(outcome.longest_gap()),
+                    millis(usual),
+                    outcome.bytes,
+                );
+            }
+        }
+    }
+}
--- a/crates/goldcrestvale_route/src/chain/graph.rs
+++ b/crates/goldcrestvale_route/src/chain/graph.rs
@@ -105,21 +105,38 @@
         let mut best = Path::default();
         let mut least = Duration::MAX;
         let mut below = Duration::MAX;
+        let floor = self.least_bottleneck().saturating_mul(weight);
         while let Some(path) = self.shortest(below) {
             let cost = path.sum.saturating_add(path.slowest.saturating_mul(weight));
             below = path.slowest;
-            let last_round = weight == 0 || path.sum >= least;
+            let sum = path.sum;
             if cost < least {
                 least = cost;
                 best = path;
             }
-            if last_round {
+            // The sums of later rounds are no smaller.
+            if weight == 0 || sum.saturating_add(floor) >= least {
                 break;
             }
         }
         best.stages
     }
 
+    /// Returns the least time that the slowest stage of any path has.
+    fn least_bottleneck(&self) -> Duration {
+        let count = self.bounds.len();
+        let mut reached = vec![Duration::MAX; count];
+        reached[0] = Duration::ZERO;
+        for to in 1..count {
+            for from in 0..to {
+                if let Some(edge) = self.edges[from * count + to].first() {
+                    reached[to] = reached[to].min(reached[from].max(edge.cost));
+                }
+            }
+        }
+        reached[count - 1]
+    }
+
     /// Returns the shortest path over edges below a cost.
     fn shortest(&self, below: Duration) -> Option<Path<'a>> {
         let count = self.bounds.len();
--- a/crates/goldcrestvale_route/src/chain/planner.rs
+++ b/crates/goldcrestvale_route/src/chain/planner.rs
@@ -181,16 +181,25 @@
         Some(self.stage(best.upstream, span))
     }
 
-    /// Returns the best usable candidates of each bucket that touches the span, clipped to it.
+    /// Returns the usable candidates that may be in a chain of least cost, clipped to the span.
     fn usable(&self, span: Layers, excluded: &[Upstream]) -> Vec<Usable<'_>> {
-        let mut usable = Vec::with_capacity(self.buckets.len());
-        for ((layers, link), bucket) in &self.buckets {
-            let layers = Layers { from: layers.from.max(span.from), to: layers.to.min(span.to) };
+        let mut usable: Vec<Usable<'_>> = Vec::with_capacity(self.buckets.len());
+        let mut fastest = Fastest::default();
+        let mut range = None;
+        for ((held, link), bucket) in &self.buckets {
+            let layers = Layers { from: held.from.max(span.from), to: held.to.min(span.to) };
             if layers.is_empty() {
                 continue;
             }
+            // Buckets of one range follow each other in the order of their links.
+            if range.replace(held) != Some(held) {
+                fastest = Fastest::default();
+            }
             let free = bucket.iter().filter(|(_, upstream)| !excluded.contains(upstream));
             for (step, upstream) in free.take(EDGES) {
+                if !fastest.admits(*step) {
+                    break;
+                }
                 usable.push(Usable { layers, link: *link, step: *step, upstream });
             }
         }
@@ -210,6 +219,25 @@
     }
 }
 
+/// The fastest candidates that hold one range, over all links up to the present one.
+#[derive(Debug, Default)]
+struct Fastest {
+    steps: SmallVec<[Duration; EDGES]>,
+}
+
+impl Fastest {
+    /// Takes in a candidate, unless as many as can be needed are no slower behind cheaper links.
+    fn admits(&mut self, step: Duration) -> bool {
+        if self.steps.len() == EDGES && self.steps[EDGES - 1] <= step {
+            return false;
+        }
+        self.steps.truncate(EDGES - 1);
+        let at = self.steps.partition_point(|faster| *faster <= step);
+        self.steps.insert(at, step);
+        true
+    }
+}
+
 /// Rounds the cost of a link up to a few significant bits.
 fn rounded(link: Duration) -> Duration {
     let nanos = u64::try_from(link.as_nanos()).unwrap_or(u64::MAX);
--- a/crates/goldcrestvale_route/src/chain/stage.rs
+++ b/crates/goldcrestvale_route/src/chain/stage.rs
@@ -79,6 +79,17 @@
         self.stages.iter().map(|stage| stage.time(1)).sum()
     }
 
+    /// Returns the expected time until the last stage has run some positions, where each stage
+    /// passes them on in parts of at most `chunk`.
+    pub fn time(&self, positions: u32, chunk: u32) -> Duration {
+        let chunk =
+            if self.stages.len() > 1 { chunk.clamp(1, positions.max(1)) } else { positions };
+        let times = || self.stages.iter().map(|stage| stage.time(chunk));
+        let further = positions.div_ceil(chunk.max(1)).saturating_sub(1);
+        let slowest = times().max().unwrap_or_default();
+        times().sum::<Duration>().saturating_add(slowest.saturating_mul(further))
+    }
+
     /// Returns the time of the slowest stage, which bounds the throughput of the chain.
     pub fn bottleneck(&self) -> Duration {
         self.stages.iter().map(|stage| stage.time(1)).max().unwrap_or_default()
--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -246,7 +246,7 @@
             let place = &self.places[index];
             let end = if index == 0 { self.length() } else { place.input.end() };
             if matches!(place.work, Work::Idle) && place.kv < end {
-                let positions = (end - place.kv).min(self.prompt.settings.chunk.max(1));
+                let positions = (end - place.kv).min(self.most_positions(index, end));
                 let place = &mut self.places[index];
                 place.work = Work::Awaiting(Sent {
                     name: self.prompt.name(place.attempt, place.kv, place.number),
@@ -261,6 +261,16 @@
         }
     }
 
+    /// Returns the most positions that a step of a place may have. Steps are cut so that the next
+    /// stage can run in parallel; where it has its inputs already, as when this stage is rebuilt,
+    /// or where there is no next stage, cutting would only cost time.
+    fn most_positions(&self, index: usize, end: u32) -> u32 {
+        match self.places.get(index + 1) {
+            Some(next) if next.input.end() + 1 < end => self.prompt.settings.chunk.max(1),
+            _ => u32::MAX,
+        }
+    }
+
     /// Sends the awaited step of a place, for the first time or again.
     pub(super) fn send(&mut self, now: Instant, index: usize) {
         let place = &mut self.places[index];
--- a/crates/goldcrestvale_route/src/draft/prompt.rs
+++ b/crates/goldcrestvale_route/src/draft/prompt.rs
@@ -117,7 +117,7 @@
         ensure!(self.length > 0, PromptSnafu);
         let chain = planner.plan(planner.span(), &[]).context(ChainSnafu)?;
         let positions = self.tokens.len() as u32;
-        let needed = chain.stages().iter().map(|stage| stage.time(positions)).sum();
+        let needed = chain.time(positions, self.settings.chunk);
         self.check_time(now, needed)?;
         Ok(chain)
     }
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -1,7 +1,5 @@
 //! Recovery of a draft whose stages are lost or leave.
 
-use std::time::Duration;
-
 use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
 use smallvec::SmallVec;
 use snafu::{ResultExt, ensure};
@@ -199,8 +197,7 @@
             to: self.places[last].stage.layers.to,
         };
         let chain = planner.plan(span, &self.avoided).context(ChainSnafu)?;
-        let positions = self.length();
-        let needed: Duration = chain.stages().iter().map(|stage| stage.time(positions)).sum();
+        let needed = chain.time(self.length(), self.prompt.settings.chunk);
         self.prompt.check_time(now, needed)?;
         for lost in first..=last {
             self.cancel_place(lost);
--- a/crates/goldcrestvale_route/src/draft/settings.rs
+++ b/crates/goldcrestvale_route/src/draft/settings.rs
@@ -25,7 +25,7 @@
         pub moves: bool,
         /// Bytes of boundary activations that one draft may retain.
         pub retain_bytes: usize,
-        /// Most positions of one step.
+        /// Most positions of one step whose outputs the next stage waits for.
         pub chunk: u32,
         /// Multiple of the expected step time after which a step counts as lost.
         pub timeout_factor: u32,
@@ -52,7 +52,7 @@
             way: Way::Stage,
             moves: true,
             retain_bytes: 256 * 1024,
-            chunk: u32::MAX,
+            chunk: 512,
             timeout_factor: 4,
             timeout_floor: Duration::from_millis(250),
             timeout_ceiling: Duration::from_secs(30),
