--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -168,10 +168,7 @@
         place.work = Work::Idle;
         place.kv += positions;
         place.input.trim(place.kv);
-        let layers = u64::from(place.stage.layers.len());
-        let again = place.before.clamp(name.position, place.kv) - name.position;
-        self.tally.rebuilt += u64::from(again) * layers;
-        self.tally.run += u64::from(positions - again) * layers;
+        self.tally.run += u64::from(positions) * u64::from(place.stage.layers.len());
         if let StepOutput::Activations(values) = output {
             self.places[index + 1].input.extend(name.position, values);
             self.keep_budget();
@@ -183,6 +180,8 @@
     }
 
     fn commit(&mut self, now: Instant, token: u32) {
+        let layers = self.places.last().map_or(0, |place| place.stage.layers.to);
+        self.tally.needed = u64::from(self.length()) * u64::from(layers);
         self.actions.push(Action::Commit { position: self.length(), token });
         self.prompt.tokens.push(token);
         if let Some(loss) = self.loss.take() {
@@ -247,7 +246,7 @@
             let place = &self.places[index];
             let end = if index == 0 { self.length() } else { place.input.end() };
             if matches!(place.work, Work::Idle) && place.kv < end {
-                let positions = (end - place.kv).min(self.prompt.settings.chunk.max(1));
+                let positions = (end - place.kv).min(self.most_positions(index, end));
                 let place = &mut self.places[index];
                 place.work = Work::Awaiting(Sent {
                     name: self.prompt.name(place.attempt, place.kv, place.number),
@@ -262,11 +261,22 @@
         }
     }
 
+    /// Returns the most positions that a step of a place may have. Steps are cut so that the next
+    /// stage can run in parallel; where it has its inputs already, as when this stage is rebuilt,
+    /// or where there is no next stage, cutting would only cost time.
+    fn most_positions(&self, index: usize, end: u32) -> u32 {
+        match self.places.get(index + 1) {
+            Some(next) if next.input.end() + 1 < end => self.prompt.settings.chunk.max(1),
+            _ => u32::MAX,
+        }
+    }
+
     /// Sends the awaited step of a place, for the first time or again.
     pub(super) fn send(&mut self, now: Instant, index: usize) {
         let place = &mut self.places[index];
         let Work::Awaiting(sent) = &mut place.work else { return };
-        let timeout = self.prompt.settings.timeout(place.stage.time(sent.positions));
+        let expected = place.stage.time(sent.positions);
+        let timeout = self.prompt.settings.timeout(expected);
         sent.tries += 1;
         sent.until = now + timeout;
         sent.again = None;
@@ -284,7 +294,8 @@
             input,
         };
         self.tally.steps += 1;
-        self.actions.push(Action::Send { upstream: place.stage.upstream.clone(), step, timeout });
+        let upstream = place.stage.upstream.clone();
+        self.actions.push(Action::Send { upstream, step, expected, timeout });
     }
 
     /// Gives up used activations until the retained ones fit the budget.
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -1,7 +1,5 @@
 //! Recovery of a draft whose stages are lost or leave.
 
-use std::time::Duration;
-
 use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
 use smallvec::SmallVec;
 use snafu::{ResultExt, ensure};
@@ -199,8 +197,7 @@
             to: self.places[last].stage.layers.to,
         };
         let chain = planner.plan(span, &self.avoided).context(ChainSnafu)?;
-        let positions = self.length();
-        let needed: Duration = chain.stages().iter().map(|stage| stage.time(positions)).sum();
+        let needed = chain.time(self.length(), self.prompt.settings.chunk);
         self.prompt.check_time(now, needed)?;
         for lost in first..=last {
             self.cancel_place(lost);
@@ -220,14 +217,6 @@
         let mut placed = self.placed(chain, number);
         let after: SmallVec<[Place; 4]> = self.places.drain(last + 1..).collect();
         let mut lost: SmallVec<[Place; 4]> = self.places.drain(first..).collect();
-        for place in &mut placed {
-            let layers = place.stage.layers;
-            let shared = |lost: &&Place| {
-                lost.stage.layers.from < layers.to && layers.from < lost.stage.layers.to
-            };
-            let ran = lost.iter().filter(shared).map(|lost| lost.kv.max(lost.before));
-            place.before = ran.min().unwrap_or(0);
-        }
         placed[0].input = std::mem::take(&mut lost[0].input);
         self.places.extend(placed);
         self.places.extend(after);
