Prove the configuration fold under faults

Cause: the mechanisms of the fold, the checkpoints, the anti-entropy and the desk had examples only.

Found by the tests and mended: a transfer of a checkpoint started over for ever when the peer that began it was gone and another had an older state, and when several instances asked one peer at once; both tests failed first.

--- a/crates/goldcrestvale_config/src/chunk.rs
+++ b/crates/goldcrestvale_config/src/chunk.rs
@@ -1,6 +1,6 @@
 //! Checkpoints cut into parts that fit a record of the log or a frame between instances.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 
 use goldcrestvale_base::{
     domain,
@@ -91,7 +91,8 @@
 /// Puts checkpoints together from chunks that come in any order, repeated or incomplete.
 #[derive(Debug, Clone, Default)]
 pub struct Gather {
-    sets: BTreeMap<Set, BTreeMap<u32, String>>,
+    /// Incomplete checkpoints; the one that got the last chunk is at the end.
+    sets: Vec<(Set, BTreeMap<u32, String>)>,
     complete: Option<Offset>,
 }
 
@@ -106,36 +107,37 @@
         if known || set.count > MAX_CHUNKS || index >= set.count || text.len() > CHUNK_BYTES {
             return None;
         }
-        let parts = self.sets.entry(set).or_default();
+        let begun = self.sets.iter().position(|(other, _)| *other == set);
+        let mut parts = begun.map(|at| self.sets.remove(at).1).unwrap_or_default();
         parts.insert(index, text);
-        let full = parts.len() == set.count as usize;
-        let checkpoint = if full { self.complete(set) } else { None };
-        while self.sets.len() > MAX_GATHERED {
-            self.sets.pop_first();
+        if parts.len() == set.count as usize {
+            return self.complete(set, parts);
         }
-        checkpoint
+        self.sets.push((set, parts));
+        if self.sets.len() > MAX_GATHERED {
+            self.sets.remove(0);
+        }
+        None
     }
 
-    /// Returns the first chunk that is missing of a set.
+    /// Returns the first chunk that is missing of a checkpoint that was begun.
     pub fn missing(&self, set: &Set) -> Option<u32> {
-        let parts = self.sets.get(set);
-        (0..set.count).find(|index| parts.is_none_or(|parts| !parts.contains_key(index)))
+        let (_, parts) = self.sets.iter().find(|(other, _)| other == set)?;
+        (0..set.count).find(|index| !parts.contains_key(index))
     }
 
-    /// Returns the newest set of which chunks are missing.
-    pub fn newest(&self) -> Option<&Set> {
-        self.sets.keys().next_back()
+    /// Returns the incomplete checkpoint that got the last chunk.
+    pub fn latest(&self) -> Option<&Set> {
+        self.sets.last().map(|(set, _)| set)
     }
 
-    fn complete(&mut self, set: Set) -> Option<Checkpoint> {
-        let parts = self.sets.remove(&set)?;
+    fn complete(&mut self, set: Set, parts: BTreeMap<u32, String>) -> Option<Checkpoint> {
         let text: String = parts.into_values().collect();
         if Digest::of(text.as_bytes()) != set.text {
             return None;
         }
         self.complete = Some(set.version);
-        self.sets.retain(|other, _| other.version >= set.version);
-        let text: Arc<str> = text.into();
-        Some(Checkpoint { version: set.version, digest: set.digest, text })
+        self.sets.retain(|(other, _)| other.version >= set.version);
+        Some(Checkpoint { version: set.version, digest: set.digest, text: text.into() })
     }
 }
--- a/crates/goldcrestvale_config/src/sync.rs
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -182,10 +182,12 @@
     }
 
     fn ask(&self, fold: &Fold) -> Ask {
-        let newer = self.gather.newest().filter(|set| set.version > fold.version());
-        let chunk =
-            newer.and_then(|set| self.gather.missing(set).map(|index| Want { set: *set, index }));
-        Ask { version: fold.version(), chunk }
+        let newer = self.gather.latest().filter(|set| set.version > fold.version());
+        Ask { version: fold.version(), chunk: newer.and_then(|set| self.want(set)) }
+    }
+
+    fn want(&self, set: &Set) -> Option<Want> {
+        self.gather.missing(set).map(|index| Want { set: *set, index })
     }
 
     fn take_records(&mut self, fold: &mut Fold, base: Digest, records: Vec<Read>) -> Option<Ask> {
@@ -207,11 +209,16 @@
     }
 
     fn take_chunk(&mut self, fold: &mut Fold, chunk: Chunk) -> Option<Ask> {
-        if chunk.set.version <= fold.version() {
+        let set = chunk.set;
+        if set.version <= fold.version() {
             return None;
         }
         match self.gather.add(chunk) {
-            None => Some(self.ask(fold)).filter(|ask| ask.chunk.is_some()),
+            // Goes on with the set that this peer has, which need not be the newest begun.
+            None => {
+                let want = self.want(&set)?;
+                Some(Ask { version: fold.version(), chunk: Some(want) })
+            }
             Some(checkpoint) => {
                 let advanced = fold.try_advance(&checkpoint).is_ok_and(|advanced| advanced);
                 advanced.then(|| self.ask(fold))
@@ -220,8 +227,9 @@
     }
 
     fn give_checkpoint(&mut self, fold: &Fold) -> Answer {
-        let current = self.given.as_ref().is_some_and(|(set, _)| set.version == fold.version());
-        if !current {
+        // A checkpoint serves until the records behind it are no longer kept.
+        let given = self.given.as_ref().and_then(|(set, _)| fold.digest_at(set.version));
+        if given.is_none() {
             let checkpoint = fold.checkpoint();
             self.given = Some((checkpoint.set(), checkpoint.chunks().into()));
         }
--- /dev/null
+++ b/crates/goldcrestvale_config/tests/checkpoint_turn.rs
@@ -0,0 +1,185 @@
+//! Checkpoints are written by one of many instances, and give the state back or say that they
+//! do not.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestvale_base::id::{Digest, Offset};
+use goldcrestvale_config::{
+    checkpoint::{Checkpoint, Error},
+    chunk::{Chunk, Gather},
+    fold::Fold,
+    prelude::*,
+    schema::Table,
+    start,
+    sync::Weighed,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use support::{
+    scribes::{SETTING, Scribes},
+    *,
+};
+
+fn filled(customers: u64) -> (Log, Fold) {
+    let mut log = Log::default();
+    let mut fold = seeded(&mut log);
+    for n in 0..customers {
+        let data = put(Kind::Customer, &format!("c{n}"), None, customer(1_000 + n));
+        log.append(id(1, n), &data);
+    }
+    log.read_into(&mut fold);
+    (log, fold)
+}
+
+fn restore(checkpoint: &Checkpoint) -> goldcrestvale_config::checkpoint::Result<Fold> {
+    checkpoint.try_restore(Arc::new(Table::default()))
+}
+
+#[test]
+fn few_instances_write_the_same_checkpoint() {
+    let (_, fold) = filled(900);
+    let chunks = fold.checkpoint().chunks().len();
+    assert!(chunks > 2, "the state takes several chunks");
+    for count in [1, 4, 12, 340] {
+        let mut sets = 0;
+        for seed in 0..5 {
+            let mut scribes = Scribes::new(count, seed);
+            let longest = SETTING.interval + SETTING.spread + Duration::from_secs(4);
+            scribes.run(longest, &fold);
+            assert!(scribes.writers.iter().all(|writer| writer.latest().is_some()));
+            let found = scribes.writers[0].latest().expect("a checkpoint");
+            assert_eq!(*found, fold.checkpoint());
+            assert_eq!(scribes.stream.len(), scribes.begun() + chunks - 1, "one writes the rest");
+            sets += scribes.begun();
+            // The state does not change, and the checkpoint expires: it is written again.
+            scribes.run(longest, &fold);
+            assert!(scribes.stream.len() >= 2 * chunks);
+        }
+        assert!(sets <= 5 * 5, "{count} instances began {sets} checkpoints in 5 runs");
+    }
+}
+
+#[test]
+fn a_writer_that_dies_is_replaced() {
+    let (_, fold) = filled(900);
+    let chunks = fold.checkpoint().chunks().len();
+    for left in 0..chunks {
+        let mut scribes = Scribes::new(4, 7);
+        scribes.run(SETTING.interval, &fold);
+        // Whoever begins dies after this many chunks.
+        scribes.allowance = vec![left; 4];
+        while scribes.stream.is_empty() && left > 0 {
+            scribes.run(Duration::from_secs(1), &fold);
+        }
+        scribes.run(Duration::from_secs(5), &fold);
+        let dead = scribes.stream.first().map_or(0, |(writer, _)| writer.0 as usize - 1);
+        scribes.alive[dead] = false;
+        scribes.allowance = vec![usize::MAX; 4];
+        scribes.run(2 * (SETTING.spread + SETTING.patience), &fold);
+        let found = scribes.writers[0].latest();
+        assert_eq!(found, Some(&fold.checkpoint()), "after {left} chunks");
+    }
+}
+
+#[test]
+fn a_damaged_checkpoint_is_not_taken() {
+    let (_, fold) = filled(3);
+    let good = fold.checkpoint();
+    let table: [(&str, Checkpoint); 4] = [
+        (
+            "text",
+            Checkpoint {
+                text: good.text.replace("weight\":1", "weight\":2").into(),
+                ..good.clone()
+            },
+        ),
+        ("digest", Checkpoint { digest: Digest::of(b"other"), ..good.clone() }),
+        ("version", Checkpoint { version: good.version.next(), ..good.clone() }),
+        ("half", Checkpoint { text: good.text[..good.text.len() / 2].into(), ..good.clone() }),
+    ];
+    for (name, damaged) in table {
+        assert!(restore(&damaged).is_err(), "{name}");
+        let mut other = Fold::new();
+        assert!(other.try_advance(&damaged).is_err(), "{name}");
+        assert_eq!(other.version(), Offset(0), "{name}");
+        let resumed = other.try_resume(Offset(1), Some(&damaged));
+        assert!(matches!(resumed, Err(start::Error::Unrestored { .. })), "{name}");
+        assert!(other.try_resume(Offset(0), Some(&damaged)).is_ok(), "the log has it all");
+    }
+    assert!(matches!(
+        restore(&Checkpoint { digest: Digest::of(b"other"), ..good.clone() }),
+        Err(Error::Mismatch { .. })
+    ));
+    let mut gather = Gather::default();
+    let mut chunks = good.chunks();
+    chunks[0].text.insert(3, ' ');
+    assert!(chunks.into_iter().all(|chunk| gather.add(chunk).is_none()));
+}
+
+#[test]
+fn a_start_is_proved_or_refused() {
+    let (mut log, fold) = filled(3);
+    let checkpoint = fold.checkpoint();
+    let choose = |oldest: u64, found: Option<&Checkpoint>| {
+        let mut fold = Fold::new();
+        fold.try_resume(Offset(oldest), found).map(|()| fold.version().0)
+    };
+    let at = checkpoint.version.0;
+    assert_eq!(choose(0, None).ok(), Some(0));
+    assert_eq!(choose(at, Some(&checkpoint)).ok(), Some(at));
+    assert!(matches!(choose(1, None), Err(start::Error::Trimmed { .. })));
+    assert!(matches!(choose(at + 1, Some(&checkpoint)), Err(start::Error::Trimmed { .. })));
+    let later = log.append(id(2, 1), &put(Kind::Service, "t", None, service(1)));
+    log.trim(later);
+    let mut restored = restore(&checkpoint).expect("restores");
+    log.read_into(&mut restored);
+    assert!(restored.snapshot().services.contains_key("t"));
+}
+
+#[test]
+fn a_checkpoint_moves_nothing_backwards() {
+    let (mut log, mut fold) = filled(3);
+    let old = fold.checkpoint();
+    log.append(id(2, 1), &put(Kind::Service, "t", None, service(1)));
+    log.read_into(&mut fold);
+    let digest = fold.digest();
+    assert!(!fold.try_advance(&old).expect("is ignored"));
+    assert_eq!((fold.digest(), fold.alarms().any()), (digest, false));
+    let forged = Checkpoint { digest: Digest::of(b"other"), ..fold.checkpoint() };
+    assert!(!fold.try_advance(&forged).expect("is ignored"));
+    assert_eq!((fold.digest(), fold.alarms().divergences), (digest, 1));
+    // A complete checkpoint is weighed like a peer's offer.
+    let mut node = Node::new(fold);
+    let offer = goldcrestvale_config::sync::Offer { version: old.version, digest: forged.digest };
+    assert_eq!(node.sync.weigh(&mut node.fold, &offer), Weighed::Diverged);
+    assert_eq!(node.fold.alarms().divergences, 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 40,
+        rng_seed: RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn chunks_in_any_order_repeated_and_mixed(
+        order in Just((0..64_usize).collect::<Vec<_>>()).prop_shuffle(),
+        repeats in prop::collection::vec(0..64_usize, 0..20),
+    ) {
+        let (mut log, mut fold) = filled(500);
+        let first = fold.checkpoint();
+        log.append(id(2, 1), &put(Kind::Service, "t", None, service(1)));
+        log.read_into(&mut fold);
+        let second = fold.checkpoint();
+        let chunks: Vec<Chunk> = first.chunks().into_iter().chain(second.chunks()).collect();
+        let mut gather = Gather::default();
+        let picked = repeats.iter().chain(&order).filter_map(|index| chunks.get(*index));
+        let found: Vec<_> = picked.filter_map(|chunk| gather.add(chunk.clone())).collect();
+        prop_assert!(found.windows(2).all(|two| two[0].version <= two[1].version));
+        prop_assert_eq!(found.last(), Some(&second));
+        prop_assert!(found.iter().all(|one| *one == first || *one == second));
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/tests/domain_cut.rs
@@ -0,0 +1,259 @@
+//! Failure domains cut off from each other and from the platform, healed in any order.
+
+mod support;
+
+use goldcrestvale_base::id::{Digest, Offset};
+use goldcrestvale_config::{
+    fold::Fold,
+    prelude::*,
+    sync::{Answer, Offer, Weighed},
+};
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use support::*;
+
+const DOMAINS: usize = 3;
+const NODES: usize = 6;
+
+/// Which domains reach the platform, and which reach each other.
+struct Links {
+    platform: [bool; DOMAINS],
+    between: [[bool; DOMAINS]; DOMAINS],
+}
+
+impl Links {
+    fn whole() -> Self {
+        Self { platform: [true; DOMAINS], between: [[true; DOMAINS]; DOMAINS] }
+    }
+
+    fn joined(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (a % DOMAINS, b % DOMAINS);
+        a == b || (self.between[a][b] && self.between[b][a])
+    }
+}
+
+/// One round: whoever reaches the log reads it, and every joined pair exchanges offers.
+fn round(log: &Log, nodes: &mut [Node], links: &Links, rng: &mut ChaCha8Rng) {
+    for (index, node) in nodes.iter_mut().enumerate() {
+        if links.platform[index % DOMAINS] {
+            log.read_into(&mut node.fold);
+        }
+    }
+    let mut pairs: Vec<_> = (0..NODES).flat_map(|a| (0..NODES).map(move |b| (a, b))).collect();
+    pairs.shuffle(rng);
+    for (a, b) in pairs {
+        if a != b && links.joined(a, b) {
+            let (a, b) = pair(nodes, a, b);
+            gossip(a, b);
+        }
+    }
+    nodes.iter_mut().for_each(Node::check_upwards);
+}
+
+fn write(log: &mut Log, reference: &mut Fold, rng: &mut ChaCha8Rng, sequence: &mut u64) {
+    for _ in 0..rng.random_range(0..8) {
+        let kind = Kind::KNOWN[rng.random_range(0..7)].clone();
+        let name = ["a", "m", "s", "z"][rng.random_range(0..4)];
+        let base = reference.head(&kind, name).map(|version| version.0);
+        let body = match rng.random_bool(0.2) {
+            true => serde_json::Value::Null,
+            false => valid(&kind, rng.random_range(0..5)),
+        };
+        *sequence += 1;
+        log.append(id(1, *sequence), &put(kind, name, base, body));
+        log.read_into(reference);
+    }
+}
+
+#[test]
+fn cuts_heal_in_any_order_and_nothing_reverts() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut log = Log::default();
+        let mut reference = seeded(&mut log);
+        let mut nodes: Vec<_> = (0..NODES).map(|_| Node::new(Fold::new())).collect();
+        let mut sequence = 0;
+        for _ in 0..12 {
+            let links = Links {
+                platform: std::array::from_fn(|_| rng.random_bool(0.4)),
+                between: std::array::from_fn(|_| std::array::from_fn(|_| rng.random_bool(0.6))),
+            };
+            write(&mut log, &mut reference, &mut rng, &mut sequence);
+            round(&log, &mut nodes, &links, &mut rng);
+            // Every node has the newest state that any node reachable from it has.
+            round(&log, &mut nodes, &links, &mut rng);
+            round(&log, &mut nodes, &links, &mut rng);
+            for a in 0..NODES {
+                for b in 0..NODES {
+                    if links.joined(a, b) {
+                        assert_eq!(nodes[a].fold.digest(), nodes[b].fold.digest(), "seed {seed}");
+                    }
+                }
+            }
+        }
+        round(&log, &mut nodes, &Links::whole(), &mut rng);
+        for node in &nodes {
+            assert_same(&node.fold, &reference, &format!("seed {seed}"));
+            assert!(!node.fold.alarms().any(), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_domain_without_the_platform_follows_another_within_one_exchange() {
+    for lag in [1, 200, 900, 1_500] {
+        let mut log = Log::default();
+        let fold = seeded(&mut log);
+        let mut behind = Node::new(fold.clone());
+        let mut ahead = Node::new(fold);
+        for sequence in 0..lag {
+            let base = ahead.fold.head(&Kind::Service, "s").map(|version| version.0);
+            let data = put(Kind::Service, "s", base, service(sequence + 1));
+            log.append(id(1, sequence), &data);
+            log.read_into(&mut ahead.fold);
+        }
+        let answers = gossip(&mut ahead, &mut behind);
+        assert!(answers > 0);
+        assert_same(&behind.fold, &ahead.fold, &format!("lag {lag}"));
+    }
+}
+
+#[test]
+fn a_large_state_comes_in_chunks_while_it_changes() {
+    let (mut log, mut ahead) = large();
+    let mut behind = Node::new(Fold::new());
+    let Weighed::Ask(mut ask) = behind.sync.weigh(&mut behind.fold, &ahead.fold.offer()) else {
+        panic!("the state is newer");
+    };
+    let chunks = ahead.fold.checkpoint().chunks().len() as u64;
+    assert!(chunks > 2);
+    // A change between any two chunks does not start the transfer again.
+    for sequence in 10_000..10_000 + chunks {
+        assert_eq!(behind.fold.version(), Offset(0));
+        let answer = ahead.sync.answer(&ahead.fold, &ask);
+        let Answer::Chunk(chunk) = &answer else { panic!("{answer:?}") };
+        assert!(chunk.text.len() <= goldcrestvale_config::chunk::CHUNK_BYTES);
+        let base = ahead.fold.head(&Kind::Service, "s").map(|version| version.0);
+        log.append(id(1, sequence), &put(Kind::Service, "s", base, service(sequence)));
+        log.read_into(&mut ahead.fold);
+        ask = behind.sync.take(&mut behind.fold, answer).expect("more to ask for");
+    }
+    assert!(behind.fold.version() > Offset(0), "the last chunk gives the state");
+    assert_eq!(ask.chunk, None);
+    gossip(&mut ahead, &mut behind);
+    assert_same(&behind.fold, &ahead.fold, "the two nodes");
+}
+
+#[test]
+fn older_late_and_diverged_answers_change_nothing() {
+    let mut log = Log::default();
+    let mut early = Node::new(seeded(&mut log));
+    let mut node = Node::new(early.fold.clone());
+    log.append(id(1, 1), &put(Kind::Service, "s", Some(2), service(50)));
+    log.read_into(&mut node.fold);
+    let digest = node.fold.digest();
+    let offers = [
+        ("older", early.fold.offer(), Weighed::Older, 0),
+        ("same", node.fold.offer(), Weighed::Same, 0),
+        ("older, other digest", Offer { version: Offset(3), digest }, Weighed::Diverged, 1),
+        (
+            "same, other digest",
+            Offer { version: Offset(4), digest: Digest::of(b"") },
+            Weighed::Diverged,
+            2,
+        ),
+    ];
+    for (name, offer, weighed, divergences) in offers {
+        assert_eq!(node.sync.weigh(&mut node.fold, &offer), weighed, "{name}");
+        assert_eq!(node.fold.alarms().divergences, divergences, "{name}");
+        assert_eq!(node.fold.digest(), digest, "{name}");
+    }
+    // An answer that was asked for before the state moved on.
+    let Weighed::Ask(ask) = early.sync.weigh(&mut early.fold, &node.fold.offer()) else {
+        panic!("the state is newer");
+    };
+    let answer = node.sync.answer(&node.fold, &ask);
+    log.read_into(&mut early.fold);
+    assert_eq!(early.sync.take(&mut early.fold, answer), None);
+    assert_eq!(early.fold.checkpoint(), node.fold.checkpoint());
+    assert!(!early.fold.alarms().any());
+    // Records on top of a state that this instance never had.
+    let mut other = Node::new(Fold::new());
+    other.fold.apply(Offset(0), id(5, 5), "{}");
+    let answer = Answer::Records { base: Digest::of(b"other"), records: Vec::new() };
+    assert_eq!(other.sync.take(&mut other.fold, answer), None);
+    let ask = goldcrestvale_config::sync::Ask { version: Offset(1), chunk: None };
+    let answer = node.sync.answer(&node.fold, &ask);
+    let before = other.fold.digest();
+    assert_eq!(other.sync.take(&mut other.fold, answer), None);
+    assert_eq!((other.fold.digest(), other.fold.alarms().divergences), (before, 1));
+}
+
+/// A log that holds many customers, and a node that has read it.
+fn large() -> (Log, Node) {
+    let mut log = Log::default();
+    let mut ahead = Node::new(seeded(&mut log));
+    for n in 0..1_500 {
+        log.append(id(1, n), &put(Kind::Customer, &format!("c{n}"), None, customer(n)));
+    }
+    log.read_into(&mut ahead.fold);
+    (log, ahead)
+}
+
+#[test]
+fn a_transfer_goes_on_from_an_older_peer() {
+    let (mut log, mut older) = large();
+    let mut newer = Node::new(older.fold.clone());
+    log.append(id(2, 1), &put(Kind::Service, "t", None, service(1)));
+    log.read_into(&mut newer.fold);
+    let mut behind = Node::new(Fold::new());
+    let Weighed::Ask(ask) = behind.sync.weigh(&mut behind.fold, &newer.fold.offer()) else {
+        panic!("the state is newer");
+    };
+    let answer = newer.sync.answer(&newer.fold, &ask);
+    assert!(behind.sync.take(&mut behind.fold, answer).is_some());
+    drop(newer);
+    let chunks = older.fold.checkpoint().chunks().len();
+    let Weighed::Ask(mut ask) = behind.sync.weigh(&mut behind.fold, &older.fold.offer()) else {
+        panic!("the state is newer");
+    };
+    for _ in 0..=chunks {
+        let answer = older.sync.answer(&older.fold, &ask);
+        match behind.sync.take(&mut behind.fold, answer) {
+            Some(next) => ask = next,
+            None => break,
+        }
+    }
+    assert_same(&behind.fold, &older.fold, "the two nodes");
+}
+
+#[test]
+fn several_instances_ask_one_peer_at_once() {
+    let (mut log, mut ahead) = large();
+    let chunks = ahead.fold.checkpoint().chunks().len();
+    let mut behind: Vec<_> = (0..4).map(|_| Node::new(Fold::new())).collect();
+    let mut asks: Vec<_> = vec![None; 4];
+    for turn in 0..8 * chunks {
+        let node = &mut behind[turn % 4];
+        if turn % 4 <= turn / 4 && node.fold.version() == Offset(0) {
+            let ask = match asks[turn % 4].take() {
+                Some(ask) => ask,
+                None => match node.sync.weigh(&mut node.fold, &ahead.fold.offer()) {
+                    Weighed::Ask(ask) => ask,
+                    other => panic!("{other:?}"),
+                },
+            };
+            let answer = ahead.sync.answer(&ahead.fold, &ask);
+            asks[turn % 4] = node.sync.take(&mut node.fold, answer);
+        }
+        let base = ahead.fold.head(&Kind::Service, "s").map(|version| version.0);
+        let sequence = turn as u64;
+        log.append(id(3, sequence), &put(Kind::Service, "s", base, service(sequence + 1)));
+        log.read_into(&mut ahead.fold);
+    }
+    for node in &mut behind {
+        assert!(node.fold.version() > Offset(0), "a transfer did not end");
+        gossip(&mut ahead, node);
+        assert_same(&node.fold, &ahead.fold, "the two nodes");
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/tests/operator_race.rs
@@ -0,0 +1,164 @@
+//! Operators that change the same and related records through different instances.
+
+mod support;
+
+use std::time::Duration;
+
+use goldcrestvale_base::{id::Offset, time::Instant};
+use goldcrestvale_config::{
+    desk::{Action, Answer, Append, Desk, MAX_PATIENCE, MAX_WAITING, Origin},
+    prelude::*,
+};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use support::{
+    office::{Fault, Office},
+    *,
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn faulty(rng: &mut ChaCha8Rng) -> Fault {
+    let late = Fault::Late(Duration::from_millis(rng.random_range(0..9_000)));
+    *[Fault::None, Fault::LostAfter, Fault::LostBefore, late].choose(rng).expect("four faults")
+}
+
+#[test]
+fn one_of_two_wins_whatever_answers_are_lost() {
+    let pairs: [(&str, [Change; 2]); 4] = [
+        ("create twice", [1, 2].map(|t| change(Kind::Service, "t", None, service(t)))),
+        ("update twice", [1, 2].map(|t| change(Kind::Service, "s", Some(2), service(t)))),
+        (
+            "delete and update",
+            [Value::Null, service(5)].map(|body| change(Kind::Service, "s", Some(2), body)),
+        ),
+        (
+            "delete and refer to",
+            [
+                change(Kind::Customer, "a", Some(0), Value::Null),
+                change(Kind::Binding, "x", None, binding("a", "s")),
+            ],
+        ),
+    ];
+    for (name, changes) in &pairs {
+        for seed in 0..60 {
+            let mut office = Office::new(2, seed);
+            seeded(&mut office.log);
+            office.run(Duration::from_secs(1), &mut faulty);
+            let ids = [id(1, seed), id(2, seed)];
+            for (clerk, change) in changes.iter().enumerate() {
+                office.submit(clerk, ids[clerk], change, Origin::New, PATIENCE, &mut faulty);
+            }
+            office.run(PATIENCE + Duration::from_secs(10), &mut faulty);
+            office.check();
+            let answers = ids.map(|id| office.answer(&id).cloned());
+            let accepted =
+                |answer: &&Option<Answer>| matches!(answer, Some(Answer::Accepted { .. }));
+            assert_eq!(answers.iter().filter(accepted).count(), 1, "{name} {seed}: {answers:?}");
+        }
+    }
+}
+
+#[test]
+fn many_changes_with_faults_keep_every_answer_true() {
+    for seed in 0..20 {
+        let mut office = Office::new(4, seed);
+        seeded(&mut office.log);
+        office.run(Duration::from_secs(1), &mut faulty);
+        for sequence in 0..120 {
+            let clerk = office.rng.random_range(0..4);
+            let kind = Kind::KNOWN.choose(&mut office.rng).expect("kinds").clone();
+            let name = *["a", "m", "s", "z"].choose(&mut office.rng).expect("names");
+            let body = match office.rng.random_bool(0.3) {
+                true => Value::Null,
+                false => valid(&kind, office.rng.random_range(0..4)),
+            };
+            let base = office.clerks[clerk].fold.head(&kind, name).map(|version| version.0);
+            let change = change(kind, name, base, body);
+            let id = id(clerk as u128 + 1, sequence);
+            office.submit(clerk, id, &change, Origin::New, PATIENCE, &mut faulty);
+            // An operator whose answer is lost sends the change again, through another instance.
+            let other = office.rng.random_range(0..4);
+            let origin = Origin::Repeat { age: Duration::ZERO };
+            office.submit(other, id, &change, origin, PATIENCE, &mut faulty);
+            office.run(Duration::from_millis(200), &mut faulty);
+        }
+        office.run(PATIENCE + Duration::from_secs(10), &mut faulty);
+        office.check();
+        let answered: usize = office.clerks.iter().map(|clerk| clerk.answers.len()).sum();
+        assert!(answered >= 120, "every change is answered: {answered}");
+    }
+}
+
+#[test]
+fn an_unknown_change_is_found_or_repeated_by_its_id() {
+    for (fault, stands) in [(Fault::LostBefore, false), (Fault::LostAfter, true)] {
+        let mut office = Office::new(2, 3);
+        let id = id(1, 1);
+        let change = change(Kind::Service, "s", None, service(9));
+        office.readable = false;
+        let mut always = |_: &mut ChaCha8Rng| fault;
+        office.submit(0, id, &change, Origin::New, PATIENCE, &mut always);
+        office.run(PATIENCE, &mut always);
+        assert_eq!(office.answer(&id), Some(&Answer::Unknown { id }));
+        assert_eq!(office::end(&office.log) > 0, stands);
+        office.readable = true;
+        let mut none = |_: &mut ChaCha8Rng| Fault::None;
+        let origin = Origin::Repeat { age: PATIENCE };
+        office.submit(1, id, &change, origin, PATIENCE, &mut none);
+        office.run(Duration::from_secs(1), &mut none);
+        assert_eq!(office.answer(&id), Some(&Answer::Accepted { version: Offset(0) }));
+        office.check();
+    }
+}
+
+#[test]
+fn what_may_stand_is_never_called_rejected() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let fold = Fold::new();
+    let good = change(Kind::Service, "s", None, service(1));
+    let bad = change(Kind::Service, "s", None, json!({}));
+    let refused = Append::Refused("too large".to_owned());
+    let young = Origin::Repeat { age: Duration::ZERO };
+    let old = Origin::Repeat { age: MAX_PATIENCE + Duration::from_secs(1) };
+    // Origin, change, results of the appends in turn, whether the last answer is a rejection.
+    type Row<'a> = (&'a str, Origin, &'a Change, &'a [Append], Option<bool>);
+    let table: [Row; 7] = [
+        ("new, unreadable", Origin::New, &bad, &[], Some(true)),
+        ("repeat, unreadable", young.clone(), &bad, &[], Some(false)),
+        ("repeat, old", old, &good, &[], Some(false)),
+        ("new, refused", Origin::New, &good, std::slice::from_ref(&refused), Some(true)),
+        ("repeat, refused", young, &good, std::slice::from_ref(&refused), Some(false)),
+        ("lost, then refused", Origin::New, &good, &[Append::Lost, refused.clone()], Some(false)),
+        ("stored, not read", Origin::New, &good, &[Append::Stored], Some(false)),
+    ];
+    for (name, origin, change, appends, rejected) in table {
+        let (id, mut desk) = (id(1, 1), Desk::default());
+        let deadline = Instant(0) + PATIENCE;
+        let mut actions = desk.submit(Instant(0), id, change, origin, deadline, &fold);
+        for append in appends {
+            actions.extend(desk.appended(Instant(0), &id, append, &mut rng));
+        }
+        actions.extend(desk.tick(deadline));
+        let answer = actions.into_iter().find_map(|action| match action {
+            Action::Answer { answer, .. } => Some(answer),
+            Action::Append { .. } => None,
+        });
+        let got = answer.as_ref().map(|answer| matches!(answer, Answer::Rejected { .. }));
+        assert_eq!(got, rejected, "{name}: {answer:?}");
+    }
+}
+
+#[test]
+fn a_full_desk_says_busy() {
+    let (mut desk, fold) = (Desk::default(), Fold::new());
+    let change = change(Kind::Service, "s", None, service(1));
+    for sequence in 0..=MAX_WAITING as u64 {
+        let deadline = Instant(0) + PATIENCE;
+        let actions =
+            desk.submit(Instant(0), id(1, sequence), &change, Origin::New, deadline, &fold);
+        let busy = Action::Answer { id: id(1, sequence), answer: Answer::Busy };
+        assert_eq!(actions.contains(&busy), sequence == MAX_WAITING as u64);
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/tests/schema_rollout.rs
@@ -0,0 +1,213 @@
+//! Old and new schema versions side by side, while software is rolled out and back.
+
+mod support;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use goldcrestvale_base::id::Offset;
+use goldcrestvale_config::{
+    fold::{Fold, Outcome, Stop},
+    prelude::*,
+    raise,
+    schema::{Result as Converted, Table},
+};
+use serde_json::{Map, Value, json};
+use support::*;
+
+/// Major version 2 of services gives the timeout in seconds.
+fn seconds(mut body: Map<String, Value>) -> Converted<Map<String, Value>> {
+    let seconds = body.remove("timeout_s").and_then(|seconds| seconds.as_u64());
+    let seconds = seconds.ok_or("timeout_s is missing")?;
+    body.insert("timeout_ms".to_owned(), json!(seconds * 1_000));
+    Ok(body)
+}
+
+fn newer() -> Table {
+    Table::default().with(Kind::Service, 2, seconds)
+}
+
+fn second(name: &str, base: Option<u64>, body: Value) -> String {
+    text(&Change { schema: V2, ..change(Kind::Service, name, base, body) })
+}
+
+fn folds() -> [Fold; 2] {
+    [Fold::new(), Fold::with_table(newer())]
+}
+
+fn timeout(fold: &Fold, name: &str) -> Option<u64> {
+    fold.snapshot().services.get(name).map(|service| service.body.timeout_ms)
+}
+
+/// Folds one record everywhere and checks that all agree.
+fn apply(folds: &mut [Fold], id_sequence: u64, data: &str) -> Option<Outcome> {
+    let offset = folds[0].version();
+    let outcomes: Vec<_> =
+        folds.iter_mut().map(|fold| fold.apply(offset, id(1, id_sequence), data)).collect();
+    for (fold, outcome) in folds.iter().zip(&outcomes) {
+        assert_eq!(outcome, &outcomes[0], "the same outcome everywhere");
+        assert_eq!(fold.checkpoint(), folds[0].checkpoint(), "the same state everywhere");
+    }
+    outcomes.into_iter().next().flatten()
+}
+
+fn is_accepted(outcome: &Option<Outcome>) -> bool {
+    matches!(outcome, Some(Outcome::Accepted { .. }))
+}
+
+#[test]
+fn every_kind_and_schema_version() {
+    let later = Schema { major: 1, minor: 7 };
+    let none = Schema { major: 0, minor: 1 };
+    // Schema version, whether it is accepted, in force at once, preserved with unknown fields.
+    let versions = [(V1, true, true), (later, true, true), (V2, true, false), (none, false, false)];
+    let other = Kind::Other("quota".into());
+    for kind in Kind::KNOWN.into_iter().chain([other]) {
+        for (schema, accepted, in_force) in versions {
+            let mut log = Log::default();
+            let mut fold = seeded(&mut log);
+            let mut body = valid(&kind, 3);
+            body["later"] = json!({"kept": [1, 2]});
+            let change = Change { schema, ..change(kind.clone(), "n", None, body) };
+            let outcome = fold.apply(Offset(3), id(1, 1), &text(&change));
+            assert_eq!(is_accepted(&outcome), accepted, "{kind} {schema:?}: {outcome:?}");
+            let known = !matches!(kind, Kind::Other(_));
+            let text = fold.text(&kind, "n");
+            assert_eq!(text.is_some(), in_force && known, "{kind} {schema:?}");
+            assert!(text.is_none_or(|text| text.contains(r#""later":{"kept":[1,2]}"#)));
+            assert_eq!(fold.held().count() == 1, accepted && !(in_force && known));
+        }
+    }
+}
+
+#[test]
+fn unknown_fields_survive_a_rewrite_by_older_software() {
+    let mut body = customer(4);
+    body["billing"] = json!("monthly");
+    let mut fold = Fold::new();
+    fold.apply(Offset(0), id(1, 1), &put(Kind::Customer, "a", None, body));
+    let mut read = fold.snapshot().customers["a"].body.clone();
+    read.weight = 9;
+    let rewritten = serde_json::to_value(&read).expect("JSON");
+    fold.apply(Offset(1), id(1, 2), &put(Kind::Customer, "a", Some(0), rewritten));
+    let snapshot = fold.snapshot();
+    assert_eq!(snapshot.customers["a"].body.weight, 9);
+    assert_eq!(snapshot.customers["a"].body.rest["billing"], "monthly");
+}
+
+#[test]
+fn a_new_major_waits_for_the_raise_and_holds_at_once_after() {
+    let mut folds = folds();
+    assert!(is_accepted(&apply(&mut folds, 0, &put(Kind::Service, "s", None, service(700)))));
+    let body = json!({"pool": "desk", "timeout_s": 3});
+    assert!(is_accepted(&apply(&mut folds, 1, &second("s", Some(0), body.clone()))));
+    let conflict = apply(&mut folds, 2, &put(Kind::Service, "s", Some(0), service(5)));
+    assert_eq!(conflict, Some(Outcome::Conflict { now: Some(Offset(1)) }));
+    // A change in the old version that is based on a waiting one waits behind it.
+    assert!(is_accepted(&apply(&mut folds, 3, &put(Kind::Service, "s", Some(1), service(40)))));
+    assert!(is_accepted(&apply(&mut folds, 4, &second("t", None, body.clone()))));
+    // Nothing may refer to what is not in force, and what a waiting change refers to stays.
+    assert!(is_accepted(&apply(&mut folds, 5, &put(Kind::Customer, "a", None, customer(1)))));
+    let refused = apply(&mut folds, 6, &put(Kind::Binding, "x", None, binding("a", "t")));
+    assert!(matches!(refused, Some(Outcome::Rejected { .. })), "{refused:?}");
+    assert!(folds.iter().all(|fold| timeout(fold, "s") == Some(700)));
+    assert!(folds.iter().all(|fold| timeout(fold, "t").is_none()));
+    let before = folds[0].checkpoint();
+
+    // Not all read it: nobody raises. All read it: the same raise everywhere, once.
+    let mixed = raise::common([Table::default().majors(), newer().majors()]);
+    let all = raise::common([newer().majors(), newer().majors()]);
+    for fold in &folds {
+        assert_eq!(fold.raises(&mixed), []);
+        let raises = fold.raises(&all);
+        assert_eq!(raises.iter().map(|raise| raise.major).collect::<Vec<_>>(), [2]);
+    }
+    let [mut old, mut new] = folds;
+    new.apply(Offset(7), id(1, 7), &raise(Kind::Service, 2));
+    assert_eq!((timeout(&new, "s"), timeout(&new, "t")), (Some(40), Some(3_000)));
+    assert_eq!(new.raises(&all), []);
+    assert_eq!(new.outcome(&id(1, 1)), Some(&Outcome::Accepted { version: Offset(1) }));
+
+    // Old software that meets the raise says so, and keeps the whole state before it.
+    old.apply(Offset(7), id(1, 7), &raise(Kind::Service, 2));
+    old.apply(Offset(8), id(1, 8), &put(Kind::Service, "u", None, service(1)));
+    assert_eq!(old.stop(), Some(&Stop::Unread { kind: Kind::Service, major: 2 }));
+    assert_eq!(old.checkpoint(), before);
+
+    // Replaced by new software, it goes on from its own checkpoint.
+    let mut replaced = before.try_restore(Arc::new(newer())).expect("restores");
+    replaced.apply(Offset(7), id(1, 7), &raise(Kind::Service, 2));
+    assert_eq!(replaced.checkpoint(), new.checkpoint());
+    assert_eq!(replaced.snapshot(), new.snapshot());
+    // Replaced by old software again, it refuses the state.
+    assert!(new.checkpoint().try_restore(Arc::new(Table::default())).is_err());
+}
+
+#[test]
+fn records_of_the_old_major_hold_after_the_raise() {
+    let mut new = [Fold::with_table(newer()), Fold::with_table(newer())];
+    apply(&mut new, 0, &raise(Kind::Service, 2));
+    assert!(is_accepted(&apply(&mut new, 1, &put(Kind::Service, "s", None, service(5)))));
+    let body = json!({"pool": "desk", "timeout_s": 2});
+    assert!(is_accepted(&apply(&mut new, 2, &second("s", Some(1), body))));
+    assert_eq!(timeout(&new[0], "s"), Some(2_000));
+    assert!(is_accepted(&apply(&mut new, 3, &put(Kind::Service, "s", Some(2), service(6)))));
+    assert_eq!(timeout(&new[0], "s"), Some(6));
+    // A second or lower raise changes nothing.
+    let before = new[0].digest_at(new[0].version());
+    apply(&mut new, 4, &raise(Kind::Service, 2));
+    apply(&mut new, 5, &raise(Kind::Service, 1));
+    assert_eq!(timeout(&new[0], "s"), Some(6));
+    assert!(before.is_some() && new[0].stop().is_none());
+}
+
+#[test]
+fn a_waiting_body_that_nobody_can_read_is_refused_as_a_whole() {
+    let mut new = [Fold::with_table(newer()), Fold::with_table(newer())];
+    apply(&mut new, 0, &put(Kind::Service, "s", None, service(5)));
+    assert!(is_accepted(&apply(&mut new, 1, &second("s", Some(0), json!({"pool": "p"})))));
+    apply(&mut new, 2, &raise(Kind::Service, 2));
+    assert!(matches!(new[0].outcome(&id(1, 1)), Some(Outcome::Rejected { .. })));
+    assert_eq!(timeout(&new[0], "s"), Some(5));
+    assert_eq!(new[0].head(&Kind::Service, "s"), Some(Offset(0)));
+}
+
+#[test]
+fn waiting_deletions_and_creations_take_effect_in_order() {
+    let mut folds = folds();
+    let body = json!({"pool": "desk", "timeout_s": 3});
+    apply(&mut folds, 0, &put(Kind::Service, "s", None, service(5)));
+    assert!(is_accepted(&apply(&mut folds, 1, &second("s", Some(0), body.clone()))));
+    assert!(is_accepted(&apply(&mut folds, 2, &put(Kind::Service, "s", Some(1), Value::Null))));
+    apply(&mut folds, 3, &put(Kind::Customer, "a", None, customer(1)));
+    let refused = apply(&mut folds, 4, &put(Kind::Binding, "x", None, binding("a", "s")));
+    assert!(matches!(refused, Some(Outcome::Rejected { .. })), "a deletion waits: {refused:?}");
+    assert!(is_accepted(&apply(&mut folds, 5, &second("s", None, body))));
+    let [_, mut new] = folds;
+    new.apply(Offset(6), id(1, 6), &raise(Kind::Service, 2));
+    assert_eq!(timeout(&new, "s"), Some(3_000));
+    assert_eq!(new.head(&Kind::Service, "s"), Some(Offset(5)));
+    assert_eq!(new.held().count(), 0);
+}
+
+#[test]
+fn waiting_changes_are_bounded() {
+    let mut fold = Fold::new();
+    let mut refused = 0;
+    for offset in 0..goldcrestvale_config::evaluate::MAX_HELD as u64 + 5 {
+        let base = fold.head(&Kind::Service, "s").map(|version| version.0);
+        let outcome = fold.apply(Offset(offset), id(1, offset), &second("s", base, json!({})));
+        refused += u64::from(!is_accepted(&outcome));
+    }
+    assert_eq!(refused, 5);
+}
+
+#[test]
+fn majors_without_a_gap_count() {
+    let gap = Table::default().with(Kind::Service, 3, Ok).majors();
+    assert_eq!(gap[&Kind::Service], 1);
+    let quota = Kind::Other("quota".into());
+    let with = Table::default().with(quota.clone(), 1, Ok).majors();
+    assert_eq!(raise::common([with.clone(), with.clone()])[&quota], 1);
+    assert!(!raise::common([with, Table::default().majors()]).contains_key(&quota));
+    assert_eq!(raise::common([]), BTreeMap::new());
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/tests/support/mod.rs
@@ -0,0 +1,181 @@
+//! A log in memory and instances that share it, for tests of failures.
+#![allow(dead_code, unreachable_pub, reason = "each test uses its part")]
+
+pub mod office;
+pub mod scribes;
+
+use goldcrestvale_base::id::{Incarnation, Offset, RecordId};
+use goldcrestvale_config::{
+    change::{Change, Data, Raise, Schema},
+    fold::Fold,
+    record::Kind,
+    start,
+    sync::{Sync, Weighed},
+    writer::Writer,
+};
+use serde_json::{Value, json};
+
+pub const V1: Schema = Schema { major: 1, minor: 0 };
+pub const V2: Schema = Schema { major: 2, minor: 0 };
+
+/// A stream in memory.
+#[derive(Default)]
+pub struct Log {
+    pub records: Vec<(RecordId, String)>,
+    pub oldest: usize,
+}
+
+impl Log {
+    pub fn append(&mut self, id: RecordId, data: &str) -> Offset {
+        self.records.push((id, data.to_owned()));
+        Offset(self.records.len() as u64 - 1)
+    }
+
+    pub fn end(&self) -> Offset {
+        Offset(self.records.len() as u64)
+    }
+
+    pub fn trim(&mut self, oldest: Offset) {
+        self.oldest = self.oldest.max(usize::try_from(oldest.0).expect("small"));
+    }
+
+    /// Hands every record from the fold's version on to the fold.
+    pub fn read_into(&self, fold: &mut Fold) {
+        let from = usize::try_from(fold.version().0).expect("small").max(self.oldest);
+        for (offset, (id, data)) in self.records.iter().enumerate().skip(from) {
+            fold.apply(Offset(offset as u64), *id, data);
+        }
+    }
+}
+
+/// One instance.
+pub struct Node {
+    pub fold: Fold,
+    pub sync: Sync,
+    pub highest: Offset,
+}
+
+impl Node {
+    pub fn new(fold: Fold) -> Self {
+        Self { highest: fold.version(), fold, sync: Sync::default() }
+    }
+
+    /// Reads a log from where it is, or from a checkpoint where the log is trimmed.
+    pub fn read(&mut self, log: &Log, writer: Option<&Writer>) -> start::Result<()> {
+        let checkpoint = writer.and_then(Writer::latest);
+        self.fold.try_resume(Offset(log.oldest as u64), checkpoint)?;
+        log.read_into(&mut self.fold);
+        Ok(())
+    }
+
+    /// Panics if the state went back to an older one.
+    pub fn check_upwards(&mut self) {
+        assert!(self.fold.version() >= self.highest, "the state reverts");
+        self.highest = self.fold.version();
+    }
+}
+
+/// Brings `to` up to the state of `from`, as two connected instances do, and returns the number
+/// of answers that it took.
+pub fn gossip(from: &mut Node, to: &mut Node) -> usize {
+    let offer = from.fold.offer();
+    let Weighed::Ask(mut ask) = to.sync.weigh(&mut to.fold, &offer) else { return 0 };
+    for answers in 1.. {
+        let answer = from.sync.answer(&from.fold, &ask);
+        match to.sync.take(&mut to.fold, answer) {
+            Some(next) => ask = next,
+            None => return answers,
+        }
+    }
+    0
+}
+
+/// Panics if two folds do not hold the same state, byte for byte.
+pub fn assert_same(left: &Fold, right: &Fold, what: &str) {
+    assert_eq!(left.offer(), right.offer(), "{what}");
+    assert!(left.checkpoint() == right.checkpoint(), "{what}: the texts differ");
+    assert!(left.snapshot() == right.snapshot(), "{what}: the snapshots differ");
+}
+
+/// Two elements of a slice.
+pub fn pair<T>(items: &mut [T], a: usize, b: usize) -> (&mut T, &mut T) {
+    let [a, b] = items.get_disjoint_mut([a, b]).expect("two elements");
+    (a, b)
+}
+
+pub fn id(incarnation: u128, sequence: u64) -> RecordId {
+    RecordId { incarnation: Incarnation(incarnation), sequence }
+}
+
+pub fn change(kind: Kind, name: &str, base: Option<u64>, body: Value) -> Change {
+    let body = match body {
+        Value::Object(body) => Some(body),
+        _ => None,
+    };
+    let base = base.map(Offset);
+    Change { schema: V1, kind, name: name.to_owned(), base, body, operator: "ana".to_owned() }
+}
+
+pub fn text(change: &Change) -> String {
+    serde_json::to_string(change).expect("JSON")
+}
+
+pub fn put(kind: Kind, name: &str, base: Option<u64>, body: Value) -> String {
+    text(&change(kind, name, base, body))
+}
+
+pub fn raise(kind: Kind, major: u16) -> String {
+    serde_json::to_string(&Data::Raise { raise: Raise { kind, major } }).expect("JSON")
+}
+
+pub fn service(timeout_ms: u64) -> Value {
+    json!({"pool": "desk", "timeout_ms": timeout_ms})
+}
+
+pub fn customer(credential: u64) -> Value {
+    json!({"credential": format!("{credential:064x}"), "weight": 1, "max_in_flight": 8})
+}
+
+pub fn model(layers: u32) -> Value {
+    json!({"layers": layers, "version": "1", "context_tokens": 4096, "activation_bytes": 8192})
+}
+
+pub fn placement(model: &str) -> Value {
+    json!({"model": model, "layers": {"from": 0, "to": 4}, "version": "1"})
+}
+
+pub fn binding(customer: &str, service: &str) -> Value {
+    json!({"customer": customer, "target": {"service": service}, "priority": 3})
+}
+
+pub fn limit(customer: &str, model: &str) -> Value {
+    json!({"customer": customer, "target": {"model": model}, "tokens_per_second": 10})
+}
+
+pub fn engine_trait(delay: u64) -> Value {
+    json!({"checks_sender": true, "honours_fencing": false, "order_delay_ms": delay})
+}
+
+/// A valid body of a kind, which refers to customer `a`, model `m` and service `s`.
+pub fn valid(kind: &Kind, variant: u64) -> Value {
+    match kind {
+        Kind::Customer => customer(variant),
+        Kind::Service => service(variant + 1),
+        Kind::Model => model(u32::try_from(variant).expect("small") + 1),
+        Kind::Placement => placement("m"),
+        Kind::Trait => engine_trait(variant),
+        Kind::Binding => binding("a", "s"),
+        Kind::Limit => limit("a", "m"),
+        Kind::Other(_) => json!({"variant": variant}),
+    }
+}
+
+/// A fold that holds customer `a`, model `m` and service `s`, in the first three records.
+pub fn seeded(log: &mut Log) -> Fold {
+    log.append(id(9, 1), &put(Kind::Customer, "a", None, customer(77)));
+    log.append(id(9, 2), &put(Kind::Model, "m", None, model(8)));
+    log.append(id(9, 3), &put(Kind::Service, "s", None, service(100)));
+    let mut fold = Fold::new();
+    log.read_into(&mut fold);
+    fold
+}
--- /dev/null
+++ b/crates/goldcrestvale_config/tests/support/scribes.rs
@@ -0,0 +1,98 @@
+//! Instances that write checkpoints to one stream, on virtual time.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{id::Incarnation, time::Instant};
+use goldcrestvale_config::{
+    chunk::Chunk,
+    fold::Fold,
+    writer::{Setting, Writer},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub const SETTING: Setting = Setting {
+    interval: Duration::from_secs(3_600),
+    spread: Duration::from_secs(600),
+    patience: Duration::from_secs(120),
+};
+
+/// Time from an append to the moment when the others have read it.
+pub const READ_DELAY: Duration = Duration::from_secs(1);
+
+pub struct Scribes {
+    pub now: Instant,
+    pub writers: Vec<Writer>,
+    pub alive: Vec<bool>,
+    /// The stream, with the writer of each chunk.
+    pub stream: Vec<(Incarnation, Chunk)>,
+    /// Whether the log takes and gives records.
+    pub up: bool,
+    /// Chunks that each writer may still append.
+    pub allowance: Vec<usize>,
+    read: usize,
+    rng: ChaCha8Rng,
+}
+
+impl Scribes {
+    pub fn new(count: u32, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let writer = |n: u32| Writer::new(own(n as usize), SETTING, Instant(0), count, &mut rng);
+        Self {
+            now: Instant(0),
+            writers: (0..count).map(writer).collect(),
+            alive: vec![true; count as usize],
+            stream: Vec::new(),
+            up: true,
+            allowance: vec![usize::MAX; count as usize],
+            read: 0,
+            rng,
+        }
+    }
+
+    /// Lets time pass; every writer has the state of `fold`.
+    pub fn run(&mut self, time: Duration, fold: &Fold) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + READ_DELAY;
+            if self.up {
+                self.read_all();
+                self.poll_all(fold);
+            }
+        }
+    }
+
+    /// Returns how many checkpoints were begun, and how many chunks stand for each set on average.
+    pub fn begun(&self) -> usize {
+        self.stream.iter().filter(|(_, chunk)| chunk.index == 0).count()
+    }
+
+    fn read_all(&mut self) {
+        let count = u32::try_from(self.writers.len()).expect("few");
+        for (writer, chunk) in &self.stream[self.read..] {
+            for reader in &mut self.writers {
+                reader.read(self.now, *writer, chunk.clone(), count, &mut self.rng);
+            }
+        }
+        self.read = self.stream.len();
+    }
+
+    fn poll_all(&mut self, fold: &Fold) {
+        let count = u32::try_from(self.writers.len()).expect("few");
+        for (index, writer) in self.writers.iter_mut().enumerate() {
+            if !self.alive[index] {
+                continue;
+            }
+            for chunk in writer.poll(self.now, fold, count, &mut self.rng) {
+                if self.allowance[index] > 0 {
+                    self.allowance[index] -= 1;
+                    self.stream.push((own(index), chunk));
+                }
+            }
+        }
+    }
+}
+
+pub fn own(index: usize) -> Incarnation {
+    Incarnation(index as u128 + 1)
+}
