Add the tasks that speak the inner protocol

Cause: the membership decides without a socket; something has to hold the connections. Change: listener, dialers, one task a connection with a bounded queue that drops the oldest gossip, asks with a timeout, configurations in parts, goodbye at shutdown, dump and counters. Ruled out: a channel a peer, which can only drop the newest message or block.

--- a/crates/goldcrestvale_member/src/limit.rs
+++ b/crates/goldcrestvale_member/src/limit.rs
@@ -70,6 +70,7 @@
     }
 
     /// The part of each limit that this instance may use now.
+    #[derive(Default)]
     pub struct Shares {
         /// Part of every customer that is not named.
         pub base: Parts,
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -95,6 +95,11 @@
         &self.view
     }
 
+    /// Returns the lowest schema version that this instance and its live peers read.
+    pub fn schema(&self) -> u32 {
+        self.view.schema(self.status.schema)
+    }
+
     /// Returns the upstreams that are leaving.
     pub fn leaving(&self) -> &leaving::Set {
         &self.leaving
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -102,6 +102,16 @@
         self.peers.get(instance)
     }
 
+    /// Returns whether an incarnation is known to have ended.
+    pub fn has_ended(&self, incarnation: Incarnation) -> bool {
+        self.ended.contains(&incarnation)
+    }
+
+    /// Returns whether a connection to an instance is wanted.
+    pub fn is_target(&self, instance: &Instance) -> bool {
+        self.targets.contains(instance)
+    }
+
     /// Returns the peers with a connection.
     pub fn linked(&self) -> impl Iterator<Item = &Peer> {
         self.peers().filter(|peer| peer.linked)
@@ -167,6 +177,10 @@
             && peer.incarnation == Some(incarnation)
         {
             peer.linked = false;
+            // Nobody here keeps a connection to it, so that only hearsay tells how it is.
+            if peer.seed.domain != self.own.domain && !self.targets.contains(instance) {
+                peer.direct = None;
+            }
         }
     }
 
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/connection.rs
@@ -0,0 +1,262 @@
+//! One connection: handshake, reading and writing.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures_util::{SinkExt, StreamExt};
+use goldcrestvale_member::{identity::Identity, message::Message};
+use goldcrestvale_wire::{
+    codec::{self, Opened, Opener, Sealer},
+    field,
+    frame::OVERHEAD_BYTES,
+    handshake::{self, Handshake, MAX_PREAMBLE_BYTES, NONCE_BYTES, Role},
+    message as wire,
+};
+use rand::{TryRngCore, rngs::OsRng};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    time::{error::Elapsed, timeout},
+};
+use tokio_util::{
+    codec::{FramedRead, FramedWrite},
+    sync::CancellationToken,
+    task::TaskTracker,
+};
+
+use crate::{
+    clock::Clock, convert, core::Input, count::Counts, link::Link, queue::Queue, settings::Settings,
+};
+
+/// Most messages of one write.
+const BATCH: usize = 64;
+
+/// Time for which a closing connection waits for the other side to read the rest.
+const LINGER: Duration = Duration::from_millis(500);
+
+type Result<T> = std::result::Result<T, Error>;
+type Reader = FramedRead<OwnedReadHalf, Opener>;
+type Writer = FramedWrite<OwnedWriteHalf, Sealer>;
+
+/// Why a connection was not taken up.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("the connection failed: {source}"), context(false))]
+    Io { source: std::io::Error },
+    #[snafu(display("the operating system gives no random bytes: {source}"), context(false))]
+    Random { source: rand::rand_core::OsError },
+    #[snafu(display("the handshake failed: {source}"), context(false))]
+    Handshake { source: handshake::Error },
+    #[snafu(display("the first message failed: {source}"), context(false))]
+    Codec { source: codec::Error },
+    #[snafu(display("the first message names no instance: {source}"))]
+    Hello { source: field::Error },
+    #[snafu(display("the first message is not the one expected"))]
+    Order,
+    #[snafu(display("the handshake took too long"), context(false))]
+    Slow { source: Elapsed },
+}
+
+/// What all connections share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) counts: Arc<Counts>,
+    pub(crate) inputs: mpsc::Sender<Input>,
+    pub(crate) tasks: TaskTracker,
+    /// Set when no connection is accepted any more.
+    pub(crate) closing: CancellationToken,
+    /// Set when every connection ends.
+    pub(crate) stop: CancellationToken,
+    pub(crate) clock: Clock,
+    pub(crate) next_id: AtomicU64,
+}
+
+impl Shared {
+    async fn tell(&self, input: Input) {
+        // The receiver is gone only once the tasks stop.
+        let _ = self.inputs.send(input).await;
+    }
+}
+
+/// Connects to a peer and serves the connection.
+pub(crate) async fn dial(shared: Arc<Shared>, address: SocketAddr) {
+    let connected = timeout(shared.settings.handshake_timeout, TcpStream::connect(address)).await;
+    let taken = match connected {
+        Ok(Ok(stream)) => serve(&shared, stream, Role::Dialer).await,
+        _ => false,
+    };
+    if !taken {
+        shared.counts.dial_failures.add();
+        shared.tell(Input::DialFailed(address)).await;
+    }
+}
+
+/// Serves an accepted connection.
+pub(crate) async fn accept(shared: Arc<Shared>, stream: TcpStream) {
+    serve(&shared, stream, Role::Listener).await;
+}
+
+/// Serves a connection to its end; returns whether it was taken up.
+async fn serve(shared: &Shared, stream: TcpStream, role: Role) -> bool {
+    let limit = shared.settings.handshake_timeout;
+    let opened = match timeout(limit, open(shared, stream, role)).await {
+        Ok(opened) => opened,
+        Err(elapsed) => Err(elapsed.into()),
+    };
+    let (who, reader, writer) = match opened {
+        Ok(opened) => opened,
+        Err(error) => {
+            shared.counts.refused.add();
+            log::debug!("a connection was refused: {error}");
+            return false;
+        }
+    };
+    shared.counts.connections.add();
+    let settings = &shared.settings;
+    let link = Link {
+        id: shared.next_id.fetch_add(1, Ordering::Relaxed),
+        who,
+        role,
+        queue: Arc::new(Queue::new(settings.queue_messages, settings.queue_bytes)),
+        cancel: shared.stop.child_token(),
+        used: shared.clock.now(),
+    };
+    shared.tell(Input::Up(link.clone())).await;
+    run(shared, &link, reader, writer).await;
+    shared.counts.disconnections.add();
+    shared.tell(Input::Down(link.id)).await;
+    true
+}
+
+async fn open(
+    shared: &Shared,
+    stream: TcpStream,
+    role: Role,
+) -> Result<(Identity, Reader, Writer)> {
+    let Settings { keys, max_frame_bytes, membership, .. } = &shared.settings;
+    stream.set_nodelay(true)?;
+    let (mut read, mut write) = stream.into_split();
+    let mut nonce = [0; NONCE_BYTES];
+    OsRng.try_fill_bytes(&mut nonce)?;
+    let handshake = Handshake::new(role, nonce, keys);
+    write.write_all(&handshake.preamble()).await?;
+    let length = usize::try_from(read.read_u32().await?).unwrap_or(usize::MAX);
+    if length > MAX_PREAMBLE_BYTES {
+        return Err(handshake::Error::Oversized { length }.into());
+    }
+    let mut preamble = vec![0; length];
+    read.read_exact(&mut preamble).await?;
+    let session = handshake.accept(&preamble, *max_frame_bytes)?;
+    let mut reader = FramedRead::new(read, session.opener);
+    let mut writer = FramedWrite::new(write, session.sealer);
+    writer.send(convert::put_identity(&membership.own).into()).await?;
+    match reader.next().await.transpose()? {
+        Some(Opened::Known(wire::Message::Hello(hello))) => {
+            Ok((convert::identity(&hello).context(HelloSnafu)?, reader, writer))
+        }
+        _ => OrderSnafu.fail(),
+    }
+}
+
+async fn run(shared: &Shared, link: &Link, mut reader: Reader, mut writer: Writer) {
+    let reading = read(shared, link, &mut reader);
+    tokio::pin!(reading);
+    let drained = tokio::select! {
+        () = &mut reading => false,
+        drained = write(shared, link, &mut writer) => drained,
+        () = link.cancel.cancelled() => false,
+    };
+    if drained {
+        // Closing with unread bytes would reset the connection and lose what was just sent.
+        let _ = writer.get_mut().shutdown().await;
+        let _ = timeout(LINGER, reading).await;
+    }
+    link.queue.close();
+}
+
+/// Writes what waits for the peer; returns whether the queue was closed and is empty.
+async fn write(shared: &Shared, link: &Link, writer: &mut Writer) -> bool {
+    while let Some(first) = link.queue.pop().await {
+        let batch = async {
+            feed(shared, writer, first).await?;
+            for _ in 1..BATCH {
+                let Some(next) = link.queue.try_pop() else { break };
+                feed(shared, writer, next).await?;
+            }
+            writer.flush().await
+        };
+        match timeout(shared.settings.write_timeout, batch).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                shared.counts.fault(&error);
+                return false;
+            }
+            Err(_) => {
+                shared.counts.slow.add();
+                return false;
+            }
+        }
+    }
+    true
+}
+
+async fn feed(shared: &Shared, writer: &mut Writer, message: wire::Message) -> codec::Result<()> {
+    if !writer.encoder().fits(&message) {
+        shared.counts.dropped.add();
+        return Ok(());
+    }
+    shared.counts.frames_out.add();
+    shared.counts.bytes_out.add_many(size(&message));
+    writer.feed(message).await
+}
+
+/// Reads until the connection ends or brings a frame that must not be accepted.
+async fn read(shared: &Shared, link: &Link, reader: &mut Reader) {
+    while let Some(opened) = reader.next().await {
+        let message = match opened {
+            Ok(Opened::Known(message)) => message,
+            Ok(Opened::Unknown { version, kind }) => {
+                shared.counts.unknown.add();
+                log::debug!("skipped a frame of version {version}, kind {kind}");
+                continue;
+            }
+            Err(error) => {
+                shared.counts.fault(&error);
+                log::warn!("closed the connection to {}: {error}", link.who.instance);
+                return;
+            }
+        };
+        shared.counts.frames_in.add();
+        shared.counts.bytes_in.add_many(size(&message));
+        let input = match convert::message(&message) {
+            Ok(Some(message)) => Input::Heard { link: link.id, message },
+            Ok(None) => Input::Other { link: link.id, message },
+            Err(error) => {
+                shared.counts.broken.add();
+                log::warn!("closed the connection to {}: {error}", link.who.instance);
+                return;
+            }
+        };
+        let ends = matches!(&input, Input::Heard { message: Message::Goodbye(_), .. });
+        shared.tell(input).await;
+        if ends {
+            return;
+        }
+    }
+}
+
+fn size(message: &wire::Message) -> u64 {
+    u64::try_from(OVERHEAD_BYTES + message.body_len()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/convert.rs
@@ -0,0 +1,172 @@
+//! Conversion between the membership's messages and the wire's.
+
+use goldcrestvale_base::{id::Offset, time::Wall};
+use goldcrestvale_member::{
+    identity::Identity,
+    leaving::{Mark, Source},
+    limit::{self, Parts},
+    message::{Config, Heartbeat, Known, Message, Status},
+    sends::{Short, Total, Totals},
+};
+use goldcrestvale_wire::{
+    field::{self, Result},
+    frame::VERSION,
+    message as wire,
+};
+
+/// Writes who an instance is.
+pub(crate) fn put_identity(who: &Identity) -> wire::Hello {
+    wire::Hello {
+        incarnation: field::put_incarnation(who.incarnation),
+        instance: who.instance.to_string(),
+        domain: who.domain.to_string(),
+        address: who.address.to_string(),
+        version: VERSION.into(),
+    }
+}
+
+/// Reads who an instance is.
+pub(crate) fn identity(hello: &wire::Hello) -> Result<Identity> {
+    Ok(Identity {
+        instance: field::text("instance", &hello.instance)?,
+        incarnation: field::incarnation(&hello.incarnation)?,
+        domain: field::text("domain", &hello.domain)?,
+        address: field::address(&hello.address)?,
+    })
+}
+
+/// Writes a message of the membership.
+pub(crate) fn put(message: &Message) -> wire::Message {
+    match message {
+        Message::Heartbeat(heartbeat) => put_heartbeat(heartbeat).into(),
+        Message::Goodbye(incarnation) => {
+            wire::Goodbye { incarnation: field::put_incarnation(*incarnation) }.into()
+        }
+        Message::Members(known) => {
+            wire::Members { known: known.iter().map(put_known).collect() }.into()
+        }
+        Message::Leaving(marks) => {
+            wire::Leaving { marks: marks.iter().map(put_mark).collect() }.into()
+        }
+        Message::Use(told) => put_use(told).into(),
+        Message::Sends(told) => put_sends(told).into(),
+    }
+}
+
+/// Reads a message of the membership; `None` for the other messages of the protocol.
+pub(crate) fn message(message: &wire::Message) -> Result<Option<Message>> {
+    Ok(Some(match message {
+        wire::Message::Heartbeat(told) => Message::Heartbeat(heartbeat(told)),
+        wire::Message::Goodbye(told) => Message::Goodbye(field::incarnation(&told.incarnation)?),
+        wire::Message::Members(told) => {
+            Message::Members(told.known.iter().map(known).collect::<Result<_>>()?)
+        }
+        wire::Message::Leaving(told) => {
+            Message::Leaving(told.marks.iter().map(mark).collect::<Result<_>>()?)
+        }
+        wire::Message::Use(told) => Message::Use(used(told)?),
+        wire::Message::Sends(told) => Message::Sends(sends(told)),
+        _ => return Ok(None),
+    }))
+}
+
+fn put_heartbeat(heartbeat: &Heartbeat) -> wire::Heartbeat {
+    let Status { config, draining, schema } = heartbeat.status;
+    wire::Heartbeat {
+        sequence: heartbeat.sequence,
+        config_version: config.map_or(0, |config| config.version.0.saturating_add(1)),
+        config_digest: config.map_or(0, |config| config.digest),
+        draining,
+        schema,
+    }
+}
+
+fn heartbeat(told: &wire::Heartbeat) -> Heartbeat {
+    let version = told.config_version.checked_sub(1).map(Offset);
+    let config = version.map(|version| Config { version, digest: told.config_digest });
+    let status = Status { config, draining: told.draining, schema: told.schema };
+    Heartbeat { sequence: told.sequence, status }
+}
+
+fn put_known(known: &Known) -> wire::Known {
+    wire::Known { who: Some(put_identity(&known.who)), age_ms: known.age_ms, gone: known.gone }
+}
+
+fn known(told: &wire::Known) -> Result<Known> {
+    let who = told.who.as_ref().ok_or(field::Error { field: "who" })?;
+    Ok(Known { who: identity(who)?, age_ms: told.age_ms, gone: told.gone })
+}
+
+fn put_mark(mark: &Mark) -> wire::Mark {
+    let source = match mark.source {
+        Source::List => wire::Source::List,
+        Source::Report => wire::Source::Report,
+        Source::Refusal => wire::Source::Refusal,
+        Source::Operator => wire::Source::Operator,
+    };
+    wire::Mark {
+        upstream: mark.upstream.to_string(),
+        incarnation: mark.incarnation.clone().unwrap_or_default(),
+        source: source.into(),
+        as_of_ms: mark.as_of.0,
+    }
+}
+
+fn mark(told: &wire::Mark) -> Result<Mark> {
+    let source = match told.source() {
+        wire::Source::List => Source::List,
+        wire::Source::Refusal => Source::Refusal,
+        wire::Source::Operator => Source::Operator,
+        wire::Source::Report | wire::Source::Other => Source::Report,
+    };
+    let incarnation = (!told.incarnation.is_empty()).then(|| told.incarnation.clone());
+    Ok(Mark {
+        upstream: field::text("upstream", &told.upstream)?,
+        incarnation,
+        source,
+        as_of: Wall(told.as_of_ms),
+    })
+}
+
+fn put_use(told: &limit::Use) -> wire::Use {
+    let customers = told.customers.iter().map(|used| wire::CustomerUse {
+        customer: used.customer.to_string(),
+        need: used.need.0,
+        lent: used.lent.0,
+    });
+    wire::Use {
+        sequence: told.sequence,
+        echo: told.echo,
+        hold_ms: told.hold_ms,
+        customers: customers.collect(),
+    }
+}
+
+fn used(told: &wire::Use) -> Result<limit::Use> {
+    let customers = told.customers.iter().map(|used| {
+        Ok(limit::CustomerUse {
+            customer: field::text("customer", &used.customer)?,
+            need: Parts(used.need),
+            lent: Parts(used.lent),
+        })
+    });
+    Ok(limit::Use {
+        sequence: told.sequence,
+        echo: told.echo,
+        hold_ms: told.hold_ms,
+        customers: customers.collect::<Result<_>>()?,
+    })
+}
+
+fn put_sends(told: &Totals) -> wire::Sends {
+    wire::Sends {
+        upstreams: told.totals.iter().map(|total| total.upstream.0).collect(),
+        totals: told.totals.iter().map(|total| total.units).collect(),
+    }
+}
+
+fn sends(told: &wire::Sends) -> Totals {
+    let pairs = told.upstreams.iter().zip(&told.totals);
+    let totals = pairs.map(|(&upstream, &units)| Total { upstream: Short(upstream), units });
+    Totals { totals: totals.collect() }
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -0,0 +1,408 @@
+//! The task that holds the membership and the connections.
+
+mod assembly;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use goldcrestvale_base::id::{Digest, Incarnation, Instance, Offset};
+use goldcrestvale_member::{
+    action::{Action, Notice},
+    event::Event,
+    member::{Actions, Member},
+    message::Message,
+};
+use goldcrestvale_wire::{field, handshake::Role, message as wire};
+use rand::{SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
+
+use self::assembly::Assembly;
+use crate::{
+    answer::{self, Asks, Question},
+    connection::{self, Shared},
+    convert,
+    dump::Dump,
+    events::{Ask, Configuration, Events, Reply},
+    link::{Link, Links, Taken},
+    queue::{Pushed, Queue},
+    snapshot::Snapshot,
+};
+
+/// Time without an ask after which a connection that was opened for one is closed.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Most bytes of one part of a configuration.
+const MAX_PART_BYTES: usize = 64 << 10;
+
+/// What reaches the task.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// A connection stands.
+    Up(Link),
+    /// A connection ended.
+    Down(u64),
+    /// An attempt to connect failed.
+    DialFailed(SocketAddr),
+    /// A message for the membership.
+    Heard { link: u64, message: Message },
+    /// Another message.
+    Other { link: u64, message: wire::Message },
+    /// A call of the daemon.
+    Command(Command),
+}
+
+/// A call of the daemon.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Event(Event),
+    Ask(Question),
+    OfferConfig { version: Offset, digest: Digest },
+    AskConfig { to: Instance, version: Offset },
+    SendConfig { to: Instance, configuration: Configuration },
+    Dump(oneshot::Sender<Dump>),
+    Stop(oneshot::Sender<()>),
+}
+
+/// The state of the task.
+pub(crate) struct Core<E> {
+    shared: Arc<Shared>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    events: E,
+    member: Member,
+    rng: StdRng,
+    links: Links,
+    asks: Asks,
+    assembly: Assembly,
+}
+
+impl<E: Events> Core<E> {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        events: E,
+        member: Member,
+    ) -> Self {
+        Self {
+            shared,
+            snapshot,
+            events,
+            member,
+            rng: StdRng::from_os_rng(),
+            links: Links::default(),
+            asks: Asks::default(),
+            assembly: Assembly::default(),
+        }
+    }
+
+    /// Runs until the daemon stops it.
+    pub(crate) async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        let mut ticks = tokio::time::interval(self.member.tick());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                input = inputs.recv() => match input {
+                    Some(Input::Command(Command::Stop(done))) => {
+                        self.stop();
+                        let _ = done.send(());
+                        return;
+                    }
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        self.step(Event::Tick);
+        let expired = self.asks.expire(now);
+        self.shared.counts.unanswered.add_many(expired as u64);
+        for link in self.links.iter() {
+            let unneeded = !self.member.view().is_target(&link.who.instance);
+            if unneeded && link.role == Role::Dialer && now.since(link.used) > IDLE {
+                link.queue.close();
+            }
+        }
+        self.publish();
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Up(link) => self.up(link),
+            Input::Down(id) => self.down(id),
+            Input::DialFailed(address) => self.step(Event::DialFailed(address)),
+            Input::Heard { link, message } => {
+                if let Some(from) = self.sender(link) {
+                    self.step(Event::Heard { from, message });
+                }
+            }
+            Input::Other { link, message } => self.other(link, message),
+            Input::Command(command) => self.command(command),
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Event(event) => self.step(event),
+            Command::Ask(question) => self.ask(question),
+            Command::OfferConfig { version, digest } => {
+                let digest = field::put_digest(digest);
+                for link in self.links.iter() {
+                    let offer = wire::ConfigOffer { version: version.0, digest: digest.clone() };
+                    self.push(&link.queue, offer.into());
+                }
+            }
+            Command::AskConfig { to, version } => {
+                self.send(&to, wire::ConfigAsk { version: version.0 }.into());
+            }
+            Command::SendConfig { to, configuration } => self.send_config(&to, &configuration),
+            Command::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
+            Command::Stop(_) => {}
+        }
+    }
+
+    fn up(&mut self, link: Link) {
+        let own = self.shared.settings.membership.own.instance.clone();
+        let who = link.who.clone();
+        if who.instance == own || self.member.view().has_ended(who.incarnation) {
+            link.cancel.cancel();
+            return;
+        }
+        let (id, cancel) = (link.id, link.cancel.clone());
+        match self.links.take(&own, link) {
+            Taken::Alone => {}
+            Taken::Refused => {
+                cancel.cancel();
+                return;
+            }
+            Taken::Replaced(old) => {
+                old.queue.close();
+                self.lose(old.id);
+                if old.who.incarnation != who.incarnation {
+                    let incarnation = old.who.incarnation;
+                    let instance = old.who.instance;
+                    self.step(Event::Disconnected { instance, incarnation });
+                }
+            }
+        }
+        let incarnation = who.incarnation;
+        self.step(Event::Connected(who));
+        for ask in self.asks.unsent(incarnation) {
+            self.send_ask(ask, id, incarnation);
+        }
+    }
+
+    fn down(&mut self, id: u64) {
+        self.lose(id);
+        if let Some(Link { who, .. }) = self.links.end(id) {
+            self.assembly.forget(&who.instance);
+            let (instance, incarnation) = (who.instance, who.incarnation);
+            self.step(Event::Disconnected { instance, incarnation });
+        }
+    }
+
+    fn lose(&mut self, link: u64) {
+        let lost = self.asks.lose(link);
+        self.shared.counts.unanswered.add_many(lost as u64);
+    }
+
+    fn sender(&self, link: u64) -> Option<Instance> {
+        let link = self.links.iter().find(|candidate| candidate.id == link)?;
+        Some(link.who.instance.clone())
+    }
+
+    fn step(&mut self, event: Event) {
+        let actions = self.member.handle(self.shared.clock.now(), event, &mut self.rng);
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Actions) {
+        let mut urgent = false;
+        for action in actions {
+            match action {
+                Action::Connect(address) => self.connect(address),
+                Action::Close(instance) => {
+                    if let Some(link) = self.links.get(&instance) {
+                        link.cancel.cancel();
+                    }
+                }
+                Action::Send { to, message } => self.send(&to, convert::put(&message)),
+                Action::Notify(notice) => {
+                    urgent |= matches!(notice, Notice::Leaving(_) | Notice::Gone { .. });
+                    self.events.notice(notice);
+                }
+            }
+        }
+        if urgent {
+            self.publish();
+        }
+    }
+
+    fn connect(&self, address: SocketAddr) {
+        self.shared.tasks.spawn(connection::dial(Arc::clone(&self.shared), address));
+    }
+
+    fn send(&self, to: &Instance, message: wire::Message) {
+        let Some(link) = self.links.get(to) else { return };
+        // A peer that cannot take what may not be dropped gets all of it when it reconnects.
+        if self.push(&link.queue, message) == Pushed::Full {
+            self.shared.counts.slow.add();
+            link.cancel.cancel();
+        }
+    }
+
+    fn push(&self, queue: &Queue, message: wire::Message) -> Pushed {
+        let pushed = queue.push(message);
+        match pushed {
+            Pushed::Queued | Pushed::Closed => {}
+            Pushed::Displaced { dropped } => self.shared.counts.dropped.add_many(dropped as u64),
+            Pushed::Dropped | Pushed::Full => self.shared.counts.dropped.add(),
+        }
+        pushed
+    }
+
+    fn ask(&mut self, question: Question) {
+        let now = self.shared.clock.now();
+        let owner = question.owner;
+        if let Err(error) = self.check_ask(owner) {
+            let _ = question.reply.send(Err(error));
+            return;
+        }
+        self.shared.counts.asks.add();
+        let ask = self.asks.add(question, now + self.shared.settings.ask_timeout);
+        match self.links.need(now, owner).map(|link| link.id) {
+            Some(link) => self.send_ask(ask, link, owner),
+            None => {
+                let peer = self.member.view().peers().find(|peer| peer.incarnation == Some(owner));
+                if let Some(address) = peer.map(|peer| peer.seed.address) {
+                    self.connect(address);
+                }
+            }
+        }
+    }
+
+    fn check_ask(&self, owner: Incarnation) -> answer::Result<()> {
+        let view = self.member.view();
+        if self.asks.len() >= self.shared.settings.max_asks {
+            Err(answer::Error::Crowded)
+        } else if view.has_ended(owner) {
+            Err(answer::Error::Gone)
+        } else if !view.peers().any(|peer| peer.incarnation == Some(owner)) {
+            Err(answer::Error::Unknown)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn send_ask(&mut self, ask: u64, link: u64, owner: Incarnation) {
+        let now = self.shared.clock.now();
+        let queue = self.links.need(now, owner).map(|link| Arc::clone(&link.queue));
+        if let (Some(queue), Some(message)) = (queue, self.asks.send(ask, link)) {
+            self.push(&queue, message.into());
+        }
+    }
+
+    fn send_config(&self, to: &Instance, configuration: &Configuration) {
+        let Some(link) = self.links.get(to) else { return };
+        for part in assembly::split(configuration, MAX_PART_BYTES) {
+            if self.push(&link.queue, part.into()) == Pushed::Full {
+                log::warn!("{to} is too slow for a configuration");
+                return;
+            }
+        }
+    }
+
+    fn other(&mut self, link: u64, message: wire::Message) {
+        if !self.links.holds(link) && !matches!(message, wire::Message::Answer(_)) {
+            return;
+        }
+        let handled = match message {
+            wire::Message::Answer(answer) => {
+                self.asks.answer(link, answer);
+                Ok(())
+            }
+            wire::Message::AnswerAsk(ask) => self.asked(link, &ask),
+            wire::Message::ConfigOffer(offer) => self.config_offered(link, &offer),
+            wire::Message::ConfigState(state) => self.config_part(link, state),
+            wire::Message::ConfigAsk(ask) => {
+                if let Some(from) = self.sender(link) {
+                    self.events.config_asked(&from, Offset(ask.version));
+                }
+                Ok(())
+            }
+            _ => Ok(()),
+        };
+        if let Err(error) = handled {
+            self.shared.counts.broken.add();
+            log::warn!("skipped a message: {error}");
+        }
+    }
+
+    fn asked(&self, link: u64, ask: &wire::AnswerAsk) -> field::Result<()> {
+        let Some(link) = self.links.iter().find(|candidate| candidate.id == link) else {
+            return Ok(());
+        };
+        let reply = Reply {
+            ask: ask.ask,
+            queue: Arc::clone(&link.queue),
+            counts: Arc::clone(&self.shared.counts),
+            max_body: self.shared.settings.max_body(),
+        };
+        let from = link.who.instance.clone();
+        let ask = Ask { from, key: field::key(&ask.key)?, digest: field::digest(&ask.digest)? };
+        self.events.asked(ask, reply);
+        Ok(())
+    }
+
+    fn config_offered(&self, link: u64, offer: &wire::ConfigOffer) -> field::Result<()> {
+        let digest = field::digest(&offer.digest)?;
+        if let Some(from) = self.sender(link) {
+            self.events.config_offered(&from, Offset(offer.version), digest);
+        }
+        Ok(())
+    }
+
+    fn config_part(&mut self, link: u64, part: wire::ConfigState) -> field::Result<()> {
+        let Some(from) = self.sender(link) else { return Ok(()) };
+        if let Some(configuration) = self.assembly.add(&from, part)? {
+            self.events.config_received(&from, configuration);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn publish(&self) {
+        let now = self.shared.clock.now();
+        let configured = self.shared.settings.membership.instances;
+        self.snapshot.store(Arc::new(Snapshot {
+            leaving: self.member.leaving().clone(),
+            shares: self.member.shares(now),
+            others: self.member.others().clone(),
+            instances: self.member.view().instances(configured),
+            schema: self.member.schema(),
+        }));
+    }
+
+    fn dump(&self) -> Dump {
+        Dump {
+            member: self.member.clone(),
+            links: self.links.dump(),
+            counts: self.shared.counts.values(),
+            asks: self.asks.len(),
+        }
+    }
+
+    fn stop(&mut self) {
+        self.shared.closing.cancel();
+        self.step(Event::Stop);
+        for link in self.links.iter() {
+            link.queue.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/handle.rs
@@ -0,0 +1,166 @@
+//! The daemon's way to the peer tasks.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use goldcrestvale_base::id::{Digest, Incarnation, Instance, Key, Offset};
+use goldcrestvale_member::event::Event;
+use snafu::{OptionExt, Snafu};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+use crate::{
+    answer::{self, Question},
+    connection::Shared,
+    core::{Command, Input},
+    count::Values,
+    dump::Dump,
+    events::{Configuration, Stored},
+    snapshot::Snapshot,
+};
+
+/// The result of a call to the peer tasks.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The peer tasks did not take a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// The tasks have stopped.
+    #[snafu(display("the peer tasks have stopped"))]
+    Stopped,
+    /// Too many events wait.
+    #[snafu(display("too many events wait for the peer tasks"))]
+    Full,
+}
+
+/// A handle on the peer tasks, cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
+}
+
+impl Handle {
+    /// Feeds an event to the membership.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn tell(&self, event: Event) -> Result<()> {
+        self.command(Command::Event(event)).await
+    }
+
+    /// Feeds an event without waiting, for the path of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too many events wait or the tasks have stopped.
+    pub fn try_tell(&self, event: Event) -> Result<()> {
+        let input = Input::Command(Command::Event(event));
+        self.shared.inputs.try_send(input).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => {
+                self.shared.counts.refused_events.add();
+                Error::Full
+            }
+            mpsc::error::TrySendError::Closed(_) => Error::Stopped,
+        })
+    }
+
+    /// Returns the state that the path of a request reads.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Returns the counters.
+    pub fn counts(&self) -> Values {
+        self.shared.counts.values()
+    }
+
+    /// Returns the time by the membership's clock.
+    pub fn now(&self) -> goldcrestvale_base::time::Instant {
+        self.shared.clock.now()
+    }
+
+    /// Asks the owner of an idempotency key for the result of its call.
+    ///
+    /// Connects to the owner where there is no connection yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the owner cannot be reached or does not answer; the call may have run.
+    pub async fn ask_answer(
+        &self,
+        owner: Incarnation,
+        key: Key,
+        digest: Digest,
+    ) -> answer::Result<Stored> {
+        let (reply, stored) = oneshot::channel();
+        let question = Question { owner, key, digest, reply };
+        let waiting = async {
+            self.command(Command::Ask(question)).await.map_err(|_| answer::Error::Stopped)?;
+            stored.await.unwrap_or(Err(answer::Error::Stopped))
+        };
+        // The membership's task ends the ask first, unless it cannot keep up.
+        let limit = self.shared.settings.ask_timeout * 2;
+        timeout(limit, waiting).await.unwrap_or(Err(answer::Error::Late))
+    }
+
+    /// Offers a configuration to every connected peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn offer_config(&self, version: Offset, digest: Digest) -> Result<()> {
+        self.command(Command::OfferConfig { version, digest }).await
+    }
+
+    /// Asks a peer for a configuration of at least some version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn ask_config(&self, to: Instance, version: Offset) -> Result<()> {
+        self.command(Command::AskConfig { to, version }).await
+    }
+
+    /// Sends a configuration to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn send_config(&self, to: Instance, configuration: Configuration) -> Result<()> {
+        self.command(Command::SendConfig { to, configuration }).await
+    }
+
+    /// Describes the state of the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn dump(&self) -> Result<Dump> {
+        let (reply, dump) = oneshot::channel();
+        self.command(Command::Dump(reply)).await?;
+        dump.await.ok().context(StoppedSnafu)
+    }
+
+    /// Says goodbye to the peers, lets the queues drain and ends the tasks.
+    pub async fn stop(&self) {
+        let (reply, stopped) = oneshot::channel();
+        if self.command(Command::Stop(reply)).await.is_ok() {
+            let _ = stopped.await;
+        }
+        self.shared.tasks.close();
+        let drained = timeout(self.shared.settings.goodbye_timeout, self.shared.tasks.wait()).await;
+        self.shared.stop.cancel();
+        if drained.is_err() {
+            log::warn!("some peers did not take the goodbye in time");
+        }
+    }
+
+    async fn command(&self, command: Command) -> Result<()> {
+        let sent = self.shared.inputs.send(Input::Command(command)).await;
+        sent.ok().context(StoppedSnafu)
+    }
+}
--- a/crates/goldcrestvale_peer/src/lib.rs
+++ b/crates/goldcrestvale_peer/src/lib.rs
@@ -1,1 +1,32 @@
 //! Tasks that speak the protocol between entry instances.
+//!
+//! [`peer::start`] binds the listener and runs the membership of
+//! [`goldcrestvale_member`]; the [`handle::Handle`] that it returns feeds it events, asks other
+//! instances, and reads immutable snapshots. What the daemon must do comes through
+//! [`events::Events`].
+
+mod clock;
+mod connection;
+mod convert;
+mod core;
+mod link;
+
+pub mod answer;
+pub mod count;
+pub mod dump;
+pub mod events;
+pub mod handle;
+pub mod peer;
+pub mod queue;
+pub mod settings;
+pub mod snapshot;
+
+/// Re-exports the types that a daemon needs.
+pub mod prelude {
+    pub use crate::{
+        events::{Ask, Configuration, Events, Header, Reply, Stored},
+        handle::Handle,
+        settings::Settings,
+        snapshot::Snapshot,
+    };
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/peer.rs
@@ -0,0 +1,106 @@
+//! Starts the peer tasks.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use goldcrestvale_member::member::Member;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, mpsc},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    clock::Clock,
+    connection::{self, Shared},
+    core::Core,
+    count::Counts,
+    events::Events,
+    handle::Handle,
+    settings::Settings,
+    snapshot::Snapshot,
+};
+
+/// The result of starting the tasks.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Inputs that may wait for the task that holds the membership.
+const INPUTS: usize = 4_096;
+
+/// Pause after the operating system could not accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The tasks could not be started.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen for peers on {address}: {source}"))]
+pub struct Error {
+    /// The address in the settings.
+    pub address: SocketAddr,
+    /// The fault.
+    pub source: std::io::Error,
+}
+
+/// Binds the listener and starts the tasks.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn start(settings: Settings, events: impl Events) -> Result<Handle> {
+    let address = settings.listen;
+    let listener = TcpListener::bind(address).await.context(Snafu { address })?;
+    Ok(start_on(listener, settings, events))
+}
+
+/// Starts the tasks on a listener that is bound already.
+pub fn start_on(listener: TcpListener, settings: Settings, events: impl Events) -> Handle {
+    let (inputs, receiver) = mpsc::channel(INPUTS);
+    let member = Member::new(settings.membership.clone());
+    let shared = Arc::new(Shared {
+        settings,
+        counts: Arc::new(Counts::default()),
+        inputs,
+        tasks: TaskTracker::new(),
+        closing: CancellationToken::new(),
+        stop: CancellationToken::new(),
+        clock: Clock::start(),
+        next_id: AtomicU64::new(0),
+    });
+    let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+    let core = Core::new(Arc::clone(&shared), Arc::clone(&snapshot), events, member);
+    core.publish();
+    tokio::spawn(listen(listener, Arc::clone(&shared)));
+    tokio::spawn(core.run(receiver));
+    Handle { shared, snapshot }
+}
+
+async fn listen(listener: TcpListener, shared: Arc<Shared>) {
+    let room = Arc::new(Semaphore::new(shared.settings.max_connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.closing.cancelled() => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            shared.counts.crowded.add();
+            continue;
+        };
+        let served = connection::accept(Arc::clone(&shared), stream);
+        shared.tasks.spawn(async move {
+            served.await;
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/queue.rs
@@ -0,0 +1,157 @@
+//! The messages that wait for one peer.
+
+use std::{
+    collections::VecDeque,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use goldcrestvale_wire::{frame::OVERHEAD_BYTES, message::Message};
+use tokio::sync::Notify;
+
+/// What became of a pushed message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pushed {
+    /// It waits.
+    Queued,
+    /// It waits, and gossip was dropped to make room.
+    Displaced {
+        /// Messages dropped.
+        dropped: usize,
+    },
+    /// It was dropped: it is gossip, and only other messages wait.
+    Dropped,
+    /// The peer is too slow for messages that may not be dropped.
+    Full,
+    /// The connection is closing.
+    Closed,
+}
+
+/// A bounded queue that drops the oldest gossip first, and never blocks the sender.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_peer::queue::{Pushed, Queue};
+/// use goldcrestvale_wire::message::{ConfigAsk, Heartbeat};
+///
+/// let queue = Queue::new(1, 1024);
+/// assert_eq!(queue.push(Heartbeat::default().into()), Pushed::Queued);
+/// assert_eq!(queue.push(ConfigAsk::default().into()), Pushed::Displaced { dropped: 1 });
+/// assert_eq!(queue.push(Heartbeat::default().into()), Pushed::Dropped);
+/// assert_eq!(queue.push(ConfigAsk::default().into()), Pushed::Full);
+/// ```
+#[derive(Debug)]
+pub struct Queue {
+    max_messages: usize,
+    max_bytes: usize,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    messages: VecDeque<Message>,
+    bytes: usize,
+    closed: bool,
+}
+
+impl Queue {
+    /// Makes an empty queue with its bounds.
+    pub fn new(max_messages: usize, max_bytes: usize) -> Self {
+        Self { max_messages, max_bytes, state: Mutex::default(), changed: Notify::new() }
+    }
+
+    /// Adds a message, dropping the oldest gossip where there is no room.
+    pub fn push(&self, message: Message) -> Pushed {
+        let mut state = self.lock();
+        if state.closed {
+            return Pushed::Closed;
+        }
+        let bytes = size(&message);
+        let mut dropped = 0;
+        while state.messages.len() >= self.max_messages || state.bytes + bytes > self.max_bytes {
+            if !state.drop_gossip() {
+                return if is_gossip(&message) { Pushed::Dropped } else { Pushed::Full };
+            }
+            dropped += 1;
+        }
+        state.bytes += bytes;
+        state.messages.push_back(message);
+        self.changed.notify_one();
+        if dropped == 0 { Pushed::Queued } else { Pushed::Displaced { dropped } }
+    }
+
+    /// Lets the waiting messages be taken, and no more be added.
+    pub fn close(&self) {
+        self.lock().closed = true;
+        self.changed.notify_one();
+    }
+
+    /// Takes the next message, or returns `None` once the queue is closed and empty.
+    pub async fn pop(&self) -> Option<Message> {
+        loop {
+            // A permit that was stored before this call is not lost.
+            let changed = self.changed.notified();
+            {
+                let mut state = self.lock();
+                if let Some(message) = state.pop() {
+                    return Some(message);
+                }
+                if state.closed {
+                    return None;
+                }
+            }
+            changed.await;
+        }
+    }
+
+    /// Takes the next message, if one waits.
+    pub fn try_pop(&self) -> Option<Message> {
+        self.lock().pop()
+    }
+
+    /// Returns how many messages wait.
+    pub fn len(&self) -> usize {
+        self.lock().messages.len()
+    }
+
+    /// Returns whether no message waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn pop(&mut self) -> Option<Message> {
+        let message = self.messages.pop_front()?;
+        self.bytes -= size(&message);
+        Some(message)
+    }
+
+    fn drop_gossip(&mut self) -> bool {
+        let oldest = self.messages.iter().position(is_gossip);
+        match oldest.and_then(|place| self.messages.remove(place)) {
+            Some(message) => {
+                self.bytes -= size(&message);
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+fn size(message: &Message) -> usize {
+    OVERHEAD_BYTES + message.body_len()
+}
+
+/// Returns whether a later message makes up for the loss of this one.
+fn is_gossip(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Heartbeat(_) | Message::Members(_) | Message::Use(_) | Message::Sends(_)
+    )
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/snapshot.rs
@@ -0,0 +1,44 @@
+//! What the path of a request reads: an immutable copy, replaced as a whole.
+
+use goldcrestvale_base::{
+    id::{Customer, Upstream},
+    time::Instant,
+};
+use goldcrestvale_member::{
+    leaving,
+    limit::{Parts, Shares},
+    sends::Others,
+};
+
+/// The state of the membership that requests need.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    /// Upstreams that take no new work.
+    pub leaving: leaving::Set,
+    /// Parts of the limits that this instance may use.
+    pub shares: Shares,
+    /// What other instances handed to upstreams.
+    pub others: Others,
+    /// Instances that share the limits, this one included.
+    pub instances: u32,
+    /// Lowest schema version that this instance and its live peers read.
+    pub schema: u32,
+}
+
+impl Snapshot {
+    /// Returns whether an upstream takes no new work.
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        self.leaving.contains(upstream)
+    }
+
+    /// Returns the part of a customer's limit that this instance may use.
+    pub fn share(&self, customer: &Customer) -> Parts {
+        let named = self.shares.customers.iter().find(|share| &share.customer == customer);
+        named.map_or(self.shares.base, |share| share.parts)
+    }
+
+    /// Returns the units that the others said they handed to an upstream since a time.
+    pub fn sent_by_others(&self, upstream: &Upstream, since: Instant) -> u64 {
+        self.others.since(upstream, since)
+    }
+}
