--- /dev/null
+++ b/crates/goldcrestvale_wire/tests/frame_compat.rs
@@ -0,0 +1,73 @@
+//! Frames of version 1 decode for ever: these samples are never changed, only added to.
+
+#![allow(clippy::unwrap_used)]
+
+mod sample;
+
+use bytes::BytesMut;
+use goldcrestvale_wire::{codec::Opened, prelude::*};
+use sample::{BOUND, keys, messages, sessions};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The first frame of a dialer with nonce `01..` under the secret `07..`.
+const PREAMBLE: &str =
+    "000000240100000101010101010101010101010101010101d6885fc31172e91def34413448e66221";
+
+/// What that dialer sends to a listener with nonce `02..`: one message of each kind.
+const FRAMES: [&str; 12] = [
+    "000000440100010a1003030303030303030303030303030303120679656b612d311a0479656b61220d31302e302e302e313a373030302801cf2a0f0d3ca407d4ca964dff348c3e88",
+    "0000002401000208091005190807060504030201200128029f10fcf844c696b4e2eefb440daee7ad",
+    "000000250100030a1003030303030303030303030303030303be658cd468a3d7797b858ce84e1d68c7",
+    "0000004d0100040a380a310a1003030303030303030303030303030303120679656b612d311a0479656b61220d31302e302e302e313a37303030280110dc0b18011dc6e3db87609b63bb31610ed01c315d",
+    "0000002c0100050a170a08656e67696e652d341202613118042080d095ffbc318c755d7f1330309574ce7814652472c5",
+    "00000037010006080412200404040404040404040404040404040404040404040404040404040404040404dc6681ca5bfe22d388a918e51d230ded",
+    "000000150100070804f1a3a6f58015abda0a3545523b5e6d15",
+    "00000040010008080412200404040404040404040404040404040404040404040404040404040404040404180120022a03090909e3652ecacd278b17786b1963a113a97d",
+    "0000004901000908071210050505050505050505050505050505051a20060606060606060606060606060606060606060606060606060606060606060690d9b254293c14e9bee230d15cf919e6",
+    "0000003a01000a0807100118c901221a0a0c636f6e74656e742d74797065120a746578742f706c61696e2a02787828850afc747af5a1c8623a0b457ecf7b",
+    "0000002b01000b0803100218b817220f0a076c6162656c2d311080b518180759fedacf012ec0023ccb8e61e3c68f4b",
+    "0000002201000c0a0801000000ffffffff12030aac023c092a43d76a2e9d2f0304dbaabe7837",
+];
+
+/// A heartbeat of version 1 with a field that this version does not know.
+const EXTENDED_HEARTBEAT: &str = "0809f8072a";
+
+fn bytes(hex: &str) -> BytesMut {
+    let digits = hex.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).unwrap());
+    digits.map(|pair| u8::from_str_radix(pair, 16).unwrap()).collect::<Vec<_>>()[..].into()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+#[test]
+fn samples_of_version_1_decode() {
+    let ring = keys(7);
+    let listener = Handshake::new(Role::Listener, [2; 16], &ring);
+    let mut session = listener.accept(&bytes(PREAMBLE)[4..], BOUND).unwrap();
+    for (frame, expected) in FRAMES.iter().zip(messages()) {
+        let opened = session.opener.decode(&mut bytes(frame)).unwrap();
+        assert_eq!(opened, Some(Opened::Known(expected)));
+    }
+}
+
+#[test]
+fn this_version_writes_the_same_bytes() {
+    let ring = keys(7);
+    let preamble = Handshake::new(Role::Dialer, [1; 16], &ring).preamble();
+    assert_eq!(hex(&preamble), PREAMBLE);
+    let (mut dialer, _) = sessions(&ring, &ring);
+    for (frame, message) in FRAMES.iter().zip(messages()) {
+        let mut out = BytesMut::new();
+        dialer.sealer.encode(message, &mut out).unwrap();
+        assert_eq!(&hex(&out), frame);
+    }
+}
+
+#[test]
+fn unknown_fields_are_skipped() {
+    let decoded = Message::decode(2, bytes(EXTENDED_HEARTBEAT).freeze()).unwrap();
+    let Some(Message::Heartbeat(heartbeat)) = decoded else { panic!("{decoded:?}") };
+    assert_eq!(heartbeat.sequence, 9);
+}
--- /dev/null
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -0,0 +1,77 @@
+//! Sample messages and connections.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
+
+use bytes::{Bytes, BytesMut};
+use goldcrestvale_wire::{codec::Opened, message::*, prelude::*};
+use tokio_util::codec::{Decoder, Encoder};
+
+pub const BOUND: usize = 4_096;
+
+pub fn keys(byte: u8) -> Keyring {
+    Keyring::new(Secret::new([byte; 32]))
+}
+
+/// A session of each side, dialer first.
+pub fn sessions(dialer: &Keyring, listener: &Keyring) -> (Session, Session) {
+    let from = Handshake::new(Role::Dialer, [1; 16], dialer);
+    let to = Handshake::new(Role::Listener, [2; 16], listener);
+    let (hello, answer) = (from.preamble(), to.preamble());
+    (from.accept(&answer[4..], BOUND).unwrap(), to.accept(&hello[4..], BOUND).unwrap())
+}
+
+pub fn seal(sealer: &mut Sealer, message: Message) -> BytesMut {
+    let mut out = BytesMut::new();
+    sealer.encode(message, &mut out).unwrap();
+    out
+}
+
+pub fn open(opener: &mut Opener, mut bytes: BytesMut) -> goldcrestvale_wire::codec::Result<Opened> {
+    opener.decode(&mut bytes).map(|opened| opened.expect("a whole frame"))
+}
+
+fn bytes(byte: u8, length: usize) -> Bytes {
+    vec![byte; length].into()
+}
+
+/// One message of each kind, in the order of their kinds.
+pub fn messages() -> Vec<Message> {
+    let hello = Hello {
+        incarnation: bytes(3, 16),
+        instance: "yeka-1".into(),
+        domain: "yeka".into(),
+        address: "10.0.0.1:7000".into(),
+        version: 1,
+    };
+    let known = Known { who: Some(hello.clone()), age_ms: 1_500, gone: true };
+    let mark = Mark {
+        upstream: "engine-4".into(),
+        incarnation: "a1".into(),
+        source: Source::Operator.into(),
+        as_of_ms: 1_700_000_000_000,
+    };
+    let header = Header { name: "content-type".into(), value: "text/plain".into() };
+    let used = CustomerUse { customer: "label-1".into(), need: 400_000, lent: 7 };
+    let state = AnswerState::Settled.into();
+    vec![
+        hello.into(),
+        Heartbeat {
+            sequence: 9,
+            config_version: 5,
+            config_digest: 0x0102_0304_0506_0708,
+            draining: true,
+            schema: 2,
+        }
+        .into(),
+        Goodbye { incarnation: bytes(3, 16) }.into(),
+        Members { known: vec![known] }.into(),
+        Leaving { marks: vec![mark] }.into(),
+        ConfigOffer { version: 4, digest: bytes(4, 32) }.into(),
+        ConfigAsk { version: 4 }.into(),
+        ConfigState { version: 4, digest: bytes(4, 32), part: 1, parts: 2, bytes: bytes(9, 3) }
+            .into(),
+        AnswerAsk { ask: 7, key: bytes(5, 16), digest: bytes(6, 32) }.into(),
+        Answer { ask: 7, state, status: 201, headers: vec![header], body: bytes(b'x', 2) }.into(),
+        Use { sequence: 3, echo: 2, hold_ms: 3_000, customers: vec![used] }.into(),
+        Sends { upstreams: vec![1, 0xffff_ffff], totals: vec![10, 300] }.into(),
+    ]
+}
