--- a/crates/goldcrestvale_member/src/links.rs
+++ b/crates/goldcrestvale_member/src/links.rs
@@ -29,8 +29,8 @@
 /// Chooses the peers to connect to.
 ///
 /// Inside the failure domain that is every peer, up to the bound. Outside, the first is in the
-/// next domain by name, so that the domains form a ring; the others are in distinct domains that
-/// differ from instance to instance. The choice is by rendezvous hashing: it needs no agreement,
+/// next domain by name, so that the domains form a ring; the others are in distinct domains, as
+/// long as there are, that differ from instance to instance. The choice is by rendezvous hashing: it needs no agreement,
 /// spreads evenly, and changes little when instances come and go.
 ///
 /// The ring keeps a domain whose instances all count as dead, so that some instance goes on
@@ -66,14 +66,15 @@
         outer[..=ring].rotate_right(1);
     }
     let mut domains: SmallVec<[&Domain; 8]> = SmallVec::new();
-    for peer in outer {
-        if domains.len() >= count {
-            break;
-        }
-        if !domains.contains(&&peer.domain) {
+    let (first, more): (Vec<&Seed>, Vec<&Seed>) = outer.into_iter().partition(|peer| {
+        let new = !domains.contains(&&peer.domain) && domains.len() < count;
+        if new {
             domains.push(&peer.domain);
-            add(targets, &peer.instance);
         }
+        new
+    });
+    for peer in first.into_iter().chain(more).take(count) {
+        add(targets, &peer.instance);
     }
 }
 
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -125,7 +125,10 @@
         let mut actions = Actions::new();
         match event {
             Event::Tick => self.pass(now, rng, &mut actions),
-            Event::Listed(seeds) => self.view.list(now, &seeds),
+            Event::Listed(seeds) => {
+                self.view.list(now, &seeds);
+                self.count();
+            }
             Event::Connected(who) => self.meet(now, &who, &mut actions),
             Event::DialFailed(address) => self.dials.fail(now, address, rng),
             Event::Disconnected { instance, incarnation } => {
@@ -226,6 +229,7 @@
     }
 
     fn notify(&mut self, notices: Notices, actions: &mut Actions) {
+        let changed = !notices.is_empty();
         for notice in notices {
             if let Notice::Gone { instance, .. } = &notice {
                 self.sharing.reset(instance);
@@ -238,6 +242,13 @@
             }
             actions.push(Action::Notify(notice));
         }
+        if changed {
+            self.count();
+        }
+    }
+
+    /// Counts anew the instances that share the limits.
+    fn count(&mut self) {
         self.sharing.set_instances(self.view.instances(self.settings.instances));
     }
 
--- a/crates/goldcrestvale_member/src/member/duty.rs
+++ b/crates/goldcrestvale_member/src/member/duty.rs
@@ -61,6 +61,7 @@
         }
         let notices = self.view.sweep(now);
         self.notify(notices, actions);
+        self.count();
         self.connect(now, actions);
         if self.duties.heartbeat.take(now, rng) {
             self.beat(now, actions);
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -234,9 +234,9 @@
         let notices = self.replace(now, who);
         if let Some(peer) = self.peers.get_mut(&who.instance) {
             peer.heard = Some(heard);
+            self.stale |= peer.seed != who.seed();
             peer.seed = who.seed();
         }
-        self.stale = true;
         notices
     }
 
@@ -302,6 +302,7 @@
     /// Puts an incarnation into the place of the one known so far.
     fn replace(&mut self, now: Instant, who: &Identity) -> Notices {
         let mut notices = Notices::new();
+        self.stale |= !self.peers.contains_key(&who.instance);
         let peer = self.peers.entry(who.instance.clone());
         let peer = peer.or_insert_with(|| Peer::new(now, who.seed()));
         let old = peer.incarnation.replace(who.incarnation);
