--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -102,6 +102,16 @@
         self.peers.get(instance)
     }
 
+    /// Returns whether an incarnation is known to have ended.
+    pub fn has_ended(&self, incarnation: Incarnation) -> bool {
+        self.ended.contains(&incarnation)
+    }
+
+    /// Returns whether a connection to an instance is wanted.
+    pub fn is_target(&self, instance: &Instance) -> bool {
+        self.targets.contains(instance)
+    }
+
     /// Returns the peers with a connection.
     pub fn linked(&self) -> impl Iterator<Item = &Peer> {
         self.peers().filter(|peer| peer.linked)
@@ -167,6 +177,10 @@
             && peer.incarnation == Some(incarnation)
         {
             peer.linked = false;
+            // Nobody here keeps a connection to it, so that only hearsay tells how it is.
+            if peer.seed.domain != self.own.domain && !self.targets.contains(instance) {
+                peer.direct = None;
+            }
         }
     }
 
@@ -220,9 +234,9 @@
         let notices = self.replace(now, who);
         if let Some(peer) = self.peers.get_mut(&who.instance) {
             peer.heard = Some(heard);
+            self.stale |= peer.seed != who.seed();
             peer.seed = who.seed();
         }
-        self.stale = true;
         notices
     }
 
@@ -288,6 +302,7 @@
     /// Puts an incarnation into the place of the one known so far.
     fn replace(&mut self, now: Instant, who: &Identity) -> Notices {
         let mut notices = Notices::new();
+        self.stale |= !self.peers.contains_key(&who.instance);
         let peer = self.peers.entry(who.instance.clone());
         let peer = peer.or_insert_with(|| Peer::new(now, who.seed()));
         let old = peer.incarnation.replace(who.incarnation);
