--- a/crates/goldcrestvale_standin/src/engine/cache.rs
+++ b/crates/goldcrestvale_standin/src/engine/cache.rs
@@ -2,31 +2,45 @@
 
 use std::collections::BTreeMap;
 
+use goldcrestvale_base::{domain, id::Model};
 use goldcrestvale_upstream::message::{Layers, StepAnswer, StepInput, StepOutput};
-use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use crate::reference;
 
-/// The cached state of one layer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Slot {
-    /// The state after the cached positions.
-    pub(super) state: u64,
-    /// Number of cached positions, from position 0.
-    pub(super) positions: u32,
+/// Size of the cached state of one position in one layer, in bytes.
+const POSITION_BYTES: u64 = 4_096;
+
+domain! {
+    copy
+    /// The cached state of one layer.
+    pub(super) struct Slot {
+        /// The state after the cached positions.
+        pub(super) state: u64,
+        /// Number of cached positions, from position 0.
+        pub(super) positions: u32,
+    }
 }
 
 /// The KV cache of one attempt, layer by layer.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct Cache {
+    /// The model.
+    pub(super) model: Model,
     /// The layers.
     pub(super) slots: BTreeMap<u32, Slot>,
     /// The last answer of each stage, to answer a repeated step again.
     pub(super) last: BTreeMap<u32, StepAnswer>,
+    /// Time of the last step.
+    pub(super) used: Instant,
 }
 
 impl Cache {
-    /// Returns the first layer that does not hold exactly these positions.
+    pub(super) fn new(model: Model, now: Instant) -> Self {
+        Self { model, slots: BTreeMap::new(), last: BTreeMap::new(), used: now }
+    }
+
+    /// Returns the first layer that does not hold exactly these positions, and how many it holds.
     pub(super) fn misfit(&self, layers: Layers, position: u32) -> Option<(u32, u32)> {
         (layers.from..layers.to)
             .map(|layer| (layer, self.slots.get(&layer).map_or(0, |slot| slot.positions)))
@@ -34,7 +48,14 @@
     }
 
     /// Runs layers over an input and returns the output of the last one.
-    pub(super) fn run(&mut self, layers: Layers, depth: u32, input: &StepInput) -> StepOutput {
+    pub(super) fn run(
+        &mut self,
+        layers: Layers,
+        depth: u32,
+        input: &StepInput,
+        now: Instant,
+    ) -> StepOutput {
+        self.used = now;
         let mut activations = match input {
             StepInput::Tokens(tokens) => {
                 tokens.iter().map(|&token| reference::embed(token)).collect()
@@ -42,7 +63,7 @@
             StepInput::Activations(activations) => activations.clone(),
         };
         for layer in layers.from..layers.to {
-            let slot = self.slots.entry(layer).or_default();
+            let slot = self.slots.entry(layer).or_insert(Slot { state: 0, positions: 0 });
             for activation in &mut activations {
                 slot.state = reference::advance(slot.state, *activation, layer);
                 slot.positions += 1;
@@ -54,4 +75,9 @@
             _ => StepOutput::Activations(activations),
         }
     }
+
+    /// Returns the bytes that the cache takes.
+    pub(super) fn bytes(&self) -> u64 {
+        self.slots.values().map(|slot| u64::from(slot.positions) * POSITION_BYTES).sum()
+    }
 }
--- a/crates/goldcrestvale_standin/src/engine/settings.rs
+++ b/crates/goldcrestvale_standin/src/engine/settings.rs
@@ -1,11 +1,23 @@
 //! Settings of an engine.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
+use clap::ArgAction;
 use goldcrestvale_base::id::{Model, Upstream};
 use goldcrestvale_upstream::message::{Accelerator, Held, Layers};
 
+use crate::settings::builder;
+
 /// Settings of an engine.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_standin::engine::Settings;
+///
+/// let last_half = Settings::default().with_from(6).with_to(12);
+/// assert_eq!(last_half.depth, 12);
+/// ```
 #[derive(Debug, Clone, clap::Args)]
 pub struct Settings {
     /// Address to serve.
@@ -26,31 +38,87 @@
     /// First layer held at start.
     #[arg(long, default_value_t = 0)]
     pub from: u32,
-    /// One past the last layer held at start.
+    /// One past the last layer held at start; nothing is held if it is not above the first.
     #[arg(long, default_value_t = 12)]
     pub to: u32,
-    /// Kind of accelerator.
+    /// Kind of accelerator: large, medium or small.
     #[arg(long, value_parser = accelerator, default_value = "large")]
     pub accelerator: Accelerator,
+    /// Factor on the modelled time of batches; 0 runs each step at once.
+    #[arg(long, default_value_t = 0.0)]
+    pub time_scale: f64,
+    /// Lag of the load report, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub load_lag_ms: u64,
+    /// Bytes of KV cache from which on new requests are refused; 0 for no limit.
+    #[arg(long, default_value_t = 0)]
+    pub kv_bytes_max: u64,
+    /// Time after which an unused KV cache is dropped, in milliseconds.
+    #[arg(long, default_value_t = 60_000)]
+    pub kv_idle_ms: u64,
+    /// Blocks of prompt prefixes that are cached; 0 for no prefix cache.
+    #[arg(long, default_value_t = 1_024)]
+    pub prefix_blocks: usize,
+    /// Lag of cache events, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub event_lag_ms: u64,
+    /// Share of cache events that are lost, from 0 to 1.
+    #[arg(long, default_value_t = 0.0)]
+    pub event_loss: f64,
+    /// Seed of the choice of lost events.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Token that orders must carry; unset, the sender is not checked.
+    #[arg(long)]
+    pub order_token: Option<String>,
+    /// Whether orders with an old fencing number are refused.
+    #[arg(long, default_value_t = true, action = ArgAction::Set)]
+    pub fenced: bool,
+    /// Time between the answer to an order and its effect, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub order_delay_ms: u64,
+    /// Size of the weights of a layer, in bytes.
+    #[arg(long, default_value_t = 1_000_000)]
+    pub layer_bytes: u64,
+    /// Rate of the store of weights, in bytes per second; 0 for no limit.
+    #[arg(long, default_value_t = 0)]
+    pub weights_rate: u64,
+    /// Longest time that requests in progress are given after a signal to end, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub grace_ms: u64,
+    /// Whether every layer run is recorded; a long measurement does without.
+    #[arg(long, default_value_t = true, action = ArgAction::Set)]
+    pub record_runs: bool,
 }
 
-fn accelerator(name: &str) -> Result<Accelerator, String> {
-    serde_json::from_value(name.into()).map_err(|error| error.to_string())
+builder! {
+    with_address(address: SocketAddr);
+    with_name(name: Upstream);
+    with_model(model: Model);
+    with_version(version: String);
+    with_depth(depth: u32);
+    with_from(from: u32);
+    with_to(to: u32);
+    with_accelerator(accelerator: Accelerator);
+    with_time_scale(time_scale: f64);
+    with_load_lag_ms(load_lag_ms: u64);
+    with_kv_bytes_max(kv_bytes_max: u64);
+    with_kv_idle_ms(kv_idle_ms: u64);
+    with_prefix_blocks(prefix_blocks: usize);
+    with_event_lag_ms(event_lag_ms: u64);
+    with_event_loss(event_loss: f64);
+    with_seed(seed: u64);
+    with_order_token(order_token: Option<String>);
+    with_fenced(fenced: bool);
+    with_order_delay_ms(order_delay_ms: u64);
+    with_layer_bytes(layer_bytes: u64);
+    with_weights_rate(weights_rate: u64);
+    with_grace_ms(grace_ms: u64);
+    with_record_runs(record_runs: bool);
 }
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            address: (Ipv4Addr::LOCALHOST, 0).into(),
-            name: "engine-1".parse().expect("a fixed name is valid"),
-            model: "draft".parse().expect("a fixed name is valid"),
-            version: "1".into(),
-            depth: 12,
-            from: 0,
-            to: 12,
-            accelerator: Accelerator::Large,
-        }
-    }
+fn accelerator(name: &str) -> Result<Accelerator, String> {
+    serde_json::from_value(name.into()).map_err(|error| error.to_string())
 }
 
 impl Settings {
--- a/crates/goldcrestvale_standin/src/engine/state.rs
+++ b/crates/goldcrestvale_standin/src/engine/state.rs
@@ -1,26 +1,42 @@
 //! What an engine holds and has run.
 
-use std::collections::HashMap;
+use std::{
+    collections::{HashMap, hash_map},
+    sync::Arc,
+    time::Duration,
+};
 
-use goldcrestvale_base::id::Request;
+use goldcrestvale_base::id::{Model, Request};
 use goldcrestvale_upstream::message::{
-    Cancel, Held, Kv, Refusal, RefusalBody, Step, StepAnswer, StepInput,
+    Cancel, Held, Layers, Refusal, RefusalBody, Step, StepAnswer, StepInput,
 };
+use tokio::time::Instant;
 
-use super::{Counts, Settings, cache::Cache, counts::Run};
+use super::{
+    Counts, Settings, cache::Cache, order::Holdings, prefix::Prefixes, runs::Runs, weights::Store,
+};
 
 /// The result of a request to the engine.
 pub(super) type Result<T> = std::result::Result<T, RefusalBody>;
 
+/// Pause between two searches for idle KV caches.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What an engine holds and has run.
 #[derive(Debug)]
 pub(super) struct State {
-    pub(super) holds: Vec<Held>,
+    pub(super) holdings: Holdings,
     pub(super) caches: HashMap<(Request, u32), Cache>,
+    pub(super) prefixes: Prefixes,
     pub(super) counts: Counts,
+    pub(super) runs: Runs,
     pub(super) leaving: bool,
     pub(super) running: u32,
     depth: u32,
+    record: bool,
+    idle: Duration,
+    kv_bytes_max: u64,
+    swept: Instant,
 }
 
 /// Builds a refusal.
@@ -28,89 +44,133 @@
     Err(RefusalBody { refusal, detail: detail.into() })
 }
 
+/// Returns whether a cancel means this attempt.
+pub(super) fn cancels(cancel: &Cancel, request: Request, attempt: u32) -> bool {
+    cancel.request == request && cancel.attempt.is_none_or(|given| given == attempt)
+}
+
+/// Returns the number of positions of an input.
+pub(super) fn width(input: &StepInput) -> u32 {
+    let width = match input {
+        StepInput::Tokens(tokens) => tokens.len(),
+        StepInput::Activations(activations) => activations.len(),
+    };
+    u32::try_from(width).unwrap_or(u32::MAX)
+}
+
 impl State {
-    pub(super) fn new(settings: &Settings) -> Self {
+    pub(super) fn new(settings: &Settings, store: Arc<Store>) -> Self {
         Self {
-            holds: settings.holds(),
+            holdings: Holdings::new(settings, store),
             caches: HashMap::new(),
+            prefixes: Prefixes::new(settings),
             counts: Counts::default(),
+            runs: Runs::default(),
             leaving: false,
             running: 0,
             depth: settings.depth,
+            record: settings.record_runs,
+            idle: Duration::from_millis(settings.kv_idle_ms),
+            kv_bytes_max: settings.kv_bytes_max,
+            swept: Instant::now(),
         }
     }
 
     /// Runs one step, or answers a repeated one again.
     pub(super) fn step(&mut self, step: &Step) -> Result<StepAnswer> {
         self.check(step)?;
-        let key = (step.name.request, step.name.attempt);
-        let known = self.caches.get(&key);
-        if let Some(last) = known.and_then(|cache| cache.last.get(&step.name.stage))
-            && last.name == step.name
-        {
-            self.counts.repeats += 1;
-            return Ok(last.clone());
-        }
-        // A request whose cache is known is in progress and is finished also while leaving.
-        if self.leaving && known.is_none() {
-            return refuse(Refusal::Leaving, "the engine is leaving");
-        }
-        let misfit = known.map_or_else(
-            || (step.name.position > 0).then_some((step.layers.from, 0)),
-            |cache| cache.misfit(step.layers, step.name.position),
-        );
-        if let Some((layer, positions)) = misfit {
-            self.counts.gaps += 1;
-            let position = step.name.position;
-            log::warn!("layer {layer} holds {positions} positions, a step asks for {position}");
-            let detail = format!("layer {layer} holds {positions} positions, not {position}");
-            return refuse(Refusal::Gap, detail);
+        let now = Instant::now();
+        if let Some(answer) = self.repeat(step) {
+            return Ok(answer);
         }
-        let cache = self.caches.entry(key).or_default();
-        let output = cache.run(step.layers, self.depth, &step.input);
+        self.admit(step, now)?;
+        let key = (step.name.request, step.name.attempt);
+        let cache = match self.caches.entry(key) {
+            hash_map::Entry::Occupied(cache) => cache.into_mut(),
+            hash_map::Entry::Vacant(place) => place.insert(Cache::new(step.model.clone(), now)),
+        };
+        let output = cache.run(step.layers, self.depth, &step.input, now);
         let answer = StepAnswer { name: step.name, output };
         cache.last.insert(step.name.stage, answer.clone());
+        if step.name.position == 0 {
+            self.prefixes.store(&step.input);
+        }
         self.record(step);
         Ok(answer)
     }
 
-    fn check(&mut self, step: &Step) -> Result<()> {
-        let covers = |held: &Held| held.model == step.model && held.layers.covers(step.layers);
-        if !self.holds.iter().any(covers) {
-            return refuse(Refusal::NotHeld, "the layers are not held");
-        }
-        let tokens = matches!(step.input, StepInput::Tokens(_));
+    fn repeat(&mut self, step: &Step) -> Option<StepAnswer> {
+        let cache = self.caches.get(&(step.name.request, step.name.attempt))?;
+        let last = cache.last.get(&step.name.stage).filter(|last| last.name == step.name)?;
+        let last = last.clone();
+        self.counts.repeats += 1;
+        Some(last)
+    }
+
+    fn check(&self, step: &Step) -> Result<()> {
+        self.check_held(&step.model, step.layers)?;
         if width(&step.input) == 0 || step.layers.is_empty() {
             return refuse(Refusal::Malformed, "a step has at least one position and one layer");
         }
+        let tokens = matches!(step.input, StepInput::Tokens(_));
         if tokens != (step.layers.from == 0) {
             return refuse(Refusal::Malformed, "tokens go into layer 0, activations into others");
         }
         Ok(())
     }
 
+    /// Refuses layers that the engine does not hold.
+    pub(super) fn check_held(&self, model: &Model, layers: Layers) -> Result<()> {
+        let covers = |held: &Held| held.model == *model && held.layers.covers(layers);
+        if self.holdings.held.iter().any(covers) {
+            return Ok(());
+        }
+        refuse(Refusal::NotHeld, format!("layers {}..{} are not held", layers.from, layers.to))
+    }
+
+    /// Refuses a step that does not continue what is cached, and new work while leaving or full.
+    fn admit(&mut self, step: &Step, now: Instant) -> Result<()> {
+        let known = self.caches.get(&(step.name.request, step.name.attempt));
+        let position = step.name.position;
+        let misfit = match known {
+            Some(cache) => cache.misfit(step.layers, position),
+            None => (position > 0).then_some((step.layers.from, 0)),
+        };
+        if let Some((layer, positions)) = misfit {
+            let detail = format!("layer {layer} holds {positions} positions, not {position}");
+            log::warn!("request {} attempt {}: {detail}", step.name.request, step.name.attempt);
+            self.counts.gaps += 1;
+            return refuse(Refusal::Gap, detail);
+        }
+        if known.is_some() {
+            return Ok(());
+        }
+        self.admit_cache(now)
+    }
+
+    /// Refuses a new KV cache while leaving or full.
+    pub(super) fn admit_cache(&mut self, now: Instant) -> Result<()> {
+        if self.leaving {
+            return refuse(Refusal::Leaving, "the engine is leaving");
+        }
+        if now.duration_since(self.swept) >= SWEEP_INTERVAL {
+            self.swept = now;
+            self.caches.retain(|_, cache| now.duration_since(cache.used) < self.idle);
+        }
+        if self.kv_bytes_max > 0 && self.kv_bytes() >= self.kv_bytes_max {
+            return refuse(Refusal::Busy, "the KV cache is full");
+        }
+        Ok(())
+    }
+
     fn record(&mut self, step: &Step) {
-        let positions = width(&step.input);
+        let width = width(&step.input);
         self.counts.steps += 1;
-        self.counts.layer_runs += u64::from(positions) * u64::from(step.layers.len());
-        let (request, attempt) = (step.name.request, step.name.attempt);
-        let (from, to) = (step.name.position, step.name.position + positions);
-        for layer in step.layers.from..step.layers.to {
-            let run = Run { request, attempt, layer, from, to };
-            let same =
-                |old: &&mut Run| (old.request, old.attempt, old.layer) == (request, attempt, layer);
-            match self.counts.runs.iter_mut().rev().find(same) {
-                Some(old) if old.to == from => old.to = to,
-                Some(old) => {
-                    let violation = format!(
-                        "request {request} attempt {attempt} layer {layer}: ran {}..{}, then {from}..{to}",
-                        old.from, old.to
-                    );
-                    log::error!("{violation}");
-                    self.counts.violations.push(violation);
-                    self.counts.runs.push(run);
-                }
-                None => self.counts.runs.push(run),
+        self.counts.layer_runs += u64::from(width) * u64::from(step.layers.len());
+        if self.record {
+            for violation in self.runs.record(step.name, step.layers, width) {
+                log::error!("{violation}");
+                self.counts.violations.push(violation);
             }
         }
     }
@@ -118,51 +178,12 @@
     /// Drops the state of one attempt, or of all attempts of a request.
     pub(super) fn cancel(&mut self, cancel: &Cancel) {
         let before = self.caches.len();
-        self.caches.retain(|(request, attempt), _| {
-            *request != cancel.request || cancel.attempt.is_some_and(|given| given != *attempt)
-        });
+        self.caches.retain(|(request, attempt), _| !cancels(cancel, *request, *attempt));
         self.counts.cancels += (before - self.caches.len()) as u64;
     }
 
-    /// Exports the KV cache of one attempt.
-    pub(super) fn export(&mut self, request: Request, attempt: u32) -> Option<Kv> {
-        let cache = self.caches.get(&(request, attempt))?;
-        let from = *cache.slots.first_key_value()?.0;
-        let (last, slot) = cache.slots.last_key_value()?;
-        let layers = goldcrestvale_upstream::message::Layers { from, to: last + 1 };
-        let state = serde_json::to_string(&cache.slots).ok()?;
-        let model = self.holds.first()?.model.clone();
-        let positions = slot.positions;
-        self.counts.exports += 1;
-        Some(Kv { request, attempt, model, layers, positions, state })
+    /// Returns the bytes of KV cache in use.
+    pub(super) fn kv_bytes(&self) -> u64 {
+        self.caches.values().map(Cache::bytes).sum()
     }
-
-    /// Imports a KV cache under the attempt that it names.
-    pub(super) fn import(&mut self, kv: &Kv) -> Result<()> {
-        if self.leaving {
-            return refuse(Refusal::Leaving, "the engine is leaving");
-        }
-        let covers = |held: &Held| held.model == kv.model && held.layers.covers(kv.layers);
-        if !self.holds.iter().any(covers) {
-            return refuse(Refusal::NotHeld, "the layers are not held");
-        }
-        let slots: std::collections::BTreeMap<u32, super::cache::Slot> =
-            match serde_json::from_str(&kv.state) {
-                Ok(slots) => slots,
-                Err(error) => return refuse(Refusal::Malformed, error.to_string()),
-            };
-        let cache = self.caches.entry((kv.request, kv.attempt)).or_default();
-        cache.slots.extend(slots);
-        self.counts.imports += 1;
-        Ok(())
-    }
-}
-
-/// Returns the number of positions of an input.
-pub(super) fn width(input: &StepInput) -> u32 {
-    let width = match input {
-        StepInput::Tokens(tokens) => tokens.len(),
-        StepInput::Activations(activations) => activations.len(),
-    };
-    u32::try_from(width).unwrap_or(u32::MAX)
 }
--- a/crates/goldcrestvale_standin/src/lib.rs
+++ b/crates/goldcrestvale_standin/src/lib.rs
@@ -6,12 +6,17 @@
 //!
 //! Never a dependency of the router.
 
+pub mod audit;
+pub mod client;
 pub mod engine;
+pub mod fault;
+mod lag;
 pub mod platform;
 pub mod reference;
 mod reply;
 pub mod server;
 pub mod service;
+mod settings;
 
 /// Re-exports the types that most users of this package name.
 pub mod prelude {
--- a/crates/goldcrestvale_standin/src/platform.rs
+++ b/crates/goldcrestvale_standin/src/platform.rs
@@ -2,6 +2,7 @@
 
 mod api;
 pub mod fault;
+mod list;
 pub mod settings;
 mod stream;
 
@@ -13,13 +14,13 @@
 };
 
 use goldcrestvale_base::{id::Offset, time::Wall};
-use goldcrestvale_platform::message::Listed;
-use tokio::{sync::watch, time::Instant};
+use goldcrestvale_platform::message::{Listed, Listing};
+use tokio::time::Instant;
 
 pub use fault::Faults;
 pub use settings::Settings;
 
-use crate::server::Handle;
+use crate::{fault::Switch, server::Handle};
 
 /// Counts of a platform.
 #[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
@@ -43,15 +44,14 @@
 #[derive(Debug)]
 pub struct Platform {
     settings: Settings,
-    faults: watch::Sender<Faults>,
+    faults: Switch<Faults>,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     streams: HashMap<String, stream::Stream>,
-    instances: Vec<Listed>,
-    snapshots: Vec<(Instant, Wall, Vec<Listed>)>,
+    list: list::List,
     counts: Counts,
     window: Option<(Instant, u32)>,
 }
@@ -64,23 +64,23 @@
     /// Fails when the address cannot be bound.
     pub async fn start(settings: Settings) -> io::Result<Handle<Self>> {
         let address = settings.address;
-        let platform = Self { settings, faults: watch::Sender::default(), state: Mutex::default() };
+        let platform = Self { settings, faults: Switch::default(), state: Mutex::default() };
         Handle::start(address, Arc::new(platform)).await
     }
 
     /// Replaces the list of instances.
     pub fn list(&self, instances: Vec<Listed>) {
-        let mut state = self.state();
-        state.instances = instances;
-        self.publish(&mut state);
+        self.state().list.replace(instances, self.list_lag());
     }
 
     /// Adds one instance to the list, or replaces the one of the same name and role.
     pub fn upsert(&self, listed: Listed) {
-        let mut state = self.state();
-        state.instances.retain(|old| (&old.name, &old.role) != (&listed.name, &listed.role));
-        state.instances.push(listed);
-        self.publish(&mut state);
+        self.state().list.upsert(listed, self.list_lag());
+    }
+
+    /// Returns the list of instances as a reader is given it, with its lag.
+    pub fn listing(&self) -> Listing {
+        self.state().list.read(self.list_lag())
     }
 
     /// Drops the records of a stream below an offset, as retention does.
@@ -95,9 +95,8 @@
         self.state().streams.get(stream).map_or(Offset(0), stream::Stream::end)
     }
 
-    fn publish(&self, state: &mut State) {
-        let snapshot = (Instant::now(), wall(), state.instances.clone());
-        state.snapshots.push(snapshot);
+    fn list_lag(&self) -> Duration {
+        Duration::from_millis(self.settings.list_lag_ms)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/goldcrestvale_standin/src/platform/api.rs
+++ b/crates/goldcrestvale_standin/src/platform/api.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use goldcrestvale_base::id::Offset;
-use goldcrestvale_platform::message::{Append, Listed, Listing};
+use goldcrestvale_platform::message::{Append, Appended, Listed};
 use http::{HeaderValue, Method, StatusCode, header};
 use hyper::{Request, Response, body::Incoming};
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 
 use super::{Counts, Faults, Platform, State, wall};
 use crate::{
+    fault::Switch,
     reply,
     server::{Body, Closed, Result, Site},
 };
@@ -23,7 +24,7 @@
     type Faults = Faults;
     type Counts = Counts;
 
-    fn faults(&self) -> &watch::Sender<Faults> {
+    fn faults(&self) -> &Switch<Faults> {
         &self.faults
     }
 
@@ -32,11 +33,12 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>> {
-        let faults = self.faults.borrow().clone();
+        let faults = self.faults.get();
         if faults.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        if faults.down {
+        let append = request.method() == Method::POST;
+        if faults.down || (append && faults.down_appends) {
             return Ok(reply::text(StatusCode::SERVICE_UNAVAILABLE, "the platform is down"));
         }
         let path = request.uri().path().to_owned();
@@ -76,28 +78,41 @@
             Ok(append) => append,
             Err(error) => return Ok(reply::text(StatusCode::BAD_REQUEST, error.to_string())),
         };
-        if self.take(|faults| &mut faults.lose_appends) {
+        if self.faults.take(|faults| &mut faults.lose_appends) {
             return Err(Closed);
         }
-        let lose = self.take(|faults| &mut faults.lose_answers);
+        let Some(appended) = self.write(stream, append, body.len()) else {
+            let mut refusal = reply::text(StatusCode::TOO_MANY_REQUESTS, "append rate exceeded");
+            refusal.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+            return Ok(refusal);
+        };
+        if self.faults.take(|faults| &mut faults.lose_answers) {
+            self.state().counts.lost += 1;
+            return Err(Closed);
+        }
+        let late = self.faults.get().late_ms;
+        if late > 0 {
+            tokio::time::sleep(Duration::from_millis(late)).await;
+        }
+        Ok(reply::json(StatusCode::OK, &appended))
+    }
+
+    /// Appends records to a stream, or returns `None` when the rate limit is reached.
+    fn write(&self, stream: &str, append: Append, bytes: usize) -> Option<Appended> {
         let mut state = self.state();
         let now = Instant::now();
         if !state.admit(now, self.settings.appends_per_second) {
             state.counts.limited += 1;
-            let mut refusal = reply::text(StatusCode::TOO_MANY_REQUESTS, "append rate exceeded");
-            refusal.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
-            return Ok(refusal);
+            return None;
         }
         state.counts.appends += 1;
         state.counts.records += append.records.len() as u64;
-        state.counts.append_bytes += body.len() as u64;
-        let appended =
-            state.streams.entry(stream.to_owned()).or_default().append(now, wall(), append);
-        if lose {
-            state.counts.lost += 1;
-            return Err(Closed);
-        }
-        Ok(reply::json(StatusCode::OK, &appended))
+        state.counts.append_bytes += bytes as u64;
+        let age = Duration::from_millis(self.settings.retention_ms);
+        let stream = state.streams.entry(stream.to_owned()).or_default();
+        let appended = stream.append(now, wall(), append);
+        stream.expire(now, age, self.settings.retention_records);
+        Some(appended)
     }
 
     async fn read(&self, stream: &str, request: Request<Incoming>) -> Result<Response<Body>> {
@@ -105,7 +120,7 @@
         let from = Offset(reply::number(query, "from").unwrap_or(0));
         let max = reply::number(query, "max").unwrap_or(1_000).min(MAX_PAGE_RECORDS);
         let wait = Duration::from_millis(reply::number(query, "wait_ms").unwrap_or(0));
-        if self.take(|faults| &mut faults.repeat_pages) {
+        if self.faults.take(|faults| &mut faults.repeat_pages) {
             let last = self.state().streams.get(stream).and_then(|stream| stream.last.clone());
             if let Some(page) = last {
                 return Ok(reply::json(StatusCode::OK, &page));
@@ -129,34 +144,6 @@
             None => Ok(reply::json(StatusCode::GONE, &stream.empty_page())),
         }
     }
-
-    fn listing(&self) -> Listing {
-        let mut state = self.state();
-        let lag = Duration::from_millis(self.settings.list_lag_ms);
-        let now = Instant::now();
-        let due = |taken: Instant| now.saturating_duration_since(taken) >= lag;
-        let seen = state.snapshots.iter().rposition(|(taken, ..)| due(*taken));
-        if let Some(seen) = seen {
-            state.snapshots.drain(..seen);
-        }
-        let first = state.snapshots.first().filter(|(taken, ..)| due(*taken));
-        match first {
-            Some((_, as_of, instances)) => Listing { as_of: *as_of, instances: instances.clone() },
-            None => Listing { as_of: wall(), instances: Vec::new() },
-        }
-    }
-
-    /// Takes one from a counted fault, and returns whether there was one to take.
-    fn take(&self, count: impl Fn(&mut Faults) -> &mut u32) -> bool {
-        let mut taken = false;
-        self.faults.send_if_modified(|faults| {
-            let count = count(faults);
-            taken = *count > 0;
-            *count = count.saturating_sub(1);
-            taken
-        });
-        taken
-    }
 }
 
 impl State {
--- a/crates/goldcrestvale_standin/src/platform/fault.rs
+++ b/crates/goldcrestvale_standin/src/platform/fault.rs
@@ -10,8 +10,12 @@
     pub refuse: bool,
     /// Every request is answered 503.
     pub down: bool,
-    /// Delay before each answer, in milliseconds.
+    /// Appends are answered 503, reads go on.
+    pub down_appends: bool,
+    /// Delay before each request is acted on, in milliseconds.
     pub delay_ms: u64,
+    /// Delay of the answer to each append, after its effect, in milliseconds.
+    pub late_ms: u64,
     /// Number of next appends that take effect and are not answered.
     pub lose_answers: u32,
     /// Number of next appends that neither take effect nor are answered.
@@ -20,7 +24,7 @@
     pub repeat_pages: u32,
 }
 
-impl crate::server::Faults for Faults {
+impl crate::fault::Faults for Faults {
     fn refuse(&self) -> bool {
         self.refuse
     }
--- a/crates/goldcrestvale_standin/src/platform/settings.rs
+++ b/crates/goldcrestvale_standin/src/platform/settings.rs
@@ -1,8 +1,19 @@
 //! Settings of the platform.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
+
+use crate::settings::builder;
 
 /// Settings of a platform.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_standin::platform::Settings;
+///
+/// let settings = Settings::default().with_retention_records(100);
+/// assert_eq!(settings.appends_per_second, 500);
+/// ```
 #[derive(Debug, Clone, clap::Args)]
 pub struct Settings {
     /// Address to serve.
@@ -22,14 +33,10 @@
     pub list_lag_ms: u64,
 }
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            address: (Ipv4Addr::LOCALHOST, 0).into(),
-            retention_ms: 3_600_000,
-            retention_records: 1_000_000,
-            appends_per_second: 500,
-            list_lag_ms: 0,
-        }
-    }
+builder! {
+    with_address(address: SocketAddr);
+    with_retention_ms(retention_ms: u64);
+    with_retention_records(retention_records: usize);
+    with_appends_per_second(appends_per_second: u32);
+    with_list_lag_ms(list_lag_ms: u64);
 }
--- /dev/null
+++ b/crates/goldcrestvale_standin/src/server/connection.rs
@@ -0,0 +1,71 @@
+//! Serves one connection, HTTP/1.1 or HTTP/2.
+
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use hyper::{Request, Response, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto,
+};
+use tokio::{net::TcpStream, sync::watch};
+
+use super::{Body, Phase, Result, Site};
+use crate::reply;
+
+/// Largest number of requests at a time on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 10_000;
+
+/// Serves one connection until it ends, drains or the stand-in dies.
+pub(super) async fn serve<S: Site>(
+    stream: TcpStream,
+    site: Arc<S>,
+    mut phases: watch::Receiver<Phase>,
+    control: bool,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let site = site.clone();
+        async move { route(&*site, request, control).await }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http2().max_concurrent_streams(MAX_STREAMS);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    loop {
+        let phase = *phases.borrow_and_update();
+        match phase {
+            Phase::Serving => {}
+            Phase::Draining => connection.as_mut().graceful_shutdown(),
+            Phase::Dead => return,
+        }
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            Ok(()) = phases.changed() => {}
+        }
+    }
+}
+
+async fn route<S: Site>(
+    site: &S,
+    request: Request<Incoming>,
+    control: bool,
+) -> Result<Response<Body>> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/counts") => Ok(reply::json(StatusCode::OK, &site.counts())),
+        (&Method::GET, "/faults") => Ok(reply::json(StatusCode::OK, &site.faults().get())),
+        (&Method::PUT, "/faults") => match reply::read_json(request).await? {
+            Ok(faults) => {
+                site.faults().set(faults);
+                Ok(reply::text(StatusCode::OK, "set"))
+            }
+            Err(fault) => Ok(reply::text(StatusCode::BAD_REQUEST, fault)),
+        },
+        (&Method::POST, "/leave") => {
+            site.leave();
+            Ok(reply::text(StatusCode::OK, "leaving"))
+        }
+        _ if control => Ok(reply::text(StatusCode::NOT_FOUND, "not a control path")),
+        _ => site.answer(request).await,
+    }
+}
--- a/crates/goldcrestvale_standin/src/service.rs
+++ b/crates/goldcrestvale_standin/src/service.rs
@@ -10,14 +10,19 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
-use goldcrestvale_base::id::Digest;
+use goldcrestvale_base::{domain, id::Digest};
+use goldcrestvale_upstream::message::ServiceLoad;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::Semaphore;
 
 pub use fault::Faults;
 pub use settings::Settings;
 
-use crate::server::{self, Handle};
+use crate::{
+    fault::Switch,
+    lag::Lagged,
+    server::{self, Handle},
+};
 
 /// Counts of an instance of a service.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -29,23 +34,33 @@
     pub by_key: BTreeMap<String, u64>,
     /// Effects by `goldcrestvale-request`.
     pub by_request: BTreeMap<String, u64>,
-    /// Requests refused because the instance is leaving or faulty.
+    /// Requests refused with no effect, because the instance is leaving or a fault is set.
     pub refusals: u64,
 }
 
-/// The answer of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// Name of the service.
-    pub service: String,
-    /// Path and query that were asked for.
-    pub path: String,
-    /// The idempotency key, if there was one.
-    pub key: Option<String>,
-    /// Number of the effect within this instance, from 1.
-    pub effect: u64,
-    /// Digest of the body that was received.
-    pub digest: Digest,
+impl Counts {
+    /// Returns the keys that had more than one effect here.
+    pub fn repeated(&self) -> impl Iterator<Item = &str> {
+        let repeated = self.by_key.iter().filter(|(_, effects)| **effects > 1);
+        repeated.map(|(key, _)| key.as_str())
+    }
+}
+
+domain! {
+    value
+    /// The answer of a service.
+    pub struct Answer {
+        /// Name of the service.
+        pub service: goldcrestvale_base::id::Service,
+        /// Path and query that were asked for.
+        pub path: String,
+        /// The idempotency key, if there was one.
+        pub key: Option<String>,
+        /// Number of the effect within this instance, from 1.
+        pub effect: u64,
+        /// Digest of the body that was received.
+        pub digest: Digest,
+    }
 }
 
 /// An instance of a plain service.
@@ -53,7 +68,9 @@
 pub struct Service {
     settings: Settings,
     incarnation: String,
-    faults: watch::Sender<Faults>,
+    faults: Switch<Faults>,
+    slots: Semaphore,
+    load: Lagged<ServiceLoad>,
     state: Mutex<State>,
 }
 
@@ -61,6 +78,7 @@
 struct State {
     counts: Counts,
     running: u32,
+    waiting: u32,
     leaving: bool,
 }
 
@@ -73,10 +91,12 @@
     pub async fn start(settings: Settings) -> io::Result<Handle<Self>> {
         let address = settings.address;
         let service = Self {
-            settings,
             incarnation: server::incarnation(),
-            faults: watch::Sender::default(),
+            faults: Switch::default(),
+            slots: Semaphore::new(settings.slots),
+            load: Lagged::new(settings.load_lag_ms),
             state: Mutex::default(),
+            settings,
         };
         Handle::start(address, Arc::new(service)).await
     }
--- a/crates/goldcrestvale_standin/src/service/api.rs
+++ b/crates/goldcrestvale_standin/src/service/api.rs
@@ -1,16 +1,16 @@
 //! The HTTP interface of an instance of a plain service.
 
-use std::time::Duration;
+use std::{future::pending, time::Duration};
 
+use bytes::Bytes;
 use goldcrestvale_base::id::Digest;
 use goldcrestvale_upstream::message::ServiceLoad;
-use http::{HeaderMap, Method, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use http::{HeaderMap, Method, StatusCode, request::Parts};
 use hyper::{Request, Response, body::Incoming};
-use tokio::sync::watch;
 
 use super::{Answer, Counts, Faults, Service};
 use crate::{
+    fault::Switch,
     reply,
     server::{Body, Closed, Result, Site},
 };
@@ -19,7 +19,7 @@
     type Faults = Faults;
     type Counts = Counts;
 
-    fn faults(&self) -> &watch::Sender<Faults> {
+    fn faults(&self) -> &Switch<Faults> {
         &self.faults
     }
 
@@ -35,12 +35,18 @@
         if request.method() == Method::GET && request.uri().path() == "/load" {
             return Ok(reply::json(StatusCode::OK, &self.load()));
         }
-        if self.take(|faults| &mut faults.close_before) {
+        if self.state().leaving {
+            return Ok(self.refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving"));
+        }
+        if self.faults.take(|faults| &mut faults.close_before) {
             return Err(Closed);
         }
-        self.state().running += 1;
+        let _waiting = Count::new(self, |state| &mut state.waiting);
+        let slot = self.slots.acquire().await;
+        drop(_waiting);
+        let _running = Count::new(self, |state| &mut state.running);
         let answer = self.act(request).await;
-        self.state().running -= 1;
+        drop(slot);
         answer
     }
 }
@@ -49,79 +55,94 @@
     async fn act(&self, request: Request<Incoming>) -> Result<Response<Body>> {
         let (parts, body) = request.into_parts();
         let body = reply::read(body).await?;
-        let faults = self.faults.borrow().clone();
+        let faults = self.faults.get();
         if faults.hang {
-            std::future::pending::<()>().await;
+            pending::<()>().await;
         }
         if faults.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        if self.state().leaving {
-            self.state().counts.refusals += 1;
-            return Ok(reply::text(StatusCode::SERVICE_UNAVAILABLE, "leaving"));
+        if self.faults.take(|faults| &mut faults.fail) {
+            return Ok(self.refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed"));
         }
-        if self.take(|faults| &mut faults.fail) {
-            self.state().counts.refusals += 1;
-            return Ok(reply::text(StatusCode::INTERNAL_SERVER_ERROR, "failed"));
+        let answer = self.run(&parts, &body);
+        if faults.hang_after {
+            pending::<()>().await;
         }
-        let effect = self.effect(&parts.headers);
-        if self.take(|faults| &mut faults.close_after) {
+        if self.faults.take(|faults| &mut faults.close_after) {
             return Err(Closed);
         }
-        let answer = Answer {
-            service: self.settings.service.clone(),
-            path: parts.uri.path_and_query().map_or_else(String::new, ToString::to_string),
-            key: header(&parts.headers, "idempotency-key"),
-            effect,
-            digest: Digest::of(&body),
-        };
-        let mut response = reply::json(StatusCode::OK, &answer);
-        if self.take(|faults| &mut faults.close_half) {
-            let length = serde_json::to_vec(&answer).map_or(0, |bytes| bytes.len());
-            response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
-            let whole = serde_json::to_vec(&answer).unwrap_or_default();
-            let half = bytes::Bytes::copy_from_slice(&whole[..whole.len() / 2]);
-            let frames = [Ok(hyper::body::Frame::data(half)), Err(Closed)];
-            *response.body_mut() =
-                StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync();
+        if self.faults.take(|faults| &mut faults.fail_after) {
+            return Ok(reply::text(StatusCode::INTERNAL_SERVER_ERROR, "failed after the effect"));
+        }
+        let response = reply::json(StatusCode::OK, &answer);
+        if self.faults.take(|faults| &mut faults.close_half) {
+            let half = serde_json::to_vec(&answer).map_or(0, |whole| whole.len() / 2);
+            return reply::cut(response, half).await;
+        }
+        if faults.slow_body_ms > 0 {
+            return reply::slow(response, Duration::from_millis(faults.slow_body_ms)).await;
         }
         Ok(response)
     }
 
-    fn effect(&self, headers: &HeaderMap) -> u64 {
+    /// Acts on a request: the effect is counted, and the answer tells its number.
+    fn run(&self, parts: &Parts, body: &Bytes) -> Answer {
+        let key = header(&parts.headers, "idempotency-key");
         let mut state = self.state();
         state.counts.effects += 1;
-        if let Some(key) = header(headers, "idempotency-key") {
-            *state.counts.by_key.entry(key).or_default() += 1;
+        if let Some(key) = &key {
+            *state.counts.by_key.entry(key.clone()).or_default() += 1;
         }
-        if let Some(request) = header(headers, "goldcrestvale-request") {
+        if let Some(request) = header(&parts.headers, "goldcrestvale-request") {
             *state.counts.by_request.entry(request).or_default() += 1;
         }
-        state.counts.effects
+        Answer {
+            service: self.settings.service.clone(),
+            path: parts.uri.path_and_query().map_or_else(String::new, ToString::to_string),
+            key,
+            effect: state.counts.effects,
+            digest: Digest::of(body),
+        }
     }
 
-    fn load(&self) -> ServiceLoad {
-        let state = self.state();
-        ServiceLoad {
-            upstream: self.settings.name.clone(),
-            incarnation: self.incarnation.clone(),
-            running: state.running,
-            waiting: 0,
-            age_ms: 0,
-            leaving: state.leaving,
-        }
+    fn refuse(&self, status: StatusCode, line: &str) -> Response<Body> {
+        self.state().counts.refusals += 1;
+        reply::text(status, line)
     }
 
-    /// Takes one from a counted fault, and returns whether there was one to take.
-    fn take(&self, count: impl Fn(&mut Faults) -> &mut u32) -> bool {
-        let mut taken = false;
-        self.faults.send_if_modified(|faults| {
-            let count = count(faults);
-            taken = *count > 0;
-            *count = count.saturating_sub(1);
-            taken
+    fn load(&self) -> ServiceLoad {
+        let (load, age_ms) = self.load.read(|| {
+            let state = self.state();
+            ServiceLoad {
+                upstream: self.settings.name.clone(),
+                incarnation: self.incarnation.clone(),
+                running: state.running,
+                waiting: state.waiting,
+                age_ms: 0,
+                leaving: state.leaving,
+            }
         });
-        taken
+        ServiceLoad { age_ms, ..load }
+    }
+}
+
+/// Counts one request until it is dropped, also when its caller goes away.
+struct Count<'a> {
+    service: &'a Service,
+    field: fn(&mut super::State) -> &mut u32,
+}
+
+impl<'a> Count<'a> {
+    fn new(service: &'a Service, field: fn(&mut super::State) -> &mut u32) -> Self {
+        *field(&mut service.state()) += 1;
+        Self { service, field }
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        *(self.field)(&mut self.service.state()) -= 1;
     }
 }
 
--- a/crates/goldcrestvale_standin/src/service/settings.rs
+++ b/crates/goldcrestvale_standin/src/service/settings.rs
@@ -1,8 +1,10 @@
 //! Settings of an instance of a plain service.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
-use goldcrestvale_base::id::Upstream;
+use goldcrestvale_base::id::{Service, Upstream};
+
+use crate::settings::builder;
 
 /// Settings of an instance of a plain service.
 #[derive(Debug, Clone, clap::Args)]
@@ -15,15 +17,19 @@
     pub name: Upstream,
     /// Name of the service.
     #[arg(long, default_value = "booking")]
-    pub service: String,
+    pub service: Service,
+    /// Lag of the load report, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub load_lag_ms: u64,
+    /// Requests that run at the same time; further ones wait.
+    #[arg(long, default_value_t = 1_000)]
+    pub slots: usize,
 }
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            address: (Ipv4Addr::LOCALHOST, 0).into(),
-            name: "booking-1".parse().expect("a fixed name is valid"),
-            service: "booking".into(),
-        }
-    }
+builder! {
+    with_address(address: SocketAddr);
+    with_name(name: Upstream);
+    with_service(service: Service);
+    with_load_lag_ms(load_lag_ms: u64);
+    with_slots(slots: usize);
 }
--- /dev/null
+++ b/crates/goldcrestvale_standin/tests/log_contract.rs
@@ -0,0 +1,219 @@
+//! The platform: the log and the list of instances, with their faults.
+
+use std::time::Instant;
+
+use goldcrestvale_base::id::{Incarnation, Offset, RecordId};
+use goldcrestvale_platform::message::{
+    Append, Appended, Entry, Listed, Listing, Page, Role, State,
+};
+use goldcrestvale_standin::{
+    client::{self, Connection, Protocol},
+    platform::{Counts, Faults, Platform, Settings},
+    server::Handle,
+};
+use http::{Method, StatusCode};
+
+fn append(sequences: std::ops::Range<u64>) -> Append {
+    let records = sequences.map(|sequence| Entry {
+        id: RecordId { incarnation: Incarnation(7), sequence },
+        data: serde_json::value::to_raw_value(&sequence).expect("a number is JSON"),
+    });
+    Append { records: records.collect() }
+}
+
+async fn start(settings: Settings) -> Handle<Platform> {
+    Platform::start(settings).await.expect("a free port")
+}
+
+async fn write(
+    platform: &Handle<Platform>,
+    stream: &str,
+    append: &Append,
+) -> client::Result<client::Answer> {
+    client::post(platform.address(), &format!("/streams/{stream}/records"), append).await
+}
+
+async fn read(platform: &Handle<Platform>, stream: &str, query: &str) -> (StatusCode, Page) {
+    let path = format!("/streams/{stream}/records?{query}");
+    let answer = client::get(platform.address(), &path).await.expect("an answer");
+    (answer.status, answer.json().expect("a page"))
+}
+
+fn sequences(page: &Page) -> Vec<u64> {
+    page.records.iter().map(|record| record.id.sequence).collect()
+}
+
+#[tokio::test]
+async fn append_gives_offsets_and_streams_stay_apart() {
+    let platform = start(Settings::default()).await;
+    for (stream, range, first) in [("a", 0..2, 0), ("b", 10..11, 0), ("a", 2..5, 2)] {
+        let next = first + range.end - range.start;
+        let answer = write(&platform, stream, &append(range)).await.unwrap();
+        let appended: Appended = answer.json().unwrap();
+        assert_eq!(appended, Appended { first: Offset(first), next: Offset(next) });
+    }
+    let (_, page) = read(&platform, "a", "from=1&max=2").await;
+    assert_eq!((sequences(&page), page.oldest, page.end), (vec![1, 2], Offset(0), Offset(5)));
+    assert_eq!(sequences(&read(&platform, "b", "from=0").await.1), [10]);
+    assert_eq!(platform.counts().records, 6);
+}
+
+#[tokio::test]
+async fn a_read_waits_for_its_record() {
+    let platform = start(Settings::default()).await;
+    let reader = read(&platform, "a", "from=0&wait_ms=30000");
+    let writer = async {
+        tokio::task::yield_now().await;
+        write(&platform, "a", &append(0..1)).await.unwrap()
+    };
+    let ((status, page), _) = tokio::join!(reader, writer);
+    assert_eq!((status, sequences(&page)), (StatusCode::OK, vec![0]));
+    let (status, page) = read(&platform, "a", "from=1&wait_ms=1").await;
+    assert_eq!((status, sequences(&page)), (StatusCode::OK, vec![]));
+}
+
+#[tokio::test]
+async fn one_port_speaks_both_protocols() {
+    let platform = start(Settings::default()).await;
+    for protocol in [Protocol::Http1, Protocol::Http2] {
+        let mut connection = Connection::open(platform.address(), protocol).await.unwrap();
+        let request = connection.request(Method::GET, "/instances", bytes::Bytes::new()).unwrap();
+        assert_eq!(connection.send(request).await.unwrap().status(), StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn retention_trims_by_count_age_and_order() {
+    let counted = Settings::default().with_retention_records(2);
+    let aged = Settings::default().with_retention_ms(0);
+    let cases = [("count", counted, 3), ("age", aged, 5), ("order", Settings::default(), 4)];
+    for (name, settings, oldest) in cases {
+        let platform = start(settings).await;
+        write(&platform, "a", &append(0..5)).await.unwrap();
+        if name == "order" {
+            platform.site().trim("a", Offset(4));
+        }
+        let (status, page) = read(&platform, "a", "from=0").await;
+        assert_eq!(status, StatusCode::GONE, "{name}");
+        assert_eq!((page.oldest, page.end), (Offset(oldest), Offset(5)), "{name}");
+        assert!(page.records.is_empty(), "{name}");
+        let (status, page) = read(&platform, "a", &format!("from={oldest}")).await;
+        assert_eq!((status, page.oldest), (StatusCode::OK, Offset(oldest)), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn the_append_rate_is_limited() {
+    let platform = start(Settings::default().with_appends_per_second(2)).await;
+    let start = Instant::now();
+    let mut refused = 0;
+    for sequence in 0..5 {
+        let answer = write(&platform, "a", &append(sequence..sequence + 1)).await.unwrap();
+        refused += u32::from(answer.status == StatusCode::TOO_MANY_REQUESTS);
+    }
+    // Every started second allows two appends.
+    let allowed = 2 * (u32::try_from(start.elapsed().as_secs()).unwrap() + 1);
+    assert!(refused >= 5u32.saturating_sub(allowed), "{refused} refused, {allowed} allowed");
+    assert_eq!(platform.counts().limited, u64::from(refused));
+    assert_eq!(platform.site().end("a"), Offset(u64::from(5 - refused)));
+}
+
+/// Faults of one append: what the writer sees, and how many records stand afterwards.
+#[tokio::test]
+async fn append_faults() {
+    let none = Faults::default;
+    let cases = [
+        ("none", none(), Some(StatusCode::OK), 1),
+        ("down", Faults { down: true, ..none() }, Some(StatusCode::SERVICE_UNAVAILABLE), 0),
+        (
+            "appends",
+            Faults { down_appends: true, ..none() },
+            Some(StatusCode::SERVICE_UNAVAILABLE),
+            0,
+        ),
+        ("refuse", Faults { refuse: true, ..none() }, None, 0),
+        ("lost answer", Faults { lose_answers: 1, ..none() }, None, 1),
+        ("lost append", Faults { lose_appends: 1, ..none() }, None, 0),
+        ("slow", Faults { delay_ms: 1, late_ms: 1, ..none() }, Some(StatusCode::OK), 1),
+    ];
+    for (name, faults, seen, records) in cases {
+        let platform = start(Settings::default()).await;
+        let set = client::call(platform.control(), Method::PUT, "/faults", &faults).await.unwrap();
+        assert_eq!(set.status, StatusCode::OK);
+        let answer = write(&platform, "a", &append(0..1)).await;
+        assert_eq!(answer.ok().map(|answer| answer.status), seen, "{name}");
+        assert_eq!(platform.site().end("a"), Offset(records), "{name}");
+        platform.faults().set(none());
+        let counts: Counts =
+            client::get(platform.control(), "/counts").await.unwrap().json().unwrap();
+        assert_eq!(
+            (counts.records, counts.lost),
+            (records, u64::from(name == "lost answer")),
+            "{name}"
+        );
+        let (status, page) = read(&platform, "a", "from=0").await;
+        assert_eq!((status, page.records.len() as u64), (StatusCode::OK, records), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_lost_answer_and_its_repeat_leave_two_copies() {
+    let platform = start(Settings::default()).await;
+    platform.set(|faults| faults.lose_answers = 1);
+    assert!(write(&platform, "a", &append(0..1)).await.is_err());
+    write(&platform, "a", &append(0..1)).await.unwrap();
+    assert_eq!(sequences(&read(&platform, "a", "from=0").await.1), [0, 0]);
+}
+
+#[tokio::test]
+async fn an_old_page_is_delivered_again() {
+    let platform = start(Settings::default()).await;
+    write(&platform, "a", &append(0..2)).await.unwrap();
+    assert_eq!(sequences(&read(&platform, "a", "from=0").await.1), [0, 1]);
+    platform.set(|faults| faults.repeat_pages = 1);
+    write(&platform, "a", &append(2..3)).await.unwrap();
+    assert_eq!(sequences(&read(&platform, "a", "from=2").await.1), [0, 1]);
+    assert_eq!(sequences(&read(&platform, "a", "from=2").await.1), [2]);
+}
+
+#[tokio::test]
+async fn the_list_lags() {
+    let listed = |name: &str, state| Listed {
+        name: name.into(),
+        role: Role::Engine,
+        pool: "draft".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "yeka".parse().unwrap(),
+        state,
+    };
+    for (lag_ms, seen) in [(0, 2), (600_000, 0)] {
+        let platform = start(Settings::default().with_list_lag_ms(lag_ms)).await;
+        let list = vec![listed("e1", State::Live)];
+        client::call(platform.address(), Method::PUT, "/instances", &list).await.unwrap();
+        for entry in [listed("e2", State::Live), listed("e1", State::Leaving)] {
+            client::post(platform.address(), "/instances", &entry).await.unwrap();
+        }
+        let answer = client::get(platform.address(), "/instances").await.unwrap();
+        let listing: Listing = answer.json().unwrap();
+        assert_eq!(listing.instances.len(), seen, "lag {lag_ms}");
+        if let Some(first) = listing.instances.first() {
+            assert_eq!(*first, listed("e1", State::Leaving));
+        }
+    }
+}
+
+#[tokio::test]
+async fn malformed_requests_are_refused() {
+    let platform = start(Settings::default()).await;
+    let cases = [
+        (Method::POST, "/streams/a/records", StatusCode::BAD_REQUEST),
+        (Method::PUT, "/instances", StatusCode::BAD_REQUEST),
+        (Method::POST, "/instances", StatusCode::BAD_REQUEST),
+        (Method::PUT, "/faults", StatusCode::BAD_REQUEST),
+        (Method::GET, "/elsewhere", StatusCode::NOT_FOUND),
+    ];
+    for (method, path, status) in cases {
+        let answer = client::call(platform.address(), method, path, &"neither").await.unwrap();
+        assert_eq!(answer.status, status, "{path}");
+    }
+}
--- a/crates/goldcrestvale_upstream/src/message.rs
+++ b/crates/goldcrestvale_upstream/src/message.rs
@@ -176,4 +176,16 @@
         /// The desired state.
         pub desired: Desired,
     }
+
+    /// The answer to `GET /v1/orders`, which does not lag.
+    pub struct Orders {
+        /// Highest fencing number of an order that took effect.
+        pub fence: Option<Offset>,
+        /// What the engine holds.
+        pub holds: Vec<Held>,
+        /// What it is loading.
+        pub loading: Vec<Held>,
+        /// What work it takes.
+        pub role: EngineRole,
+    }
 }
