Model routers before mixed engines on virtual time

Cause: choices of upstream have to be compared under lagged load reports. Ruled out: measuring with processes first, because hundreds of engines and repeatable runs are needed to tell policies apart.

--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -1,1 +1,12 @@
 //! Load and experiments: policies against baselines, figures as CSV and tables.
+
+pub mod policy;
+pub mod sim;
+
+/// Re-exports the types that most users of this package name.
+pub mod prelude {
+    pub use crate::{
+        policy::{Kind, Policy},
+        sim::{Outcome, Settings, World},
+    };
+}
--- /dev/null
+++ b/crates/goldcrestvale_bench/src/policy/random.rs
@@ -0,0 +1,42 @@
+//! Any engine, evenly or by capacity.
+
+use goldcrestvale_base::time::Instant;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Engine, Policy};
+
+/// Any engine, evenly or by capacity.
+#[derive(Debug)]
+pub struct Random {
+    weighted: bool,
+}
+
+impl Random {
+    /// Chooses evenly.
+    pub fn even() -> Self {
+        Self { weighted: false }
+    }
+
+    /// Chooses by each engine's share of the whole capacity.
+    pub fn weighted() -> Self {
+        Self { weighted: true }
+    }
+}
+
+impl Policy for Random {
+    fn choose(&mut self, _now: Instant, engines: &[Engine], rng: &mut ChaCha8Rng) -> usize {
+        if !self.weighted {
+            return rng.random_range(0..engines.len());
+        }
+        let total: f64 = engines.iter().map(Engine::capacity).sum();
+        let mut left = rng.random_range(0.0..total);
+        for (engine, index) in engines.iter().zip(0..) {
+            left -= engine.capacity();
+            if left < 0.0 {
+                return index;
+            }
+        }
+        engines.len() - 1
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_bench/src/policy/reported.rs
@@ -0,0 +1,39 @@
+//! The least reported number of requests, of all engines or of two.
+
+use goldcrestvale_base::time::Instant;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Engine, Policy};
+
+/// The least reported number of requests, of all engines or of two.
+#[derive(Debug)]
+pub struct Reported {
+    two: bool,
+}
+
+impl Reported {
+    /// Looks at all engines.
+    pub fn least() -> Self {
+        Self { two: false }
+    }
+
+    /// Looks at two engines.
+    pub fn two() -> Self {
+        Self { two: true }
+    }
+}
+
+impl Policy for Reported {
+    fn choose(&mut self, _now: Instant, engines: &[Engine], rng: &mut ChaCha8Rng) -> usize {
+        let key = |index: &usize| engines[*index].report.requests;
+        if self.two {
+            let pair = [rng.random_range(0..engines.len()), rng.random_range(0..engines.len())];
+            return pair.into_iter().min_by_key(key).unwrap_or(0);
+        }
+        // Engines that report the same are taken in an order of this choice's own.
+        let start = rng.random_range(0..engines.len());
+        let order = (0..engines.len()).map(|place| (start + place) % engines.len());
+        order.min_by_key(key).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_bench/src/sim/engine.rs
@@ -0,0 +1,108 @@
+//! An engine that batches continuously.
+
+use std::{collections::VecDeque, time::Duration};
+
+use goldcrestvale_base::{engine::Accelerator, time::Instant};
+use goldcrestvale_standin::engine::cost::Cost;
+
+use super::workload::Request;
+
+/// Layers that every engine runs.
+pub(super) const LAYERS: u32 = 12;
+
+/// Returns how many requests a kind of accelerator runs at the same time.
+pub(super) const fn slots(accelerator: &Accelerator) -> u32 {
+    match accelerator {
+        Accelerator::Large => 64,
+        Accelerator::Medium => 32,
+        Accelerator::Small => 16,
+    }
+}
+
+/// A request at an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Job {
+    pub(super) router: usize,
+    pub(super) arrived: Instant,
+    pub(super) request: Request,
+    pub(super) first: Option<Instant>,
+    pub(super) written: u32,
+}
+
+/// An engine that batches continuously.
+#[derive(Debug)]
+pub(super) struct Engine {
+    cost: Cost,
+    slots: usize,
+    factor: f64,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    in_round: bool,
+    /// Time spent in rounds.
+    pub(super) busy: Duration,
+    /// Tokens written.
+    pub(super) tokens: u64,
+}
+
+impl Engine {
+    pub(super) fn new(accelerator: &Accelerator) -> Self {
+        Self {
+            cost: Cost::of(accelerator),
+            slots: slots(accelerator) as usize,
+            factor: 1.0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            in_round: false,
+            busy: Duration::ZERO,
+            tokens: 0,
+        }
+    }
+
+    /// Slows the engine down from its next round on.
+    pub(super) fn slow(&mut self, factor: f64) {
+        self.factor = factor;
+    }
+
+    /// Returns the number of requests running and waiting.
+    pub(super) fn requests(&self) -> u32 {
+        u32::try_from(self.running.len() + self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes a request.
+    pub(super) fn push(&mut self, job: Job) {
+        self.waiting.push_back(job);
+    }
+
+    /// Starts a round if there is work and none is under way; returns its length.
+    pub(super) fn start(&mut self) -> Option<Duration> {
+        if self.in_round {
+            return None;
+        }
+        let mut tokens = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        while self.running.len() < self.slots
+            && let Some(next) = self.waiting.front()
+            && (tokens == 0 || tokens + next.request.prompt <= self.cost.cap)
+        {
+            tokens += next.request.prompt;
+            self.running.extend(self.waiting.pop_front());
+        }
+        if self.running.is_empty() {
+            return None;
+        }
+        let length = self.cost.batch([(LAYERS, tokens)]).mul_f64(self.factor);
+        self.in_round = true;
+        self.busy += length;
+        Some(length)
+    }
+
+    /// Ends a round: every running request has one token more. Returns those that are complete.
+    pub(super) fn end(&mut self, now: Instant) -> Vec<Job> {
+        self.in_round = false;
+        self.tokens += self.running.len() as u64;
+        for job in &mut self.running {
+            job.first = job.first.or(Some(now));
+            job.written += 1;
+        }
+        self.running.extract_if(.., |job| job.written >= job.request.answer).collect()
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_bench/src/sim/outcome.rs
@@ -0,0 +1,73 @@
+//! What one run showed.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Longest time to the first token within the target.
+const FIRST_TARGET: Duration = Duration::from_millis(540);
+/// Longest mean time between tokens within the target.
+const GAP_TARGET: Duration = Duration::from_millis(43);
+/// Longest time that is told apart, in microseconds.
+const LONGEST_MICROS: u64 = 600_000_000;
+
+/// What one run showed.
+#[derive(Debug)]
+pub struct Outcome {
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+    complete: u64,
+    within: u64,
+    /// Tokens written a second, after the first fifth of the run.
+    pub tokens_per_second: f64,
+    /// Share of the offered requests that were complete at the end.
+    pub finished: f64,
+}
+
+impl Default for Outcome {
+    fn default() -> Self {
+        let histogram = || Histogram::new_with_max(LONGEST_MICROS, 3).expect("fixed bounds");
+        Self {
+            first: histogram(),
+            gap: histogram(),
+            complete: 0,
+            within: 0,
+            tokens_per_second: 0.0,
+            finished: 0.0,
+        }
+    }
+}
+
+impl Outcome {
+    /// Adds a complete request: its time to the first token, and its mean time between tokens.
+    pub(super) fn add(&mut self, first: Duration, gap: Duration) {
+        self.first.saturating_record(micros(first));
+        self.gap.saturating_record(micros(gap));
+        self.complete += 1;
+        self.within += u64::from(first <= FIRST_TARGET && gap <= GAP_TARGET);
+    }
+
+    /// Returns a percentile of the time to the first token, in milliseconds.
+    pub fn first_ms(&self, percentile: f64) -> f64 {
+        self.first.value_at_percentile(percentile) as f64 / 1e3
+    }
+
+    /// Returns a percentile of the mean time between tokens, in milliseconds.
+    pub fn gap_ms(&self, percentile: f64) -> f64 {
+        self.gap.value_at_percentile(percentile) as f64 / 1e3
+    }
+
+    /// Returns the number of complete requests.
+    pub fn complete(&self) -> u64 {
+        self.complete
+    }
+
+    /// Returns the share of complete requests whose first token and mean gap were within target.
+    pub fn within(&self) -> f64 {
+        self.within as f64 / (self.complete.max(1)) as f64
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/goldcrestvale_bench/src/sim/settings.rs
@@ -0,0 +1,108 @@
+//! Settings of one run.
+
+use std::time::Duration;
+
+use goldcrestvale_base::engine::Accelerator;
+
+/// How many engines of each kind there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fleet {
+    /// Large accelerators.
+    pub large: usize,
+    /// Medium accelerators.
+    pub medium: usize,
+    /// Small accelerators.
+    pub small: usize,
+}
+
+impl Fleet {
+    /// Returns the kinds, one entry an engine.
+    pub fn kinds(&self) -> Vec<Accelerator> {
+        let kinds = [
+            (Accelerator::Large, self.large),
+            (Accelerator::Medium, self.medium),
+            (Accelerator::Small, self.small),
+        ];
+        kinds.into_iter().flat_map(|(kind, count)| std::iter::repeat_n(kind, count)).collect()
+    }
+}
+
+/// Settings of one run.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The engines.
+    pub fleet: Fleet,
+    /// Number of routers.
+    pub routers: usize,
+    /// Offered load as a share of the capacity.
+    pub load: f64,
+    /// Interval between two load reports of an engine.
+    pub report_interval: Duration,
+    /// Interval at which routers tell each other what they sent.
+    pub share_interval: Duration,
+    /// Factor by which one in ten engines is slower than its kind, from the middle on.
+    pub slowdown: f64,
+    /// Length of the run; the first fifth is not counted.
+    pub length: Duration,
+    /// Seed of arrivals, lengths and choices.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            fleet: Fleet { large: 16, medium: 14, small: 10 },
+            routers: 4,
+            load: 0.8,
+            report_interval: Duration::from_secs(1),
+            share_interval: Duration::from_millis(250),
+            slowdown: 1.0,
+            length: Duration::from_secs(40),
+            seed: 1,
+        }
+    }
+}
+
+impl Settings {
+    /// Sets the number of routers.
+    #[must_use]
+    pub fn with_routers(mut self, routers: usize) -> Self {
+        self.routers = routers;
+        self
+    }
+
+    /// Sets the offered load.
+    #[must_use]
+    pub fn with_load(mut self, load: f64) -> Self {
+        self.load = load;
+        self
+    }
+
+    /// Sets the interval between two load reports of an engine.
+    #[must_use]
+    pub fn with_report_interval(mut self, report_interval: Duration) -> Self {
+        self.report_interval = report_interval;
+        self
+    }
+
+    /// Sets the factor by which one in ten engines becomes slower.
+    #[must_use]
+    pub fn with_slowdown(mut self, slowdown: f64) -> Self {
+        self.slowdown = slowdown;
+        self
+    }
+
+    /// Sets the length of the run.
+    #[must_use]
+    pub fn with_length(mut self, length: Duration) -> Self {
+        self.length = length;
+        self
+    }
+
+    /// Sets the seed.
+    #[must_use]
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
