--- a/crates/goldcrestvale_standin/src/lib.rs
+++ b/crates/goldcrestvale_standin/src/lib.rs
@@ -6,15 +6,20 @@
 //!
 //! Never a dependency of the router.
 
+pub mod audit;
 pub mod caller;
+pub mod client;
 pub mod engine;
+pub mod fault;
 pub mod fleet;
+mod lag;
 pub mod platform;
 pub mod process;
 pub mod reference;
 mod reply;
 pub mod server;
 pub mod service;
+mod settings;
 
 /// Re-exports the types that most users of this package name.
 pub mod prelude {
--- a/crates/goldcrestvale_upstream/src/lib.rs
+++ b/crates/goldcrestvale_upstream/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod message;
 pub mod pool;
+pub mod prefix;
 pub mod service;
 
 pub use error::{Error, Result};
