Spread chains over engines that serve equally well

Change: chain::Plan is what a draft plans with; chain::Spread moves each stage of a plan to the less loaded of two peers. A candidate's cost is apart from its expected step time, so that a slow start does not lengthen timeouts. Sending and the budget of a draft have their own files.

Figures: 700 plans over seven equal engines differ by at most 10 stages between the most and the least used one (asserted bound).

--- a/crates/goldcrestvale_route/benches/chain_plan.rs
+++ b/crates/goldcrestvale_route/benches/chain_plan.rs
@@ -22,15 +22,18 @@
     let build = |index: usize| {
         let kind = index % 3;
         let width = WIDTHS[kind];
-        let step = if aligned { width } else { 1 };
-        let from = rng.random_range(0..=(DEPTH - width) / step) * step;
+        let grid = if aligned { width } else { 1 };
+        let from = rng.random_range(0..=(DEPTH - width) / grid) * grid;
+        let nanos = 200_000 * (kind as u64 + 1) + rng.random_range(0..100_000);
+        let step = Duration::from_nanos(nanos);
         let domain = rng.random_range(0..domains);
         Candidate {
             upstream: format!("e{index}").parse().expect("a valid name"),
             domain: format!("d{domain}").parse().expect("a valid name"),
             accelerator: kinds[kind].clone(),
             holds: [Layers { from, to: from + width }].into_iter().collect(),
-            step: Duration::from_nanos(200_000 * (kind as u64 + 1) + rng.random_range(0..100_000)),
+            step,
+            cost: step,
             prefill: Duration::from_micros(2),
             // Links differ a hundredfold, from a fraction of a millisecond.
             link: Duration::from_micros(300 + 1_000 * domain as u64),
@@ -64,7 +67,7 @@
             bencher.iter(|| {
                 step += 1;
                 let candidate = &candidates[step as usize * 7 % engines];
-                planner.set_step(&candidate.upstream, Duration::from_micros(200 + step % 64));
+                planner.set_cost(&candidate.upstream, Duration::from_micros(200 + step % 64));
             });
         });
     }
--- a/crates/goldcrestvale_route/src/chain.rs
+++ b/crates/goldcrestvale_route/src/chain.rs
@@ -6,8 +6,10 @@
 mod candidate;
 mod graph;
 mod planner;
+mod spread;
 mod stage;
 
 pub use candidate::Candidate;
-pub use planner::{Error, Planner, Result};
+pub use planner::{Error, Plan, Planner, Result};
+pub use spread::Spread;
 pub use stage::{Chain, Stage};
--- a/crates/goldcrestvale_route/src/chain/candidate.rs
+++ b/crates/goldcrestvale_route/src/chain/candidate.rs
@@ -8,6 +8,8 @@
 };
 use smallvec::SmallVec;
 
+use super::Stage;
+
 goldcrestvale_base::domain! {
     value
     /// An engine that holds layers of the planner's model.
@@ -22,6 +24,8 @@
         pub holds: SmallVec<[Layers; 2]>,
         /// Expected time of a step of one position for each layer, at the present load.
         pub step: Duration,
+        /// Cost of a layer in plans: the step time, raised where the engine is to get less work.
+        pub cost: Duration,
         /// Expected time for each layer and each further position of a step.
         pub prefill: Duration,
         /// Cost of the link: the way there and back.
@@ -45,6 +49,7 @@
     ///     accelerator: Accelerator::Large,
     ///     holds: [Layers { from: 4, to: 8 }, Layers { from: 0, to: 4 }].into_iter().collect(),
     ///     step: Duration::from_micros(200),
+    ///     cost: Duration::from_micros(200),
     ///     prefill: Duration::from_micros(2),
     ///     link: Duration::from_millis(1),
     /// };
@@ -64,4 +69,16 @@
         }
         ranges
     }
+
+    /// Returns a stage that runs some of the layers, behind a link of a cost.
+    pub(super) fn stage(&self, layers: Layers, link: Duration) -> Stage {
+        Stage {
+            upstream: self.upstream.clone(),
+            domain: self.domain.clone(),
+            layers,
+            step: self.step,
+            prefill: self.prefill,
+            link,
+        }
+    }
 }
--- a/crates/goldcrestvale_route/src/chain/graph.rs
+++ b/crates/goldcrestvale_route/src/chain/graph.rs
@@ -17,14 +17,14 @@
 pub(super) struct Usable<'a> {
     pub(super) layers: Layers,
     pub(super) link: Duration,
-    pub(super) step: Duration,
+    pub(super) layer: Duration,
     pub(super) upstream: &'a Upstream,
 }
 
 impl Usable<'_> {
-    /// Returns the time of a step of one position over some layers.
+    /// Returns the cost of running some layers.
     pub(super) fn cost(&self, layers: Layers) -> Duration {
-        self.link + self.step.saturating_mul(layers.len())
+        self.link + self.layer.saturating_mul(layers.len())
     }
 }
 
--- a/crates/goldcrestvale_route/src/chain/planner.rs
+++ b/crates/goldcrestvale_route/src/chain/planner.rs
@@ -42,18 +42,34 @@
     ranges.join(", ")
 }
 
+/// What a draft plans with.
+pub trait Plan {
+    /// Returns the span of the whole model.
+    fn span(&self) -> Layers;
+
+    /// Plans a chain over a span of layers, without some upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Names the layers that no usable candidate holds.
+    fn plan(&self, span: Layers, excluded: &[Upstream]) -> Result<Chain>;
+
+    /// Returns a single engine that holds all layers of a span, if there is one.
+    fn cover(&self, span: Layers, excluded: &[Upstream]) -> Option<Stage>;
+}
+
 /// Significant bits to which the cost of a link is rounded up, so that the number of buckets
 /// depends on the spread of the links and not on the number of engines.
 const LINK_BITS: u32 = 3;
 
-/// Candidates that hold the same range behind links of the same cost differ in step time alone,
+/// Candidates that hold the same range behind links of the same cost differ in the cost of a layer alone,
 /// so the first few are the best for every part of the range.
 type Bucket = BTreeSet<(Duration, Upstream)>;
 
 /// Plans chains over the candidates that hold one version of one model.
 ///
-/// The cost of a chain is the sum of its stages' times plus a multiple of its slowest stage's
-/// time. Chains are cut where some candidate's range begins or ends, and no two neighbouring
+/// The cost of a chain is the sum of its stages' costs plus a multiple of its dearest stage's
+/// cost. Chains are cut where some candidate's range begins or ends, and no two neighbouring
 /// stages are of one engine.
 ///
 /// Inserting and removing take time logarithmic in the number of candidates. Planning looks at
@@ -101,7 +117,7 @@
         let link = rounded(candidate.link);
         for layers in candidate.ranges() {
             let bucket = self.buckets.entry((layers, link)).or_default();
-            bucket.insert((candidate.step, candidate.upstream.clone()));
+            bucket.insert((candidate.cost, candidate.upstream.clone()));
         }
         self.candidates.insert(candidate.upstream.clone(), candidate);
     }
@@ -110,7 +126,7 @@
     pub fn remove(&mut self, upstream: &Upstream) -> Option<Candidate> {
         let candidate = self.candidates.swap_remove(upstream)?;
         let link = rounded(candidate.link);
-        let key = (candidate.step, candidate.upstream.clone());
+        let key = (candidate.cost, candidate.upstream.clone());
         for layers in candidate.ranges() {
             if let Some(bucket) = self.buckets.get_mut(&(layers, link)) {
                 bucket.remove(&key);
@@ -122,14 +138,23 @@
         Some(candidate)
     }
 
-    /// Sets the step time of a candidate after its load changed.
-    pub fn set_step(&mut self, upstream: &Upstream, step: Duration) {
+    /// Sets the cost of a candidate after its load changed.
+    pub fn set_cost(&mut self, upstream: &Upstream, cost: Duration) {
         if let Some(mut candidate) = self.remove(upstream) {
-            candidate.step = step;
+            candidate.cost = cost;
             self.insert(candidate);
         }
     }
 
+    /// Returns the candidates that hold the same range as a stage's engine behind a link of the
+    /// same cost, the cheapest first.
+    pub fn iter_peers(&self, stage: &Stage) -> impl Iterator<Item = &Candidate> {
+        let ranges = self.get(&stage.upstream).map(Candidate::ranges).unwrap_or_default();
+        let range = ranges.into_iter().find(|range| range.covers(stage.layers));
+        let bucket = range.and_then(|range| self.buckets.get(&(range, stage.link)));
+        bucket.into_iter().flatten().filter_map(|(_, upstream)| self.get(upstream))
+    }
+
     /// Plans the chain of least cost over a span of layers, without some upstreams.
     ///
     /// # Examples
@@ -146,6 +171,7 @@
     ///     accelerator: Accelerator::Large,
     ///     holds: [Layers { from: 0, to: 5 }].into_iter().collect(),
     ///     step: Duration::from_micros(200),
+    ///     cost: Duration::from_micros(200),
     ///     prefill: Duration::from_micros(2),
     ///     link: Duration::from_millis(1),
     /// });
@@ -196,11 +222,11 @@
                 fastest = Fastest::default();
             }
             let free = bucket.iter().filter(|(_, upstream)| !excluded.contains(upstream));
-            for (step, upstream) in free.take(EDGES) {
-                if !fastest.admits(*step) {
+            for (layer, upstream) in free.take(EDGES) {
+                if !fastest.admits(*layer) {
                     break;
                 }
-                usable.push(Usable { layers, link: *link, step: *step, upstream });
+                usable.push(Usable { layers, link: *link, layer: *layer, upstream });
             }
         }
         usable
@@ -208,14 +234,21 @@
 
     fn stage(&self, upstream: &Upstream, layers: Layers) -> Stage {
         let candidate = &self.candidates[upstream];
-        Stage {
-            upstream: upstream.clone(),
-            domain: candidate.domain.clone(),
-            layers,
-            step: candidate.step,
-            prefill: candidate.prefill,
-            link: rounded(candidate.link),
-        }
+        candidate.stage(layers, rounded(candidate.link))
+    }
+}
+
+impl Plan for Planner {
+    fn span(&self) -> Layers {
+        self.span()
+    }
+
+    fn plan(&self, span: Layers, excluded: &[Upstream]) -> Result<Chain> {
+        self.plan(span, excluded)
+    }
+
+    fn cover(&self, span: Layers, excluded: &[Upstream]) -> Option<Stage> {
+        self.cover(span, excluded)
     }
 }
 
--- /dev/null
+++ b/crates/goldcrestvale_route/src/chain/spread.rs
@@ -0,0 +1,87 @@
+//! Spreading of chains over engines that serve equally well.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{engine::Layers, id::Upstream};
+use smallvec::SmallVec;
+
+use super::{Candidate, Chain, Plan, Planner, Result, Stage};
+
+/// Most engines among which a stage is spread.
+const PEERS: usize = 32;
+
+/// Plans with a planner, and then moves each stage to the less loaded of two engines that hold
+/// the same layers behind a link of the same cost.
+///
+/// The planner's costs lag; the load that is asked for here is the present one, such as the
+/// steps that this instance has in progress. Two choices keep instances that see the same lagged
+/// reports from sending to the same engine.
+#[derive(Debug)]
+pub struct Spread<'a, F> {
+    planner: &'a Planner,
+    seed: u64,
+    load: F,
+}
+
+impl<'a, F: Fn(&Upstream) -> u32> Spread<'a, F> {
+    /// Creates a plan from random bits, such as a hash of the request's identity, and from the
+    /// present load of an engine in steps.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_route::chain::{Plan, Planner, Spread};
+    ///
+    /// let planner = Planner::new(4, 1);
+    /// let spread = Spread::new(&planner, 17, |_| 0);
+    /// assert_eq!(spread.span(), planner.span());
+    /// ```
+    pub fn new(planner: &'a Planner, seed: u64, load: F) -> Self {
+        Self { planner, seed, load }
+    }
+
+    /// Returns one of the better peers of a stage.
+    fn choose(&self, stage: Stage, index: usize, taken: &[Upstream]) -> Stage {
+        let free =
+            |peer: &&Candidate| peer.upstream == stage.upstream || !taken.contains(&peer.upstream);
+        let peers: SmallVec<[&Candidate; PEERS]> =
+            self.planner.iter_peers(&stage).take(PEERS).filter(free).collect();
+        if peers.len() < 2 {
+            return stage;
+        }
+        let bits = self.seed.rotate_left(index as u32 * 11);
+        let first = bits as usize % peers.len();
+        let second = (first + 1 + (bits >> 32) as usize % (peers.len() - 1)) % peers.len();
+        let chosen = [peers[first], peers[second]].into_iter().min_by_key(|peer| self.cost(peer));
+        chosen.map_or_else(|| stage.clone(), |peer| peer.stage(stage.layers, stage.link))
+    }
+
+    /// Returns the cost of one more step at an engine.
+    fn cost(&self, peer: &Candidate) -> Duration {
+        peer.cost.saturating_mul((self.load)(&peer.upstream).saturating_add(1))
+    }
+}
+
+impl<F: Fn(&Upstream) -> u32> Plan for Spread<'_, F> {
+    fn span(&self) -> Layers {
+        self.planner.span()
+    }
+
+    fn plan(&self, span: Layers, excluded: &[Upstream]) -> Result<Chain> {
+        let planned = self.planner.plan(span, excluded)?;
+        let mut taken: SmallVec<[Upstream; 8]> = excluded.iter().cloned().collect();
+        taken.extend(planned.stages().iter().map(|stage| stage.upstream.clone()));
+        let mut stages: SmallVec<[Stage; 4]> = SmallVec::new();
+        for (index, stage) in planned.into_stages().into_iter().enumerate() {
+            let stage = self.choose(stage, index, &taken);
+            taken.push(stage.upstream.clone());
+            stages.push(stage);
+        }
+        Ok(Chain::new(span, stages).expect("the stages keep their layers"))
+    }
+
+    fn cover(&self, span: Layers, excluded: &[Upstream]) -> Option<Stage> {
+        let stage = self.planner.cover(span, excluded)?;
+        Some(self.choose(stage, 0, excluded))
+    }
+}
--- a/crates/goldcrestvale_route/src/draft.rs
+++ b/crates/goldcrestvale_route/src/draft.rs
@@ -34,11 +34,13 @@
 
 mod action;
 mod boundary;
+mod budget;
 mod event;
 mod machine;
 mod place;
 mod prompt;
 mod recovery;
+mod send;
 mod settings;
 mod tally;
 
--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -1,7 +1,7 @@
 //! The state machine of a draft.
 
 use goldcrestvale_base::{
-    engine::{Step, StepInput, StepName, StepOutput},
+    engine::{StepName, StepOutput},
     exchange::{Exchange, Sent as Handed},
     id::{Digest, Upstream},
     time::Instant,
@@ -11,9 +11,9 @@
 
 use super::{
     Action, Actions, Error, Event, Failure, Fault, Prompt, Tally,
-    place::{Place, Sent, Work},
+    place::{Place, Work},
 };
-use crate::chain::{Chain, Planner};
+use crate::chain::{Chain, Plan};
 
 /// The loss of a stage after which no token was committed yet.
 #[derive(Debug, Clone, Copy)]
@@ -72,7 +72,7 @@
     /// Takes an event and returns what is to be done.
     ///
     /// The planner is the present one; a draft keeps no reference to it.
-    pub fn handle(&mut self, now: Instant, event: Event, planner: &Planner) -> Actions {
+    pub fn handle(&mut self, now: Instant, event: Event, planner: &dyn Plan) -> Actions {
         if self.is_running() {
             let late = self.prompt.deadline.is_some_and(|deadline| now >= deadline);
             let outcome = match event {
@@ -92,7 +92,7 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn apply(&mut self, now: Instant, event: Event, planner: &Planner) -> Result<(), Error> {
+    fn apply(&mut self, now: Instant, event: Event, planner: &dyn Plan) -> Result<(), Error> {
         match event {
             Event::Answered { name, output } => self.answered(now, name, &output, planner),
             Event::Failed { name, fault } => match self.awaiting(name) {
@@ -154,7 +154,7 @@
         now: Instant,
         name: StepName,
         output: &StepOutput,
-        planner: &Planner,
+        planner: &dyn Plan,
     ) -> Result<(), Error> {
         let Some(index) = self.awaiting(name) else { return Ok(()) };
         let last = index + 1 == self.places.len();
@@ -239,95 +239,4 @@
     fn count(&self) -> u32 {
         self.answer().len() as u32
     }
-
-    /// Sends a step at every idle place whose next inputs are known.
-    fn pump(&mut self, now: Instant) {
-        for index in 0..self.places.len() {
-            let place = &self.places[index];
-            let end = if index == 0 { self.length() } else { place.input.end() };
-            if matches!(place.work, Work::Idle) && place.kv < end {
-                let positions = (end - place.kv).min(self.most_positions(index, end));
-                let place = &mut self.places[index];
-                place.work = Work::Awaiting(Sent {
-                    name: self.prompt.name(place.attempt, place.kv, place.number),
-                    positions,
-                    at: now,
-                    until: now,
-                    again: None,
-                    tries: 0,
-                });
-                self.send(now, index);
-            }
-        }
-    }
-
-    /// Returns the most positions that a step of a place may have. Steps are cut so that the next
-    /// stage can run in parallel; where it has its inputs already, as when this stage is rebuilt,
-    /// or where there is no next stage, cutting would only cost time.
-    fn most_positions(&self, index: usize, end: u32) -> u32 {
-        match self.places.get(index + 1) {
-            Some(next) if next.input.end() + 1 < end => self.prompt.settings.chunk.max(1),
-            _ => u32::MAX,
-        }
-    }
-
-    /// Sends the awaited step of a place, for the first time or again.
-    pub(super) fn send(&mut self, now: Instant, index: usize) {
-        let place = &mut self.places[index];
-        let Work::Awaiting(sent) = &mut place.work else { return };
-        let expected = place.stage.time(sent.positions);
-        let timeout = self.prompt.settings.timeout(expected);
-        sent.tries += 1;
-        sent.until = now + timeout;
-        sent.again = None;
-        let (from, to) = (sent.name.position, sent.name.position + sent.positions);
-        let input = if index == 0 {
-            StepInput::Tokens(self.prompt.tokens[from as usize..to as usize].to_vec())
-        } else {
-            StepInput::Activations(place.input.slice(from, to).to_vec())
-        };
-        let step = Step {
-            name: sent.name,
-            model: self.prompt.model.clone(),
-            layers: place.stage.layers,
-            priority: self.prompt.priority,
-            input,
-        };
-        self.tally.steps += 1;
-        let upstream = place.stage.upstream.clone();
-        self.actions.push(Action::Send { upstream, step, expected, timeout });
-    }
-
-    /// Gives up used activations until the retained ones fit the budget.
-    fn keep_budget(&mut self) {
-        loop {
-            let retained = |place: &&Place| !place.input.is_transient();
-            let bytes: usize = self.places.iter().filter(retained).map(|p| p.input.bytes()).sum();
-            if bytes <= self.prompt.settings.retain_bytes {
-                return;
-            }
-            let Some(index) = self.least_useful() else { return };
-            let place = &mut self.places[index];
-            place.input.release();
-            place.input.trim(place.kv);
-        }
-    }
-
-    /// Returns the retained boundary whose neighbours are closest: without it, the least further
-    /// layers must run to rebuild a stage.
-    fn least_useful(&self) -> Option<usize> {
-        let mut retained: SmallVec<[(usize, u32); 8]> = SmallVec::new();
-        for (index, place) in self.places.iter().enumerate() {
-            if index == 0 || !place.input.is_transient() {
-                retained.push((index, place.stage.layers.from));
-            }
-        }
-        let end = self.places.last().map_or(0, |place| place.stage.layers.to);
-        let gap = |at: usize| {
-            let next = retained.get(at + 1).map_or(end, |&(_, layer)| layer);
-            next - retained[at - 1].1
-        };
-        let least = (1..retained.len()).min_by_key(|&at| gap(at))?;
-        Some(retained[least].0)
-    }
 }
--- a/crates/goldcrestvale_route/src/draft/prompt.rs
+++ b/crates/goldcrestvale_route/src/draft/prompt.rs
@@ -14,7 +14,7 @@
     Actions, Draft, Failure, Settings,
     action::{ChainSnafu, Error, LateSnafu, PromptSnafu},
 };
-use crate::chain::{Chain, Planner};
+use crate::chain::{Chain, Plan};
 
 /// The result of starting a draft.
 pub type Result<T> = std::result::Result<T, Failure>;
@@ -100,7 +100,7 @@
     ///
     /// Refuses an empty prompt, a prompt for which no chain covers the model, and one whose first
     /// token is expected after the deadline. Nothing was sent then, and the verdict says so.
-    pub fn start(self, now: Instant, planner: &Planner) -> Result<(Draft, Actions)> {
+    pub fn start(self, now: Instant, planner: &dyn Plan) -> Result<(Draft, Actions)> {
         let exchange = Exchange::new();
         let retry_after = self.settings.retry_after;
         match self.chain(now, planner) {
@@ -113,7 +113,7 @@
         }
     }
 
-    fn chain(&self, now: Instant, planner: &Planner) -> std::result::Result<Chain, Error> {
+    fn chain(&self, now: Instant, planner: &dyn Plan) -> std::result::Result<Chain, Error> {
         ensure!(self.length > 0, PromptSnafu);
         let chain = planner.plan(planner.span(), &[]).context(ChainSnafu)?;
         let positions = self.tokens.len() as u32;
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -10,7 +10,7 @@
     machine::Loss,
     place::{Move, Place, Work},
 };
-use crate::chain::{Chain, Planner};
+use crate::chain::{Chain, Plan};
 
 impl Draft {
     /// Handles the failure of the awaited step of a place.
@@ -19,7 +19,7 @@
         now: Instant,
         index: usize,
         fault: Fault,
-        planner: &Planner,
+        planner: &dyn Plan,
     ) -> Result<(), Error> {
         let tries = self.prompt.settings.tries;
         let pause = self.prompt.settings.busy_pause;
@@ -62,7 +62,7 @@
         &mut self,
         now: Instant,
         upstream: &Upstream,
-        planner: &Planner,
+        planner: &dyn Plan,
     ) -> Result<(), Error> {
         self.avoid(upstream);
         while let Some(index) = self.places.iter().position(|p| p.stage.upstream == *upstream) {
@@ -84,7 +84,7 @@
         &mut self,
         now: Instant,
         upstream: &Upstream,
-        planner: &Planner,
+        planner: &dyn Plan,
     ) -> Result<(), Error> {
         self.avoid(upstream);
         for place in &mut self.places {
@@ -94,7 +94,7 @@
     }
 
     /// Starts to move the stages that are to leave and await no answer.
-    pub(super) fn leave_idle(&mut self, now: Instant, planner: &Planner) -> Result<(), Error> {
+    pub(super) fn leave_idle(&mut self, now: Instant, planner: &dyn Plan) -> Result<(), Error> {
         let ready = |place: &Place| place.leaving && matches!(place.work, Work::Idle);
         while let Some(index) = self.places.iter().position(ready) {
             self.places[index].leaving = false;
@@ -107,7 +107,7 @@
     }
 
     /// Moves the KV cache of an idle place to another engine, or rebuilds it there.
-    fn leave(&mut self, now: Instant, index: usize, planner: &Planner) -> Result<(), Error> {
+    fn leave(&mut self, now: Instant, index: usize, planner: &dyn Plan) -> Result<(), Error> {
         let place = &mut self.places[index];
         place.leaving = false;
         let target = planner.cover(place.stage.layers, &self.avoided);
@@ -133,7 +133,7 @@
         now: Instant,
         attempt: u32,
         positions: u32,
-        planner: &Planner,
+        planner: &dyn Plan,
     ) -> Result<(), Error> {
         let Some(index) = self.moving(attempt) else { return Ok(()) };
         if self.places[index].kv != positions {
@@ -155,7 +155,7 @@
         &mut self,
         now: Instant,
         attempt: u32,
-        planner: &Planner,
+        planner: &dyn Plan,
     ) -> Result<(), Error> {
         match self.moving(attempt) {
             Some(index) => self.rebuild(now, index, planner),
@@ -169,7 +169,7 @@
         self.places.iter().position(moved)
     }
 
-    pub(super) fn tick(&mut self, now: Instant, planner: &Planner) -> Result<(), Error> {
+    pub(super) fn tick(&mut self, now: Instant, planner: &dyn Plan) -> Result<(), Error> {
         let due = |place: &Place| place.wake().is_some_and(|at| at <= now);
         while let Some(index) = self.places.iter().position(due) {
             match &self.places[index].work {
@@ -183,7 +183,7 @@
     }
 
     /// Replaces a lost stage, and where its inputs were not retained the stages before it.
-    fn rebuild(&mut self, now: Instant, index: usize, planner: &Planner) -> Result<(), Error> {
+    fn rebuild(&mut self, now: Instant, index: usize, planner: &dyn Plan) -> Result<(), Error> {
         self.lose(now, index);
         let rebuilds = self.prompt.settings.rebuilds;
         ensure!(self.tally.rebuilds < rebuilds, RebuildsSnafu { rebuilds });
--- a/crates/goldcrestvale_route/src/health/monitor.rs
+++ b/crates/goldcrestvale_route/src/health/monitor.rs
@@ -131,6 +131,11 @@
         self.records.get(upstream).map_or(0.0, |record| record.share(now, &self.settings))
     }
 
+    /// Returns by what the step time expected of a healthy upstream is to be multiplied.
+    pub fn slowdown(&self, upstream: &Upstream) -> f64 {
+        self.records.get(upstream).map_or(1.0, Record::slowdown)
+    }
+
     /// Returns the step time to plan with, from the one expected of a healthy upstream; `None`
     /// where it may get no new work.
     pub fn cost(&self, now: Instant, upstream: &Upstream, expected: Duration) -> Option<Duration> {
--- a/crates/goldcrestvale_route/tests/chain_plan.rs
+++ b/crates/goldcrestvale_route/tests/chain_plan.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use goldcrestvale_base::engine::{Accelerator, Layers};
-use goldcrestvale_route::chain::{Candidate, Error, Planner, Stage};
+use goldcrestvale_base::{
+    engine::{Accelerator, Layers},
+    id::Upstream,
+};
+use goldcrestvale_route::chain::{Candidate, Error, Plan, Planner, Spread, Stage};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
@@ -20,6 +23,7 @@
         accelerator: Accelerator::Large,
         holds: held.iter().map(|&(from, to)| layers(from, to)).collect(),
         step: Duration::from_micros(step),
+        cost: Duration::from_micros(step),
         prefill: Duration::from_micros(1),
         link: Duration::from_nanos(link),
     }
@@ -126,7 +130,7 @@
         chain.stages().iter().map(|s| s.upstream.to_string()).collect::<Vec<_>>().join("")
     };
     assert_eq!(plan(&planner), "aba");
-    planner.set_step(&a.upstream, Duration::from_micros(30));
+    planner.set_cost(&a.upstream, Duration::from_micros(30));
     assert_eq!(plan(&planner), "b");
     assert_eq!(planner.remove(&b.upstream), Some(b));
     let layers = [layers(2, 4)].into_iter().collect();
@@ -216,3 +220,23 @@
         prop_assert!(nanos <= link && link <= nanos + nanos / 4 + 1, "{nanos} became {link}");
     }
 }
+
+#[test]
+fn stages_are_spread_over_peers_by_load() {
+    let names: Vec<_> = (0..8).map(|i| format!("a{i}")).collect();
+    let mut candidates: Vec<_> = names.iter().map(|n| candidate(n, &[(0, 4)], 10, 8)).collect();
+    candidates.extend([candidate("b", &[(4, 8)], 10, 8), candidate("far", &[(0, 4)], 10, 1 << 20)]);
+    let planner = planner(8, 1, &candidates);
+    let excluded = ["a3".parse().unwrap()];
+    let mut load = std::collections::BTreeMap::<Upstream, u32>::new();
+    for request in 0..700_u64 {
+        let seed = request.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let spread = Spread::new(&planner, seed, |u| load.get(u).copied().unwrap_or(0));
+        let chain = spread.plan(spread.span(), &excluded).unwrap();
+        assert_eq!(chain.stages()[1].upstream.as_str(), "b");
+        *load.entry(chain.stages()[0].upstream.clone()).or_default() += 1;
+    }
+    assert_eq!(load.len(), 7, "all but the excluded and the far one: {load:?}");
+    let (least, most) = (load.values().min().unwrap(), load.values().max().unwrap());
+    assert!(most - least <= 10, "{load:?}");
+}
--- a/crates/goldcrestvale_route/tests/layer_order.rs
+++ b/crates/goldcrestvale_route/tests/layer_order.rs
@@ -140,6 +140,7 @@
     let held = [("a0", 0, 2), ("a1", 0, 2), ("b0", 2, 4), ("b1", 2, 4), ("c0", 4, 6), ("c1", 4, 6)];
     let slow = [("w", 0, 6), ("x", 1, 5)].map(|(name, from, to)| Candidate {
         step: Duration::from_millis(2),
+        cost: Duration::from_millis(2),
         ..candidate(name, from, to)
     });
     held.into_iter().map(|(name, from, to)| candidate(name, from, to)).chain(slow).collect()
--- a/crates/goldcrestvale_route/tests/support/mod.rs
+++ b/crates/goldcrestvale_route/tests/support/mod.rs
@@ -79,6 +79,7 @@
     Candidate {
         accelerator: kind,
         step: Duration::from_micros(step),
+        cost: Duration::from_micros(step),
         prefill: Duration::from_micros(prefill),
         ..candidate(name, from, to)
     }
@@ -91,6 +92,7 @@
         accelerator: Accelerator::Large,
         holds: [Layers { from, to }].into_iter().collect(),
         step: Duration::from_micros(250),
+        cost: Duration::from_micros(250),
         prefill: Duration::from_micros(2),
         link: Duration::from_micros(512),
     }
