Drive drafts by the state machine over real engines

Cause: the thin relay failed a draft with the first engine that failed.

Outcomes of steps go to the judging task over a bounded channel, since the path of a request takes no lock.

Change: callers::draft drives draft::Draft; plans and health are parts of the entry. The time of a fetch of a load report is the cost of a link.

--- a/crates/goldcrestvale_entry/src/callers/draft.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod call;
 mod relay;
 
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 };
 use answer::{Answer, End};
 use ask::Ask;
-use relay::Relay;
+use relay::{Next, Relay};
 
 pub(super) async fn serve(
     node: Arc<Node>,
@@ -34,7 +35,9 @@
     let ask = Ask::parse(&body, &caller, &node)?;
     let until = trace.started() + ask.deadline;
     let relay = Relay::plan(node.clone(), id, ask, until)?;
-    trace.set_upstream(relay.first_upstream(), 1);
+    if let Some(first) = relay.first_upstream() {
+        trace.set_upstream(first, 1);
+    }
     if relay.ask().stream {
         return Ok(stream(relay, trace.hand_over(), pass));
     }
@@ -42,8 +45,12 @@
 }
 
 async fn whole(mut relay: Relay) -> Result<Response<Body>> {
-    while relay.advance().await?.is_some() {}
-    let answer = Answer::new(&relay);
+    let whole = loop {
+        if let Next::End(whole) = relay.advance().await? {
+            break whole;
+        }
+    };
+    let answer = Answer::new(&relay, whole);
     let body = serde_json::to_vec(&answer).unwrap_or_default();
     let mut response = Response::new(body::full(body));
     let json = HeaderValue::from_static("application/json");
@@ -56,14 +63,19 @@
     tokio::spawn(async move {
         let _pass = pass;
         let last = loop {
-            match relay.advance().await {
-                Ok(Some(piece)) => {
+            let next = tokio::select! {
+                next = relay.advance() => next,
+                // Dropping the relay cancels the draft on every stage.
+                () = sender.closed() => return,
+            };
+            match next {
+                Ok(Next::Piece(piece)) => {
                     let event = sse::event("token", Some(piece.position), &piece);
                     if sender.send(event).await.is_err() {
                         return;
                     }
                 }
-                Ok(None) => break sse::event("end", None, &End::new(&relay)),
+                Ok(Next::End(whole)) => break sse::event("end", None, &End::new(&relay, whole)),
                 Err(refusal) => {
                     trace.refuse(&refusal);
                     break sse::event("error", None, &refusal.problem(relay.id()));
--- a/crates/goldcrestvale_entry/src/callers/draft/answer.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/answer.rs
@@ -1,12 +1,9 @@
 //! What a caller is answered.
 
-use goldcrestvale_base::{
-    engine::StepName,
-    id::{Digest, Model, Request},
-};
+use goldcrestvale_base::id::{Digest, Model, Request};
 use serde::Serialize;
 
-use super::relay::Relay;
+use super::relay::{Relay, Whole};
 
 /// One committed token of a streamed answer.
 #[derive(Debug, Clone, Serialize)]
@@ -23,7 +20,7 @@
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct End {
     id: Request,
-    count: usize,
+    count: u32,
     digest: Digest,
 }
 
@@ -34,27 +31,26 @@
     model: Model,
     text: String,
     tokens: Vec<u32>,
-    count: usize,
+    count: u32,
     digest: Digest,
 }
 
 impl End {
-    pub(super) fn new(relay: &Relay) -> Self {
-        let tokens = relay.tokens();
-        Self { id: relay.id(), count: tokens.len(), digest: digest(tokens) }
+    pub(super) fn new(relay: &Relay, whole: Whole) -> Self {
+        Self { id: relay.id(), count: whole.count, digest: whole.digest }
     }
 }
 
 impl Answer {
-    pub(super) fn new(relay: &Relay) -> Self {
+    pub(super) fn new(relay: &Relay, whole: Whole) -> Self {
         let tokens = relay.tokens();
         Self {
             id: relay.id(),
             model: relay.ask().model.clone(),
             text: String::from_utf8_lossy(&bytes(tokens)).into_owned(),
             tokens: tokens.to_vec(),
-            count: tokens.len(),
-            digest: digest(tokens),
+            count: whole.count,
+            digest: whole.digest,
         }
     }
 }
@@ -90,14 +86,3 @@
 fn bytes(tokens: &[u32]) -> Vec<u8> {
     tokens.iter().filter_map(|&token| u8::try_from(token).ok()).collect()
 }
-
-/// Returns the digest of tokens as little-endian 32-bit numbers.
-fn digest(tokens: &[u32]) -> Digest {
-    let bytes: Vec<u8> = tokens.iter().flat_map(|token| token.to_le_bytes()).collect();
-    Digest::of(&bytes)
-}
-
-/// Returns whether a step's answer is the awaited one.
-pub(super) fn is_awaited(awaited: StepName, answered: StepName) -> bool {
-    awaited == answered
-}
--- a/crates/goldcrestvale_entry/src/callers/draft/ask.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/ask.rs
@@ -38,6 +38,8 @@
 pub(super) struct Ask {
     pub(super) model: Model,
     pub(super) layers: u32,
+    /// Version of the weights that is in force.
+    pub(super) version: String,
     pub(super) prompt: Vec<u32>,
     /// Tokens that the caller already holds from an earlier answer to the same prompt.
     pub(super) resume: Vec<u32>,
@@ -70,6 +72,7 @@
         let deadline = caller.deadline_ms.map(Duration::from_millis);
         Ok(Self {
             layers: model.body.layers,
+            version: model.body.version.clone(),
             model: body.model,
             prompt,
             resume: body.resume,
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/callers/draft/call.rs
@@ -0,0 +1,120 @@
+//! Calls of engines on behalf of a draft; each ends in events of the draft.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::future::BoxFuture;
+use goldcrestvale_base::{
+    engine::{Layers, Step},
+    id::Request,
+};
+use goldcrestvale_route::{
+    draft::{Event, Fault},
+    health::Outcome,
+};
+use goldcrestvale_upstream::{
+    Error, Result,
+    message::{Cancel, Refusal},
+};
+use smallvec::{SmallVec, smallvec};
+
+use crate::{node::Node, table::Row};
+
+/// Events that one call ends in.
+pub(super) type Events = SmallVec<[Event; 2]>;
+
+/// A call in progress.
+pub(super) type Call = BoxFuture<'static, Events>;
+
+/// Sends a step.
+pub(super) fn step(
+    node: Arc<Node>,
+    row: Arc<Row>,
+    step: Step,
+    expected: Duration,
+    limit: Duration,
+) -> Call {
+    Box::pin(async move {
+        let _guard = row.enter();
+        let sent = node.clock.now();
+        let answer = node.engines.step(row.address, &step, limit).await;
+        let (outcome, events): (Outcome, Events) = match answer {
+            Ok(answer) => {
+                let took = node.clock.now().since(sent);
+                let name = answer.name;
+                let mut events = smallvec![Event::Answered { name, output: answer.output }];
+                // The exchange is over and the awaited answer was not in it.
+                if name != step.name {
+                    events.push(Event::Failed { name: step.name, fault: Fault::Lost });
+                }
+                (Outcome::Answered { took, expected }, events)
+            }
+            Err(error) => {
+                let fault = fault(&error);
+                log::debug!(upstream:% = row.name, error:% = error; "a step failed");
+                (Outcome::Failed(fault), smallvec![Event::Failed { name: step.name, fault }])
+            }
+        };
+        node.health.observe(&row.name, outcome);
+        events
+    })
+}
+
+/// Moves a KV cache from one engine to another, under a new attempt.
+pub(super) fn move_kv(node: Arc<Node>, from: Arc<Row>, to: Arc<Row>, kv: Moved) -> Call {
+    Box::pin(async move {
+        let attempt = kv.new_attempt;
+        smallvec![match transfer(&node, &from, &to, &kv).await {
+            Ok(positions) => Event::KvMoved { attempt, positions },
+            Err(error) => {
+                log::debug!(upstream:% = from.name, error:% = error; "a KV cache was not moved");
+                Event::KvFailed { attempt }
+            }
+        }]
+    })
+}
+
+/// The KV cache to move.
+#[derive(Debug)]
+pub(super) struct Moved {
+    pub(super) request: Request,
+    pub(super) attempt: u32,
+    pub(super) new_attempt: u32,
+    pub(super) layers: Layers,
+}
+
+async fn transfer(node: &Node, from: &Row, to: &Row, moved: &Moved) -> Result<u32> {
+    let limit = node.settings.upstream.step_timeout;
+    let mut kv = node.engines.export_kv(from.address, moved.request, moved.attempt, limit).await?;
+    if kv.layers != moved.layers {
+        let detail = format!("a KV cache of layers {:?}", kv.layers);
+        return Err(Error::Malformed { address: from.address, detail });
+    }
+    kv.attempt = moved.new_attempt;
+    node.engines.import_kv(to.address, &kv, limit).await?;
+    Ok(kv.positions)
+}
+
+/// Cancels an attempt in the background.
+pub(super) fn cancel(node: Arc<Node>, row: Arc<Row>, request: Request, attempt: u32) {
+    tokio::spawn(async move {
+        let limit = node.settings.upstream.load_timeout;
+        let cancel = Cancel { request, attempt: Some(attempt) };
+        // An engine that cannot be reached drops the state later by itself.
+        let _ = node.engines.cancel(row.address, &cancel, limit).await;
+    });
+}
+
+fn fault(error: &Error) -> Fault {
+    match error {
+        Error::Unsent { .. } | Error::Broken { .. } => Fault::Lost,
+        Error::Late { .. } => Fault::Timeout,
+        Error::Oversized { .. } | Error::Malformed { .. } => Fault::Refused,
+        Error::Refused { refusal, .. } => match refusal {
+            Refusal::Leaving => Fault::Leaving,
+            Refusal::Busy => Fault::Busy,
+            Refusal::NotHeld => Fault::NotHeld,
+            Refusal::Gap => Fault::Gap,
+            Refusal::Fenced | Refusal::Sender | Refusal::Malformed => Fault::Refused,
+        },
+    }
+}
--- a/crates/goldcrestvale_entry/src/callers/draft/relay.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/relay.rs
@@ -1,51 +1,92 @@
-//! Relaying the steps of one draft over a chain of stages.
+//! Driving one draft over its chain of engines.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use goldcrestvale_base::{
-    engine::{Layers, StepName},
-    id::{Request, Upstream},
+    id::{Digest, Request, Upstream},
     time::Instant,
-    verdict::Verdict,
 };
-use goldcrestvale_upstream::message::{Cancel, Step, StepAnswer, StepInput, StepOutput};
+use goldcrestvale_route::{
+    chain::{Plan, Planner, Spread},
+    draft::{Action, Draft, Error, Event, Failure, Fault, Prompt, Settings},
+};
+use log::info;
+use smallvec::SmallVec;
 
 use super::{
-    answer::{Piece, Text, is_awaited},
+    answer::{Piece, Text},
     ask::Ask,
+    call::{self, Call, Moved},
 };
 use crate::{
     node::Node,
+    plans::Plans,
     refusal::{Cause, Refusal, Result},
     table::Row,
 };
 
-/// One stage of a chain.
+/// What a draft gives next.
 #[derive(Debug)]
-struct Stage {
-    row: Arc<Row>,
-    layers: Layers,
+pub(super) enum Next {
+    /// A token.
+    Piece(Piece),
+    /// The end of a whole answer.
+    End(Whole),
+}
+
+/// What proves that an answer is whole.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Whole {
+    pub(super) count: u32,
+    pub(super) digest: Digest,
 }
 
 /// A draft in progress.
-#[derive(Debug)]
 pub(super) struct Relay {
     node: Arc<Node>,
     id: Request,
     ask: Ask,
-    until: Instant,
-    stages: Vec<Stage>,
-    tokens: Vec<u32>,
+    draft: Draft,
+    started: Instant,
+    actions: VecDeque<Action>,
+    events: VecDeque<Event>,
+    calls: FuturesUnordered<Call>,
+    /// The plans against which the engines of the chain were last checked.
+    checked: Arc<Plans>,
+    /// Engines that the draft was told to leave.
+    left: SmallVec<[Upstream; 2]>,
     text: Text,
-    /// Positions whose KV every stage holds.
-    done: u32,
 }
 
 impl Relay {
     pub(super) fn plan(node: Arc<Node>, id: Request, ask: Ask, until: Instant) -> Result<Self> {
-        let stages = plan(&node, &ask)?;
-        let tokens = ask.resume.clone();
-        Ok(Self { node, id, ask, until, stages, tokens, text: Text::default(), done: 0 })
+        let plans = Plans::current(&node);
+        let started = node.clock.now();
+        let settings = Settings {
+            timeout_ceiling: node.settings.upstream.step_timeout,
+            ..Settings::default()
+        };
+        let prompt = Prompt::new(id, ask.model.clone(), ask.prompt.clone(), ask.max_tokens)
+            .resume(&ask.resume)
+            .deadline(until)
+            .priority(ask.priority)
+            .settings(settings);
+        let begun = with_plan(&plans, &ask, id, |plan| prompt.start(started, plan));
+        let (draft, actions) = begun.map_err(|failure| refusal(&failure))?;
+        Ok(Self {
+            node,
+            id,
+            ask,
+            draft,
+            started,
+            actions: actions.into_iter().collect(),
+            events: VecDeque::new(),
+            calls: FuturesUnordered::new(),
+            checked: plans,
+            left: SmallVec::new(),
+            text: Text::default(),
+        })
     }
 
     pub(super) fn id(&self) -> Request {
@@ -57,117 +98,168 @@
     }
 
     pub(super) fn tokens(&self) -> &[u32] {
-        &self.tokens
+        self.draft.answer()
+    }
+
+    pub(super) fn first_upstream(&self) -> Option<&Upstream> {
+        self.draft.upstreams().next()
+    }
+
+    /// Runs the draft up to its next token or its end.
+    pub(super) async fn advance(&mut self) -> Result<Next> {
+        loop {
+            while let Some(action) = self.actions.pop_front() {
+                if let Some(next) = self.carry_out(action)? {
+                    return Ok(next);
+                }
+            }
+            let event = self.next_event().await;
+            self.handle(event);
+        }
     }
 
-    pub(super) fn first_upstream(&self) -> &Upstream {
-        &self.stages[0].row.name
+    async fn next_event(&mut self) -> Event {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return event;
+            }
+            let left = self.draft.wake().map(|wake| wake.since(self.node.clock.now()));
+            let wake = tokio::time::sleep(left.unwrap_or_default());
+            tokio::select! {
+                Some(events) = self.calls.next() => self.events.extend(events),
+                () = wake => return Event::Tick,
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let plans = Plans::current(&self.node);
+        let now = self.node.clock.now();
+        let (ask, draft) = (&self.ask, &mut self.draft);
+        let actions = with_plan(&plans, ask, self.id, |plan| draft.handle(now, event, plan));
+        self.actions.extend(actions);
+        self.check_left(now, plans);
     }
 
-    /// Produces the next token, or `None` once the answer is whole.
-    pub(super) async fn advance(&mut self) -> Result<Option<Piece>> {
-        if self.tokens.len() >= self.ask.max_tokens as usize {
-            return Ok(None);
+    /// Tells the draft to leave engines that are leaving, gone from the list or ejected.
+    fn check_left(&mut self, now: Instant, plans: Arc<Plans>) {
+        if Arc::ptr_eq(&self.checked, &plans) {
+            return;
         }
-        let prefix = self.ask.prompt.iter().chain(&self.tokens).copied();
-        let fresh: Vec<u32> = prefix.skip(self.done as usize).collect();
-        let taken = fresh.len() as u32;
-        let mut input = StepInput::Tokens(fresh);
-        for stage in 0..self.stages.len() {
-            match self.step(stage, input).await? {
-                StepOutput::Activations(activations) => {
-                    input = StepInput::Activations(activations);
+        for upstream in self.draft.upstreams() {
+            if !self.left.contains(upstream) && plans.is_left(now, upstream) {
+                self.left.push(upstream.clone());
+                self.events.push_back(Event::Leaving { upstream: upstream.clone() });
+            }
+        }
+        self.checked = plans;
+    }
+
+    fn carry_out(&mut self, action: Action) -> Result<Option<Next>> {
+        match action {
+            Action::Send { upstream, step, expected, timeout } => {
+                let name = step.name;
+                match self.row(&upstream) {
+                    Some(row) => {
+                        let node = self.node.clone();
+                        self.calls.push(call::step(node, row, step, expected, timeout));
+                    }
+                    None => {
+                        let fault = Fault::NotHeld;
+                        self.events.push_back(Event::Failed { name, fault });
+                    }
                 }
-                StepOutput::Token(token) => {
-                    self.done += taken;
-                    let position = self.tokens.len() as u32;
-                    self.tokens.push(token);
-                    let text = self.text.push(token);
-                    return Ok(Some(Piece { position, token, text }));
+            }
+            Action::CancelAttempt { upstream, attempt } => {
+                if let Some(row) = self.row(&upstream) {
+                    call::cancel(self.node.clone(), row, self.id, attempt);
                 }
             }
+            Action::MoveKv { from, attempt, to, new_attempt, layers, .. } => {
+                let moved = Moved { request: self.id, attempt, new_attempt, layers };
+                match self.row(&from).zip(self.row(&to)) {
+                    Some((from, to)) => {
+                        self.calls.push(call::move_kv(self.node.clone(), from, to, moved));
+                    }
+                    None => self.events.push_back(Event::KvFailed { attempt: new_attempt }),
+                }
+            }
+            Action::Commit { position, token } => return Ok(Some(self.piece(position, token))),
+            Action::Recovered { detection, rebuild } => {
+                self.node.metrics.recovery.record((detection + rebuild).as_secs_f64(), &[]);
+                info!(
+                    request:% = self.id,
+                    detection_micros = detection.as_micros() as u64,
+                    rebuild_micros = rebuild.as_micros() as u64;
+                    "draft recovered"
+                );
+            }
+            Action::Finish { count, digest } => {
+                return Ok(Some(Next::End(Whole { count, digest })));
+            }
+            Action::Fail(failure) => return Err(refusal(&failure)),
         }
-        Err(Refusal::new(Verdict::MayHaveRun, Cause::Upstream, "the last stage gave no token"))
+        Ok(None)
     }
 
-    /// Returns how long the next step may take.
-    fn limit(&self) -> Result<Duration> {
-        let left = self.until.since(self.node.clock.now());
-        if left.is_zero() {
-            let detail = format!("the draft missed its deadline after {} tokens", self.done);
-            return Err(Refusal::new(Verdict::MayHaveRun, Cause::Deadline, detail));
+    fn piece(&mut self, position: u32, token: u32) -> Next {
+        let position = position - self.ask.prompt.len() as u32;
+        if position as usize == self.ask.resume.len() {
+            let taken = self.node.clock.now().since(self.started);
+            self.node.metrics.first_token.record(taken.as_secs_f64(), &[]);
         }
-        Ok(left.min(self.node.settings.upstream.step_timeout))
+        self.node.metrics.tokens.add(1, &[]);
+        Next::Piece(Piece { position, token, text: self.text.push(token) })
     }
 
-    async fn step(&self, index: usize, input: StepInput) -> Result<StepOutput> {
-        let stage = &self.stages[index];
-        let name =
-            StepName { request: self.id, attempt: 1, position: self.done, stage: index as u32 };
-        let step = Step {
-            name,
-            model: self.ask.model.clone(),
-            layers: stage.layers,
-            priority: self.ask.priority,
-            input,
-        };
-        let limit = self.limit()?;
-        let _guard = stage.row.enter();
-        let answer: StepAnswer = self
-            .node
-            .engines
-            .step(stage.row.address, &step, limit)
-            .await
-            .map_err(|e| Refusal::new(Verdict::MayHaveRun, Cause::Upstream, e.to_string()))?;
-        if !is_awaited(name, answer.name) {
-            let detail = format!("engine {} answered another step", stage.row.name);
-            return Err(Refusal::new(Verdict::MayHaveRun, Cause::Upstream, detail));
-        }
-        Ok(answer.output)
+    fn row(&self, upstream: &Upstream) -> Option<Arc<Row>> {
+        self.node.upstreams.load().rows.get(upstream).cloned()
     }
 }
 
 impl Drop for Relay {
-    /// Drops the request's state on every stage, also when the caller has gone.
+    /// Cancels the draft on every stage, also when the caller has gone.
     fn drop(&mut self) {
-        let cancel = Cancel { request: self.id, attempt: None };
-        for stage in self.stages.drain(..) {
-            let node = self.node.clone();
-            let cancel = cancel.clone();
-            tokio::spawn(async move {
-                let limit = node.settings.upstream.load_timeout;
-                // An engine that cannot be reached drops the state later by itself.
-                let _ = node.engines.cancel(stage.row.address, &cancel, limit).await;
-            });
+        if self.draft.is_running() {
+            self.handle(Event::Cancel);
+        }
+        for action in std::mem::take(&mut self.actions) {
+            if let Action::CancelAttempt { upstream, attempt } = action
+                && let Some(row) = self.row(&upstream)
+            {
+                call::cancel(self.node.clone(), row, self.id, attempt);
+            }
         }
     }
 }
 
-/// Covers all layers by the engines that reach furthest from each boundary.
-fn plan(node: &Node, ask: &Ask) -> Result<Vec<Stage>> {
-    let table = node.upstreams.load();
-    let mut stages = Vec::new();
-    let mut from = 0;
-    while from < ask.layers {
-        let reach = |row: &Arc<Row>| -> u32 {
-            let held = row.engine().into_iter().flat_map(|load| &load.holds);
-            held.filter(|held| held.model == ask.model && held.layers.from <= from)
-                .map(|held| held.layers.to)
-                .max()
-                .unwrap_or(0)
-        };
-        let best = table
-            .iter_engines()
-            .filter(|row| reach(row) > from)
-            .max_by_key(|row| (reach(row), std::cmp::Reverse(row.in_progress())));
-        let Some(row) = best else {
-            let detail = format!("no live engine holds layer {from} of {}", ask.model);
-            let refusal = Refusal::early(Cause::NoUpstream, detail);
-            return Err(refusal.retry_after(node.settings.platform.list_interval));
-        };
-        let to = reach(row).min(ask.layers);
-        stages.push(Stage { row: row.clone(), layers: Layers { from, to } });
-        from = to;
+/// Runs something with the plan for a draft: the planner of its version, spread by the present
+/// load of the engines.
+fn with_plan<T>(plans: &Plans, ask: &Ask, id: Request, run: impl FnOnce(&dyn Plan) -> T) -> T {
+    let empty;
+    let planner = match plans.get(&ask.model, &ask.version) {
+        Some(planner) => planner,
+        None => {
+            empty = Planner::new(ask.layers, 0);
+            &empty
+        }
+    };
+    let load = |upstream: &Upstream| plans.row(upstream).map_or(0, |row| row.in_progress());
+    // The low bits of a version 7 UUID are random.
+    run(&Spread::new(planner, id.0.as_u128() as u64, load))
+}
+
+fn refusal(failure: &Failure) -> Refusal {
+    let cause = match &failure.error {
+        Error::Prompt => Cause::Malformed,
+        Error::Chain { .. } => Cause::NoUpstream,
+        Error::Deadline { .. } | Error::Late { .. } => Cause::Deadline,
+        Error::Rebuilds { .. } => Cause::Upstream,
+        Error::Cancelled => Cause::Cancelled,
+    };
+    let refusal = Refusal::new(failure.verdict, cause, failure.error.to_string());
+    match failure.retry_after {
+        Some(after) => refusal.retry_after(after),
+        None => refusal,
     }
-    Ok(stages)
 }
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/health.rs
@@ -0,0 +1,137 @@
+//! The health of upstreams: outcomes go in from the requests, a snapshot comes out.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwap;
+use goldcrestvale_base::id::{Incarnation, Upstream};
+use goldcrestvale_platform::message::Role;
+use goldcrestvale_route::health::{Change, Monitor, Outcome, Settings};
+use log::{info, warn};
+use serde_json::json;
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    daemon::{Builder, Part},
+    node::Node,
+    table::{Row, Table},
+};
+
+/// Outcomes that may wait to be judged; further ones are dropped.
+const OUTCOMES: usize = 4_096;
+
+/// An outcome at an upstream.
+type Observed = (Upstream, Outcome);
+
+/// The way from the requests to the judging task, and its snapshot.
+#[derive(Debug)]
+pub struct Health {
+    snapshot: ArcSwap<Monitor>,
+    sender: mpsc::Sender<Observed>,
+    receiver: Mutex<Option<mpsc::Receiver<Observed>>>,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        let (sender, receiver) = mpsc::channel(OUTCOMES);
+        Self {
+            snapshot: ArcSwap::from_pointee(Monitor::new(Settings::default())),
+            sender,
+            receiver: Mutex::new(Some(receiver)),
+        }
+    }
+}
+
+impl Health {
+    /// Returns the newest snapshot.
+    pub fn load(&self) -> Arc<Monitor> {
+        self.snapshot.load_full()
+    }
+
+    /// Hands over the outcome of a step; it is dropped where too many wait.
+    pub fn observe(&self, upstream: &Upstream, outcome: Outcome) {
+        // A lost outcome only delays a judgement.
+        let _ = self.sender.try_send((upstream.clone(), outcome));
+    }
+
+    fn take_receiver(&self) -> Option<mpsc::Receiver<Observed>> {
+        self.receiver.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+/// Judges upstreams by the outcomes of steps.
+#[derive(Debug, Clone, Copy)]
+pub struct Judge;
+
+impl Part for Judge {
+    fn register(self, builder: &mut Builder) {
+        let node = builder.node().clone();
+        let dumped = node.clone();
+        builder.insert_dump("health", move || {
+            let monitor = dumped.health.load();
+            let unusable: Vec<_> = monitor.iter_unusable(dumped.clock.now()).collect();
+            let slow_links: Vec<_> = monitor.iter_slow_links().collect();
+            json!({ "unusable": unusable, "slow_links": slow_links })
+        });
+        let gauged = node.clone();
+        node.metrics.insert_gauge("goldcrestvale_unusable_upstreams", move || {
+            gauged.health.load().iter_unusable(gauged.clock.now()).count() as u64
+        });
+        if let Some(receiver) = node.health.take_receiver() {
+            let stop = builder.stop();
+            builder.insert_task(judge(node, receiver, stop));
+        }
+    }
+}
+
+async fn judge(node: Arc<Node>, mut receiver: mpsc::Receiver<Observed>, stop: CancellationToken) {
+    let mut monitor = Monitor::new(Settings::default());
+    let mut ticks = interval(node.settings.upstream.load_interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            _ = ticks.tick() => {
+                sync(&mut monitor, &node);
+                node.health.snapshot.store(Arc::new(monitor.clone()));
+            }
+            Some((upstream, outcome)) = receiver.recv() => {
+                let changes = monitor.observe(node.clock.now(), &upstream, outcome);
+                if !changes.is_empty() {
+                    changes.iter().for_each(report);
+                    node.health.snapshot.store(Arc::new(monitor.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// Takes over what the table says: who is there, in which life, and who is leaving.
+fn sync(monitor: &mut Monitor, node: &Node) {
+    let now = node.clock.now();
+    let table: Arc<Table> = node.upstreams.load_full();
+    for row in table.rows.values().filter(|row| row.role == Role::Engine) {
+        let Some(incarnation) = incarnation(row) else { continue };
+        monitor.join(now, &row.name, &row.domain, incarnation);
+        if row.leaving {
+            monitor.leave(&row.name, incarnation).iter().for_each(report);
+        }
+    }
+    monitor.retain(|upstream| table.rows.contains_key(upstream));
+}
+
+fn incarnation(row: &Row) -> Option<Incarnation> {
+    row.engine()?.incarnation.parse().ok()
+}
+
+fn report(change: &Change) {
+    match change {
+        Change::Ejected { upstream, .. } => warn!(upstream:% = upstream; "upstream is ejected"),
+        Change::Leaving { upstream } => info!(upstream:% = upstream; "upstream gets no new work"),
+        Change::LinkSlow { domain } => warn!(domain:% = domain; "link to domain is slow"),
+        Change::LinkRestored { domain } => info!(domain:% = domain; "link to domain is restored"),
+    }
+}
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock::Clock, gate::Gate, metrics::Metrics, phase::Life, settings::Settings, table::Table,
+    clock::Clock, gate::Gate, health::Health, metrics::Metrics, phase::Life, plans::Plans,
+    settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -34,6 +35,10 @@
     pub config: ArcSwap<Snapshot>,
     /// Known upstreams.
     pub upstreams: ArcSwap<Table>,
+    /// Health of the upstreams.
+    pub health: Health,
+    /// Planners for the snapshots above.
+    pub plans: ArcSwap<Plans>,
     /// Bound on the requests in progress.
     pub gate: Gate,
     /// Metrics.
@@ -63,6 +68,8 @@
             life: Life::default(),
             config: ArcSwap::default(),
             upstreams: ArcSwap::default(),
+            health: Health::default(),
+            plans: ArcSwap::default(),
             gate: Gate::new(settings.callers.streams),
             metrics,
             engines: Engine::new(limits),
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/plans.rs
@@ -0,0 +1,168 @@
+//! Planners of the models in force, as an immutable snapshot.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use goldcrestvale_base::{
+    engine::{Accelerator, Held},
+    id::{Domain, Model, Upstream},
+    time::Instant,
+};
+use goldcrestvale_config::snapshot::Snapshot;
+use goldcrestvale_route::{
+    chain::{Candidate, Planner},
+    health::Monitor,
+};
+
+use crate::{
+    node::Node,
+    table::{Row, Table},
+};
+
+/// Weight of a chain's slowest stage against the sum of its stages.
+const BOTTLENECK: u32 = 1;
+
+/// Steps that an engine batches before its step time has doubled.
+const BATCH: u32 = 16;
+
+/// Cost of a link that was not measured yet.
+const LINK: Duration = Duration::from_millis(1);
+
+/// Multiple of its domain's usual link from which an upstream's own link counts.
+const ODD_LINK: u32 = 4;
+
+/// What a step takes on a kind of accelerator without load, for each layer.
+struct Profile {
+    step: Duration,
+    prefill: Duration,
+}
+
+impl Profile {
+    fn of(accelerator: &Accelerator) -> Self {
+        let (step, prefill) = match accelerator {
+            Accelerator::Large => (250, 2),
+            Accelerator::Medium => (500, 5),
+            Accelerator::Small => (1_000, 12),
+        };
+        Self { step: Duration::from_micros(step), prefill: Duration::from_micros(prefill) }
+    }
+}
+
+/// The planners, by model and version, with the snapshots that they were built from.
+#[derive(Debug)]
+pub struct Plans {
+    table: Arc<Table>,
+    config: Arc<Snapshot>,
+    health: Arc<Monitor>,
+    planners: BTreeMap<(Model, String), Planner>,
+}
+
+impl Default for Plans {
+    fn default() -> Self {
+        let settings = goldcrestvale_route::health::Settings::default();
+        Self {
+            table: Arc::default(),
+            config: Arc::default(),
+            health: Arc::new(Monitor::new(settings)),
+            planners: BTreeMap::new(),
+        }
+    }
+}
+
+impl Plans {
+    /// Returns the plans for the newest snapshots, building them if there are newer ones.
+    pub fn current(node: &Node) -> Arc<Self> {
+        let plans = node.plans.load_full();
+        let (table, config) = (node.upstreams.load_full(), node.config.load_full());
+        let health = node.health.load();
+        if plans.is_from(&table, &config, &health) {
+            return plans;
+        }
+        let plans = Arc::new(Self::build(node.clock.now(), table, config, health));
+        node.plans.store(plans.clone());
+        plans
+    }
+
+    /// Returns the planner of a version of a model.
+    pub fn get(&self, model: &Model, version: &str) -> Option<&Planner> {
+        self.planners.get(&(model.clone(), version.to_owned()))
+    }
+
+    /// Returns a row of the table that the plans were built from.
+    pub fn row(&self, upstream: &Upstream) -> Option<&Arc<Row>> {
+        self.table.rows.get(upstream)
+    }
+
+    /// Returns whether an upstream is to be left by the drafts that run on it.
+    pub fn is_left(&self, now: Instant, upstream: &Upstream) -> bool {
+        self.row(upstream).is_none_or(|row| row.leaving) || !self.health.is_usable(now, upstream)
+    }
+
+    fn is_from(&self, table: &Arc<Table>, config: &Arc<Snapshot>, health: &Arc<Monitor>) -> bool {
+        Arc::ptr_eq(&self.table, table)
+            && Arc::ptr_eq(&self.config, config)
+            && Arc::ptr_eq(&self.health, health)
+    }
+
+    fn build(now: Instant, table: Arc<Table>, config: Arc<Snapshot>, health: Arc<Monitor>) -> Self {
+        let links = links(&table);
+        let mut planners = BTreeMap::new();
+        for row in table.iter_engines() {
+            let usual = links.get(&row.domain).copied().unwrap_or(LINK);
+            for held in row.engine().into_iter().flat_map(|load| &load.holds) {
+                let Some(model) = config.models.get(&held.model) else { continue };
+                let Some(candidate) = candidate(now, row, held, usual, &health) else { continue };
+                let key = (held.model.clone(), held.version.clone());
+                let planner = planners
+                    .entry(key)
+                    .or_insert_with(|| Planner::new(model.body.layers, BOTTLENECK));
+                insert(planner, candidate);
+            }
+        }
+        Self { table, config, health, planners }
+    }
+}
+
+/// Adds a candidate, or a further range of one that holds several.
+fn insert(planner: &mut Planner, mut candidate: Candidate) {
+    if let Some(known) = planner.get(&candidate.upstream) {
+        candidate.holds.extend(known.holds.iter().copied());
+    }
+    planner.insert(candidate);
+}
+
+fn candidate(
+    now: Instant,
+    row: &Row,
+    held: &Held,
+    usual: Duration,
+    health: &Monitor,
+) -> Option<Candidate> {
+    let load = row.engine()?;
+    let profile = Profile::of(&load.accelerator);
+    let queued = load.running.saturating_add(load.waiting).min(u32::from(u16::MAX));
+    let loaded = profile.step + profile.step * queued / BATCH;
+    let link = row.link.filter(|link| *link > usual * ODD_LINK).unwrap_or(usual);
+    Some(Candidate {
+        upstream: row.name.clone(),
+        domain: row.domain.clone(),
+        accelerator: load.accelerator.clone(),
+        holds: [held.layers].into_iter().collect(),
+        step: loaded.mul_f64(health.slowdown(&row.name)),
+        cost: health.cost(now, &row.name, loaded)?,
+        prefill: profile.prefill,
+        link,
+    })
+}
+
+/// Returns the median cost of the links to each domain.
+fn links(table: &Table) -> BTreeMap<Domain, Duration> {
+    let mut links: BTreeMap<Domain, Vec<Duration>> = BTreeMap::new();
+    for row in table.iter_engines() {
+        links.entry(row.domain.clone()).or_default().extend(row.link);
+    }
+    let median = |mut links: Vec<Duration>| {
+        links.sort_unstable();
+        links.get(links.len() / 2).copied().unwrap_or(LINK)
+    };
+    links.into_iter().map(|(domain, links)| (domain, median(links))).collect()
+}
--- a/crates/goldcrestvale_entry/src/table.rs
+++ b/crates/goldcrestvale_entry/src/table.rs
@@ -7,6 +7,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use goldcrestvale_base::{
@@ -70,6 +71,8 @@
     pub leaving: bool,
     /// Newest report, with the time at which it was fetched.
     pub report: Option<(Instant, Report)>,
+    /// Time of the link, there and back, as the fetches of load reports take it.
+    pub link: Option<Duration>,
     /// Requests and steps that this instance has in progress there.
     #[serde(skip)]
     pub in_progress: Arc<AtomicU32>,
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -21,6 +21,9 @@
 /// Load reports fetched at the same time.
 const CONCURRENT_REPORTS: usize = 64;
 
+/// Weight of the time of a link so far against that of one more fetch.
+const LINK_MEMORY: u32 = 3;
+
 /// Keeps the table of upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct Watch;
@@ -117,6 +120,7 @@
         domain: listed.domain.clone(),
         leaving: listed.state == State::Leaving,
         report: None,
+        link: None,
         in_progress: Arc::default(),
     })
 }
@@ -126,7 +130,7 @@
         let table = node.upstreams.load_full();
         let rows: Vec<Arc<Row>> = table.rows.values().cloned().collect();
         let fetches = rows.into_iter().map(|row| fetch(node.clone(), row));
-        let reports: Vec<(Upstream, Report)> = stream::iter(fetches)
+        let reports: Vec<Fetched> = stream::iter(fetches)
             .buffer_unordered(CONCURRENT_REPORTS)
             .filter_map(std::future::ready)
             .collect()
@@ -134,9 +138,9 @@
         let now = node.clock.now();
         node.upstreams.rcu(|table| {
             let mut table = Table::clone(table);
-            for (name, report) in &reports {
-                if let Some(row) = table.rows.get_mut(name) {
-                    *row = with_report(row, now, report);
+            for fetched in &reports {
+                if let Some(row) = table.rows.get_mut(&fetched.name) {
+                    *row = with_report(row, now, fetched);
                 }
             }
             Arc::new(table)
@@ -144,7 +148,15 @@
     }
 }
 
-async fn fetch(node: Arc<Node>, row: Arc<Row>) -> Option<(Upstream, Report)> {
+/// A load report, with the time that its fetch took.
+struct Fetched {
+    name: Upstream,
+    report: Report,
+    took: Duration,
+}
+
+async fn fetch(node: Arc<Node>, row: Arc<Row>) -> Option<Fetched> {
+    let asked = node.clock.now();
     let limit = node.settings.upstream.load_timeout;
     let report = match row.role {
         Role::Engine => node.engines.load(row.address, limit).await.map(Report::Engine),
@@ -152,7 +164,10 @@
         Role::Entry => return None,
     };
     match report {
-        Ok(report) => Some((row.name.clone(), report)),
+        Ok(report) => {
+            let took = node.clock.now().since(asked);
+            Some(Fetched { name: row.name.clone(), report, took })
+        }
         Err(e) => {
             debug!(upstream:% = row.name, error:% = e; "no load report");
             None
@@ -163,12 +178,16 @@
 fn with_report(
     row: &Arc<Row>,
     now: goldcrestvale_base::time::Instant,
-    report: &Report,
+    fetched: &Fetched,
 ) -> Arc<Row> {
+    let report = &fetched.report;
     // A new life of the upstream takes work again.
     let same_life =
         row.report.as_ref().is_some_and(|(_, old)| old.incarnation() == report.incarnation());
     let leaving = report.is_leaving() || (row.leaving && (same_life || row.report.is_none()));
     let report = Some((now, report.clone()));
-    Arc::new(Row { leaving, report, ..Row::clone(row) })
+    let link = row
+        .link
+        .map_or(fetched.took, |link| (link * LINK_MEMORY + fetched.took) / (LINK_MEMORY + 1));
+    Arc::new(Row { leaving, report, link: Some(link), ..Row::clone(row) })
 }
--- a/crates/goldcrestvale_route/src/health/monitor.rs
+++ b/crates/goldcrestvale_route/src/health/monitor.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Forgets the upstreams that a predicate rejects.
+    pub fn retain(&mut self, mut keep: impl FnMut(&Upstream) -> bool) {
+        let gone: Vec<_> = self.records.keys().filter(|name| !keep(name)).cloned().collect();
+        gone.iter().for_each(|upstream| self.remove(upstream));
+    }
+
     /// Marks an incarnation of an upstream as leaving, until it is replaced by another one.
     pub fn leave(&mut self, upstream: &Upstream, incarnation: Incarnation) -> Option<Change> {
         let record = self.records.get_mut(upstream)?;
@@ -115,10 +121,20 @@
         changes
     }
 
-    /// Returns whether an upstream may get new work.
+    /// Returns whether an upstream may get new work; nothing speaks against an unknown one.
     pub fn is_usable(&self, now: Instant, upstream: &Upstream) -> bool {
         let usable = |record: &Record| !record.leaving && !record.is_ejected(now);
-        self.records.get(upstream).is_some_and(usable)
+        self.records.get(upstream).is_none_or(usable)
+    }
+
+    /// Returns the upstreams that may get no new work.
+    pub fn iter_unusable(&self, now: Instant) -> impl Iterator<Item = &Upstream> {
+        self.records.keys().filter(move |upstream| !self.is_usable(now, upstream))
+    }
+
+    /// Returns the domains whose link is suspected.
+    pub fn iter_slow_links(&self) -> impl Iterator<Item = &Domain> {
+        self.groups.iter().filter(|(_, group)| group.suspected).map(|(domain, _)| domain)
     }
 
     /// Returns whether the link to a domain is suspected.
@@ -128,7 +144,7 @@
 
     /// Returns the share of its full load that an upstream is to get, from 0 to 1.
     pub fn share(&self, now: Instant, upstream: &Upstream) -> f64 {
-        self.records.get(upstream).map_or(0.0, |record| record.share(now, &self.settings))
+        self.records.get(upstream).map_or(1.0, |record| record.share(now, &self.settings))
     }
 
     /// Returns by what the step time expected of a healthy upstream is to be multiplied.
@@ -139,9 +155,8 @@
     /// Returns the step time to plan with, from the one expected of a healthy upstream; `None`
     /// where it may get no new work.
     pub fn cost(&self, now: Instant, upstream: &Upstream, expected: Duration) -> Option<Duration> {
-        let record = self.records.get(upstream)?;
-        let share = record.share(now, &self.settings);
-        (share > 0.0).then(|| expected.mul_f64(record.slowdown() / share))
+        let share = self.share(now, upstream);
+        (share > 0.0).then(|| expected.mul_f64(self.slowdown(upstream) / share))
     }
 
     /// Counts a change of slowness and suspects or restores the link of the domain.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,6 +6,7 @@
 use goldcrestvale_entry::{
     callers,
     daemon::{Builder, Daemon},
+    health::Judge,
     metrics::{self, Metrics},
     node::Node,
     operators::Desk,
@@ -90,7 +91,8 @@
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
         let (tail, state) = Tail::new();
-        let daemon = Builder::new(node.clone()).with(Identity).with(tail).with(Watch).start();
+        let daemon =
+            Builder::new(node.clone()).with(Identity).with(tail).with(Watch).with(Judge).start();
         let callers = listen_callers(&node).await?;
         let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
         let operators = listen_operators(&node, operators).await?;
