--- a/crates/goldcrestvale_ledger/src/claim/entry.rs
+++ b/crates/goldcrestvale_ledger/src/claim/entry.rs
@@ -9,7 +9,7 @@
     copy
     /// What a call of a key must repeat: a short digest of customer, service and request.
     #[serde(transparent)]
-    pub struct Fingerprint(u128);
+    pub struct Fingerprint(uuid::Uuid);
 
     /// How far the call of a claimed key has come, as far as the log tells.
     #[serde(rename_all = "kebab-case")]
@@ -47,13 +47,13 @@
         let Digest(bytes) = Digest::of(text.as_bytes());
         let mut half = [0; 16];
         half.copy_from_slice(&bytes[..16]);
-        Self(u128::from_le_bytes(half))
+        Self(uuid::Uuid::from_bytes(half))
     }
 }
 
 impl Fingerprint {
     pub(super) fn to_bytes(self) -> [u8; 16] {
-        self.0.to_le_bytes()
+        self.0.into_bytes()
     }
 }
 
--- a/crates/goldcrestvale_ledger/src/lease.rs
+++ b/crates/goldcrestvale_ledger/src/lease.rs
@@ -8,10 +8,12 @@
 
 mod fold;
 mod hold;
+mod keeper;
 mod order;
 mod record;
 
 pub use fold::{Current, FORGET_AFTER, Fold, LONGEST, Outcome};
 pub use hold::{Asked, Ended, Granted, Held, Lease, Waiting, Wish};
+pub use keeper::{Duty, Event, Keeper};
 pub use order::{Action, Queue};
 pub use record::{Grant, Kind, Record, Release, Renewal, SCHEMA};
--- a/crates/goldcrestvale_ledger/src/lease/hold.rs
+++ b/crates/goldcrestvale_ledger/src/lease/hold.rs
@@ -196,6 +196,11 @@
         Record::new(&*self.name, Kind::Renew(Renewal { fence: self.state.fence() }))
     }
 
+    /// Returns the time before the append of the last grant or renewal that was started.
+    pub fn asked(&self) -> Instant {
+        self.renewal.map_or(self.deadline - self.length, |(_, asked)| asked)
+    }
+
     /// Prolongs the lease, once the record of its renewal was read and counted.
     pub fn renewed(&mut self, id: RecordId) {
         if let Some((_, asked)) = self.renewal.take_if(|(renewal, _)| *renewal == id.sequence) {
--- /dev/null
+++ b/crates/goldcrestvale_ledger/src/lease/keeper.rs
@@ -0,0 +1,293 @@
+use std::time::Duration;
+
+use goldcrestvale_base::{
+    id::{Instance, RecordId},
+    time::Instant,
+};
+
+use super::{
+    fold::{Fold, Outcome},
+    hold::{Asked, Granted, Held, Lease, Waiting, Wish},
+    record::Record,
+};
+use crate::{
+    desk::Page,
+    prefix::Prefix,
+    record::{Draft, Sequence, View},
+};
+
+/// Share of a lease's length after which it is renewed.
+const RENEW_AFTER: u32 = 3;
+
+/// What a lease is about and how long it lasts.
+#[derive(Debug, Clone)]
+pub struct Duty {
+    /// Name of the lease.
+    pub name: String,
+    /// Name of this instance.
+    pub instance: Instance,
+    /// Time that the lease lasts after its grant or its last renewal.
+    pub length: Duration,
+    /// Longest time that an order takes to arrive.
+    pub order_delay: Duration,
+}
+
+/// Something that happened to the keeper of a lease.
+#[derive(Debug)]
+pub enum Event<'a> {
+    /// The lease stream was read.
+    Read(Page<'a>),
+    /// The append of the last record was acknowledged.
+    Appended,
+    /// The answer to the append of the last record was lost, or the append failed.
+    AppendLost,
+    /// Time passed.
+    Tick,
+    /// The lease is to be given back; every order was answered or waited out.
+    Release,
+}
+
+/// Asks for one lease, renews it while it is held and notices when it is lost.
+///
+/// Each call of [`handle`](Self::handle) returns the record to append, if there is one; one
+/// append at a time is on its way. A record whose answer was lost is appended again.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::{id::Incarnation, time::Instant};
+/// use goldcrestvale_ledger::{
+///     lease::{Duty, Event, Keeper}, prefix::Prefix, record::Sequence,
+/// };
+///
+/// let duty = Duty {
+///     name: "orders".into(),
+///     instance: "yeka-1".parse()?,
+///     length: Duration::from_secs(10),
+///     order_delay: Duration::from_secs(2),
+/// };
+/// let mut keeper = Keeper::new(duty, Prefix::whole(), Sequence::new(Incarnation(1), 0));
+/// assert!(keeper.handle(Event::Tick, Instant(0)).is_none(), "a candidate is patient first");
+/// assert!(keeper.handle(Event::Tick, Instant(10_000_000)).is_some());
+/// assert!(keeper.held().is_none());
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Keeper {
+    duty: Duty,
+    fold: Fold,
+    sequence: Sequence,
+    state: State,
+    /// The record on its way, and whether its append must be repeated.
+    draft: Option<(Draft, bool)>,
+    /// Time at which the lease last changed, as this instance saw it.
+    changed: Option<Instant>,
+    log_reset: bool,
+}
+
+#[derive(Debug)]
+enum State {
+    Idle,
+    Asked(Lease<Asked>),
+    Waiting(Lease<Waiting>),
+    Held(Lease<Held>),
+}
+
+impl Keeper {
+    /// Makes a keeper that has read nothing yet.
+    pub fn new(duty: Duty, prefix: Prefix, sequence: Sequence) -> Self {
+        let fold = Fold::new(prefix);
+        Self {
+            duty,
+            fold,
+            sequence,
+            state: State::Idle,
+            draft: None,
+            changed: None,
+            log_reset: false,
+        }
+    }
+
+    /// Handles an event and returns the record to append, if there is one.
+    pub fn handle(&mut self, event: Event<'_>, now: Instant) -> Option<Draft> {
+        self.changed.get_or_insert(now);
+        match event {
+            Event::Read(page) => self.read(page, now),
+            Event::Appended => self.draft = None,
+            Event::AppendLost => {
+                if let Some((_, repeat)) = &mut self.draft {
+                    *repeat = true;
+                }
+            }
+            Event::Tick => {}
+            Event::Release => self.release(),
+        }
+        self.try_hold(now);
+        self.repeat().or_else(|| self.ask(now)).or_else(|| self.renew(now))
+    }
+
+    /// Returns the lease while it is held.
+    pub fn held(&self) -> Option<&Lease<Held>> {
+        match &self.state {
+            State::Held(lease) => Some(lease),
+            _ => None,
+        }
+    }
+
+    /// Returns the leases of the stream as far as they were read.
+    pub fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Returns whether the log went back to an older state; the keeper asks no more then.
+    pub fn is_log_reset(&self) -> bool {
+        self.log_reset
+    }
+
+    fn read(&mut self, page: Page<'_>, now: Instant) {
+        if self.fold.prefix().check_end(page.end).is_err() {
+            self.log_reset = true;
+            self.state = State::Idle;
+            return;
+        }
+        if page.oldest > self.fold.prefix().next() {
+            self.fold = Fold::new(Prefix::trimmed(page.oldest));
+            self.state = State::Idle;
+            self.changed = Some(now);
+        }
+        for &record in page.records {
+            if record.offset < self.fold.prefix().next() {
+                continue;
+            }
+            let Ok(outcome) = self.fold.apply(record) else { return };
+            self.decide(outcome, record, now);
+        }
+    }
+
+    fn decide(&mut self, outcome: Outcome, record: View<'_>, now: Instant) {
+        let name = &self.duty.name;
+        match outcome {
+            Outcome::Granted { lease, before } if lease == *name => {
+                self.changed = Some(now);
+                self.take(before, record, now);
+            }
+            Outcome::Renewed(lease) if lease == *name => {
+                self.changed = Some(now);
+                self.prolong(record.id);
+            }
+            Outcome::Released(lease) if lease == *name => self.changed = None,
+            Outcome::Refused(lease) if lease == *name => self.drop_refused(record.id),
+            _ => {}
+        }
+    }
+
+    /// Moves on after a grant, to this instance or to another one.
+    fn take(&mut self, before: Option<Duration>, record: View<'_>, now: Instant) {
+        self.state = match std::mem::replace(&mut self.state, State::Idle) {
+            State::Asked(asked) if asked.grant() == record.id => {
+                let delay = self.duty.order_delay;
+                State::Waiting(asked.granted(record.offset, before, delay, now))
+            }
+            State::Asked(asked) => State::Asked(asked),
+            _ => State::Idle,
+        };
+    }
+
+    fn prolong(&mut self, id: RecordId) {
+        match &mut self.state {
+            State::Waiting(lease) => lease.renewed(id),
+            State::Held(lease) => lease.renewed(id),
+            _ => {}
+        }
+    }
+
+    fn drop_refused(&mut self, id: RecordId) {
+        if matches!(&self.state, State::Asked(asked) if asked.grant() == id) {
+            self.state = State::Idle;
+        }
+    }
+
+    fn try_hold(&mut self, now: Instant) {
+        self.state = match std::mem::replace(&mut self.state, State::Idle) {
+            State::Waiting(lease) => match lease.try_hold(now) {
+                Ok(lease) => State::Held(lease),
+                Err(lease) => State::Waiting(lease),
+            },
+            state => state,
+        };
+    }
+
+    fn release(&mut self) {
+        self.state = match std::mem::replace(&mut self.state, State::Idle) {
+            State::Held(lease) => {
+                let (_ended, record) = lease.release();
+                self.queue(&record);
+                State::Idle
+            }
+            state => state,
+        };
+    }
+
+    fn repeat(&mut self) -> Option<Draft> {
+        let (draft, repeat) = self.draft.as_mut()?;
+        std::mem::take(repeat).then(|| draft.clone())
+    }
+
+    /// Asks for the lease once it has not changed for its length.
+    fn ask(&mut self, now: Instant) -> Option<Draft> {
+        let name = &self.duty.name;
+        let open = matches!(self.state, State::Idle) && !self.log_reset;
+        if !open || self.draft.is_some() || !self.fold.knows(name) {
+            return None;
+        }
+        let current = self.fold.get(name);
+        let length = current.map_or(self.duty.length, |current| current.length);
+        if self.changed.is_some_and(|changed| now < changed + length) {
+            return None;
+        }
+        let wish = Wish {
+            name: name.clone(),
+            instance: self.duty.instance.clone(),
+            length: self.duty.length,
+            after: current.map(|current| current.last),
+        };
+        let id = self.sequence.draw();
+        let (asked, record) = Lease::ask(&wish, id, now);
+        self.state = State::Asked(asked);
+        Some(self.hand_out(id, &record))
+    }
+
+    fn renew(&mut self, now: Instant) -> Option<Draft> {
+        if self.draft.is_some() {
+            return None;
+        }
+        let length = self.duty.length;
+        let id = self.sequence.draw();
+        let record = match &mut self.state {
+            State::Waiting(lease) => lease.renew_when_due(id, now, length)?,
+            State::Held(lease) => lease.renew_when_due(id, now, length)?,
+            _ => return None,
+        };
+        Some(self.hand_out(id, &record))
+    }
+
+    fn queue(&mut self, record: &Record) {
+        let id = self.sequence.draw();
+        self.draft = Some((Draft { id, data: record.to_json() }, true));
+    }
+
+    fn hand_out(&mut self, id: RecordId, record: &Record) -> Draft {
+        let draft = Draft { id, data: record.to_json() };
+        self.draft = Some((draft.clone(), false));
+        draft
+    }
+}
+
+impl<S: Granted> Lease<S> {
+    fn renew_when_due(&mut self, id: RecordId, now: Instant, length: Duration) -> Option<Record> {
+        let due = self.asked() + length / RENEW_AFTER;
+        (due <= now).then(|| self.renew(id, now))
+    }
+}
--- a/crates/goldcrestvale_ledger/tests/claim_race.rs
+++ b/crates/goldcrestvale_ledger/tests/claim_race.rs
@@ -117,6 +117,8 @@
     tickets: BTreeMap<Ticket, Key>,
     /// Offset that a wrong reader has come to, and what it took out of order.
     guess: u64,
+    /// Whether records were trimmed before they were read here.
+    gap: bool,
     ahead: BTreeSet<RecordId>,
 }
 
@@ -187,6 +189,7 @@
             asks: VecDeque::new(),
             tickets: BTreeMap::new(),
             guess: self.oldest as u64,
+            gap: false,
             ahead: BTreeSet::new(),
         }
     }
@@ -355,6 +358,7 @@
             return self.read_wrong(at, most);
         }
         let from = usize::try_from(self.nodes[at].desk.fold().next().0).unwrap();
+        self.nodes[at].gap |= from < self.oldest;
         let from = from.max(self.oldest);
         let upto = self.log.len().min(from + most);
         let log = std::mem::take(&mut self.log);
@@ -492,6 +496,24 @@
         }
         let idle = self.nodes.iter().all(|node| node.desk.is_idle());
         prop_assert!(idle, "an instance never comes to rest");
+        if self.reader == Reader::InOrder { self.check_free() } else { Ok(()) }
+    }
+}
+
+impl World {
+    /// Checks that no live owner, at rest, holds a key that did not run.
+    ///
+    /// An owner whose claim was trimmed before it read it cannot know of it.
+    fn check_free(&self) -> Check {
+        let knowing = self.nodes.iter().filter(|node| !node.gap);
+        let live: BTreeSet<_> = knowing.map(|node| node.desk.incarnation()).collect();
+        for key in self.keys.values().filter(|key| !self.effects.contains_key(key)) {
+            for node in &self.nodes {
+                let holding = node.desk.fold().get(key);
+                let stuck = holding.is_some_and(|held| live.contains(&held.owner.incarnation));
+                prop_assert!(!stuck, "key {key} is held and will never run");
+            }
+        }
         Ok(())
     }
 }
