--- a/crates/goldcrestvale_ledger/src/lease/fold.rs
+++ b/crates/goldcrestvale_ledger/src/lease/fold.rs
@@ -13,7 +13,7 @@
 pub const LONGEST: Duration = Duration::from_secs(120);
 
 /// Time of the log after which a lease without records is forgotten.
-pub const FORGET_AFTER: Duration = Duration::from_secs(900);
+pub const FORGET_AFTER: Duration = Duration::from_secs(300);
 
 /// What one record meant.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,13 +91,14 @@
         let Ok(Record { schema: SCHEMA, lease, kind }) = serde_json::from_str(record.data) else {
             return Ok(Outcome::Ignored);
         };
-        if !self.knows(&lease) {
+        if kind != Kind::Mark && !self.knows(&lease) {
             self.strangers.insert(lease, self.prefix.clock());
             return Ok(Outcome::Ignored);
         }
         Ok(match kind {
             Kind::Grant(grant) => self.grant(record.offset, record.id, lease, grant),
             Kind::Renew(renewal) => self.renew(record.offset, record.id, lease, renewal.fence),
+            Kind::Mark => Outcome::Ignored,
             Kind::Release(release) => self.release(record.offset, record.id, lease, release.fence),
         })
     }
--- a/crates/goldcrestvale_ledger/src/lease/keeper.rs
+++ b/crates/goldcrestvale_ledger/src/lease/keeper.rs
@@ -6,9 +6,9 @@
 };
 
 use super::{
-    fold::{Fold, Outcome},
+    fold::{FORGET_AFTER, Fold, Outcome},
     hold::{Asked, Granted, Held, Lease, Waiting, Wish},
-    record::Record,
+    record::{Kind, Record},
 };
 use crate::{
     desk::Page,
@@ -19,6 +19,9 @@
 /// Share of a lease's length after which it is renewed.
 const RENEW_AFTER: u32 = 3;
 
+/// Marks written while a lease is waited for to be forgotten.
+const MARKS: u32 = 4;
+
 /// What a lease is about and how long it lasts.
 #[derive(Debug, Clone)]
 pub struct Duty {
@@ -43,7 +46,8 @@
     AppendLost,
     /// Time passed.
     Tick,
-    /// The lease is to be given back; every order was answered or waited out.
+    /// The instance is shutting down: the lease is given back and not asked for again. Every
+    /// order was answered or waited out.
     Release,
 }
 
@@ -84,6 +88,9 @@
     draft: Option<(Draft, bool)>,
     /// Time at which the lease last changed, as this instance saw it.
     changed: Option<Instant>,
+    /// Time at which this instance last marked the time of the stream.
+    marked: Option<Instant>,
+    releasing: bool,
     log_reset: bool,
 }
 
@@ -106,6 +113,8 @@
             state: State::Idle,
             draft: None,
             changed: None,
+            marked: None,
+            releasing: false,
             log_reset: false,
         }
     }
@@ -122,20 +131,29 @@
                 }
             }
             Event::Tick => {}
-            Event::Release => self.release(),
+            Event::Release => self.releasing = true,
         }
         self.try_hold(now);
-        self.repeat().or_else(|| self.ask(now)).or_else(|| self.renew(now))
+        self.repeat()
+            .or_else(|| self.release())
+            .or_else(|| self.mark(now))
+            .or_else(|| self.ask(now))
+            .or_else(|| self.renew(now))
     }
 
     /// Returns the lease while it is held.
     pub fn held(&self) -> Option<&Lease<Held>> {
         match &self.state {
-            State::Held(lease) => Some(lease),
+            State::Held(lease) if !self.releasing => Some(lease),
             _ => None,
         }
     }
 
+    /// Returns whether the keeper has given its lease back and every record was acknowledged.
+    pub fn is_released(&self) -> bool {
+        self.releasing && self.draft.is_none() && !matches!(self.state, State::Held(_))
+    }
+
     /// Returns the leases of the stream as far as they were read.
     pub fn fold(&self) -> &Fold {
         &self.fold
@@ -219,15 +237,21 @@
         };
     }
 
-    fn release(&mut self) {
-        self.state = match std::mem::replace(&mut self.state, State::Idle) {
+    fn release(&mut self) -> Option<Draft> {
+        if !self.releasing || self.draft.is_some() {
+            return None;
+        }
+        match std::mem::replace(&mut self.state, State::Idle) {
             State::Held(lease) => {
                 let (_ended, record) = lease.release();
-                self.queue(&record);
-                State::Idle
+                let id = self.sequence.draw();
+                Some(self.hand_out(id, &record))
             }
-            state => state,
-        };
+            state => {
+                self.state = state;
+                None
+            }
+        }
     }
 
     fn repeat(&mut self) -> Option<Draft> {
@@ -238,7 +262,7 @@
     /// Asks for the lease once it has not changed for its length.
     fn ask(&mut self, now: Instant) -> Option<Draft> {
         let name = &self.duty.name;
-        let open = matches!(self.state, State::Idle) && !self.log_reset;
+        let open = matches!(self.state, State::Idle) && !self.log_reset && !self.releasing;
         if !open || self.draft.is_some() || !self.fold.knows(name) {
             return None;
         }
@@ -259,8 +283,24 @@
         Some(self.hand_out(id, &record))
     }
 
+    /// Marks the time in an idle stream whose leases are not known, at its start and later on.
+    fn mark(&mut self, now: Instant) -> Option<Draft> {
+        if self.draft.is_some() || self.log_reset || self.fold.knows(&self.duty.name) {
+            return None;
+        }
+        let started = self.fold.prefix().since().is_some();
+        let wait = if started { FORGET_AFTER / MARKS } else { Duration::ZERO };
+        if self.marked.is_some_and(|marked| now < marked + wait.max(self.duty.length)) {
+            return None;
+        }
+        self.marked = Some(now);
+        let id = self.sequence.draw();
+        let record = Record::new(&*self.duty.name, Kind::Mark);
+        Some(self.hand_out(id, &record))
+    }
+
     fn renew(&mut self, now: Instant) -> Option<Draft> {
-        if self.draft.is_some() {
+        if self.draft.is_some() || self.releasing {
             return None;
         }
         let length = self.duty.length;
@@ -273,11 +313,6 @@
         Some(self.hand_out(id, &record))
     }
 
-    fn queue(&mut self, record: &Record) {
-        let id = self.sequence.draw();
-        self.draft = Some((Draft { id, data: record.to_json() }, true));
-    }
-
     fn hand_out(&mut self, id: RecordId, record: &Record) -> Draft {
         let draft = Draft { id, data: record.to_json() };
         self.draft = Some((draft.clone(), false));
--- a/crates/goldcrestvale_ledger/src/lease/record.rs
+++ b/crates/goldcrestvale_ledger/src/lease/record.rs
@@ -32,6 +32,8 @@
         Renew(Renewal),
         /// Gives the lease back.
         Release(Release),
+        /// Changes nothing; it lets readers of an idle stream learn the time of the log.
+        Mark,
     }
 
     /// A candidate's wish to hold the lease.
