Test three mechanisms whose absence went unseen

Cause: with each mechanism of the crate switched off in turn, three runs stayed green: the age limit of repeats, the claim of a checkpoint's turn, and the writing again of an unchanged state.

Change: a test of a forgotten change, one of writers that begin at the same moment, and a bound on what a second interval adds to the stream. Each is red with its mechanism off (three runs) and green with it on.

--- a/crates/goldcrestvale_config/tests/checkpoint_turn.rs
+++ b/crates/goldcrestvale_config/tests/checkpoint_turn.rs
@@ -14,6 +14,7 @@
     schema::Table,
     start,
     sync::Weighed,
+    writer::Setting,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use support::{
@@ -54,12 +55,27 @@
             sets += scribes.begun();
             // The state does not change, and the checkpoint expires: it is written again.
             scribes.run(longest, &fold);
-            assert!(scribes.stream.len() >= 2 * chunks);
+            let rest = scribes.stream.len() - scribes.begun();
+            assert_eq!(rest, 2 * (chunks - 1), "it is written again once");
         }
         assert!(sets <= 5 * 5, "{count} instances began {sets} checkpoints in 5 runs");
     }
 }
 
+#[test]
+fn of_many_that_begin_at_once_one_goes_on() {
+    let (_, fold) = filled(900);
+    let chunks = fold.checkpoint().chunks().len();
+    let setting = Setting { spread: Duration::ZERO, ..SETTING };
+    for count in [2, 4, 12] {
+        let mut scribes = Scribes::with_setting(setting, count, 1);
+        scribes.run(SETTING.interval + Duration::from_secs(4), &fold);
+        assert_eq!(scribes.begun(), count as usize);
+        assert_eq!(scribes.stream.len(), count as usize + chunks - 1);
+        assert_eq!(scribes.writers[0].latest(), Some(&fold.checkpoint()));
+    }
+}
+
 #[test]
 fn a_writer_that_dies_is_replaced() {
     let (_, fold) = filled(900);
--- a/crates/goldcrestvale_config/tests/operator_race.rs
+++ b/crates/goldcrestvale_config/tests/operator_race.rs
@@ -7,6 +7,7 @@
 use goldcrestvale_base::{id::Offset, time::Instant};
 use goldcrestvale_config::{
     desk::{Action, Answer, Append, Desk, MAX_PATIENCE, MAX_WAITING, Origin},
+    outcome::WINDOW_RECORDS,
     prelude::*,
 };
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
@@ -113,6 +114,27 @@
     }
 }
 
+#[test]
+fn a_forgotten_change_is_not_judged_anew() {
+    let mut office = Office::new(1, 4);
+    let mut none = |_: &mut ChaCha8Rng| Fault::None;
+    let (id, change) = (id(1, 1), change(Kind::Service, "s", None, service(9)));
+    office.submit(0, id, &change, Origin::New, PATIENCE, &mut none);
+    office.run(Duration::from_secs(1), &mut none);
+    assert_eq!(office.answer(&id), Some(&Answer::Accepted { version: Offset(0) }));
+    for sequence in 0..WINDOW_RECORDS as u64 {
+        office.log.append(support::id(2, sequence), "{}");
+    }
+    office.run(Duration::from_secs(1), &mut none);
+    assert_eq!(office.clerks[0].fold.outcome(&id), None);
+    let before = office.log.end();
+    let origin = Origin::Repeat { age: MAX_PATIENCE + Duration::from_secs(1) };
+    office.submit(0, id, &change, origin, PATIENCE, &mut none);
+    office.run(PATIENCE, &mut none);
+    assert_eq!(office.answer(&id), Some(&Answer::Unknown { id }));
+    assert_eq!(office.log.end(), before, "nothing is appended");
+}
+
 #[test]
 fn what_may_stand_is_never_called_rejected() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/crates/goldcrestvale_config/tests/support/scribes.rs
+++ b/crates/goldcrestvale_config/tests/support/scribes.rs
@@ -36,8 +36,12 @@
 
 impl Scribes {
     pub fn new(count: u32, seed: u64) -> Self {
+        Self::with_setting(SETTING, count, seed)
+    }
+
+    pub fn with_setting(setting: Setting, count: u32, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let writer = |n: u32| Writer::new(own(n as usize), SETTING, Instant(0), count, &mut rng);
+        let writer = |n: u32| Writer::new(own(n as usize), setting, Instant(0), count, &mut rng);
         Self {
             now: Instant(0),
             writers: (0..count).map(writer).collect(),
@@ -62,7 +66,7 @@
         }
     }
 
-    /// Returns how many checkpoints were begun, and how many chunks stand for each set on average.
+    /// Returns how many checkpoints were begun.
     pub fn begun(&self) -> usize {
         self.stream.iter().filter(|(_, chunk)| chunk.index == 0).count()
     }
