Test the sharing of limits, and end loans with the need they answer

Cause: the parts in use must never exceed a limit, whatever is lost, late, dead or cut. Change: property over cuts, deaths, delays and demand; a lender now ends a loan one hold after it heard the need, not after it sent the loan. The test found that a cut-off lender took two holds to get its part back. Conclusion: lending keeps the bound; the stated slack is one restart within one hold.

--- a/crates/goldcrestvale_member/src/limit.rs
+++ b/crates/goldcrestvale_member/src/limit.rs
@@ -1,9 +1,8 @@
 //! Sharing of the customers' limits by lending.
 //!
 //! Every instance owns an equal base part of each limit. One that needs less lends the rest to
-//! peers that need more, for a short time. The lender counts a loan as given away from before it
-//! is sent until its time is over; the borrower counts the time from when it sent the request
-//! that the loan answers, which is earlier. So the parts in use never exceed the whole, whatever
+//! peers that need more, for a short time. The lender counts that time from when it heard the
+//! request; the borrower counts it from when it sent the request, which is earlier. So the parts in use never exceed the whole, whatever
 //! is lost, late or dead, as long as the instances agree on how many they are. One that hears
 //! from nobody is back at its base part when its loans end.
 
@@ -154,7 +153,7 @@
         let mut customers = Vec::new();
         for (customer, account) in &mut self.customers {
             let need = account.need(base);
-            let lent = account.lend(now, base, self.hold, to);
+            let lent = account.lend(now, base, to);
             if need > 0 || lent > 0 {
                 let (need, lent) = (Parts(need), Parts(lent));
                 customers.push(CustomerUse { customer: customer.clone(), need, lent });
@@ -182,12 +181,13 @@
         let hold = Duration::from_millis(told.hold_ms.into());
         // The margin allows for clocks that run at slightly different rates.
         let until = asked.map(|asked| asked + (hold - hold / 16));
+        let needed_until = now + self.hold;
         for account in self.customers.values_mut() {
             account.clear(from);
         }
         for CustomerUse { customer, need, lent } in told.customers.iter().take(MAX_CUSTOMERS_TOLD) {
             let Some(account) = self.account(customer) else { continue };
-            account.set_need(from, need.0.min(WHOLE), now + hold);
+            account.set_need(from, need.0.min(WHOLE), needed_until);
             if let Some(until) = until {
                 account.borrow(from, lent.0.min(WHOLE), until);
             }
--- a/crates/goldcrestvale_member/src/limit/account.rs
+++ b/crates/goldcrestvale_member/src/limit/account.rs
@@ -1,7 +1,5 @@
 //! One customer's limit at this instance: demand, loans given, loans taken.
 
-use std::time::Duration;
-
 use goldcrestvale_base::{id::Instance, time::Instant};
 use serde::Serialize;
 use smallvec::SmallVec;
@@ -42,21 +40,21 @@
     }
 
     /// Decides how much to lend to a peer, and counts it as given away.
-    pub(super) fn lend(&mut self, now: Instant, base: u32, hold: Duration, to: &Instance) -> u32 {
+    ///
+    /// A loan ends a fixed time after the need was heard. The borrower ends it that time after
+    /// it told the need, so before the lender does, however long the message is on its way.
+    pub(super) fn lend(&mut self, now: Instant, base: u32, to: &Instance) -> u32 {
         self.needs.retain(|need| need.until > now);
         self.lent.retain(|loan| loan.until > now);
         let total: u64 = self.needs.iter().map(|need| u64::from(need.parts)).sum();
-        let Some(need) = self.needs.iter().find(|need| &need.peer == to).map(|need| need.parts)
-        else {
-            return 0;
-        };
+        let Some(need) = self.needs.iter().find(|need| &need.peer == to) else { return 0 };
         let kept = self.wanted().max(base / RESERVE_DIVISOR);
-        let spare = u64::from(base.saturating_sub(kept));
-        let fair = spare * u64::from(need) / total.max(1);
-        let free = base.saturating_sub(kept).saturating_sub(self.outstanding(now, Some(to)));
-        let parts = need.min(free).min(u32::try_from(fair).unwrap_or(u32::MAX));
+        let spare = base.saturating_sub(kept);
+        let fair = u64::from(spare) * u64::from(need.parts) / total.max(1);
+        let free = spare.saturating_sub(self.outstanding(now, Some(to)));
+        let parts = need.parts.min(free).min(u32::try_from(fair).unwrap_or(u32::MAX));
         if parts > 0 {
-            self.lent.push(Entry { peer: to.clone(), parts, until: now + hold });
+            self.lent.push(Entry { peer: to.clone(), parts, until: need.until });
         }
         parts
     }
