--- /dev/null
+++ b/crates/goldcrestvale_peer/tests/peer_link.rs
@@ -0,0 +1,152 @@
+//! Peers over loopback: connecting, asking, offering, leaving.
+#![allow(clippy::unwrap_used)]
+
+mod mesh;
+
+use std::time::Duration;
+
+use goldcrestvale_base::id::{Digest, Incarnation, Offset, Upstream};
+use goldcrestvale_member::prelude::{Config, Event, Mark, Notice, Source, Status};
+use goldcrestvale_peer::{
+    answer,
+    events::Configuration,
+    queue::{Pushed, Queue},
+};
+use goldcrestvale_wire::message::{AnswerState, ConfigAsk, Heartbeat, Leaving, Message};
+use mesh::{Daemon, Told, key, mesh, start, start_with};
+
+fn digest() -> Digest {
+    Digest::of(b"request")
+}
+
+fn mark() -> Mark {
+    Mark {
+        upstream: "engine-1".parse().unwrap(),
+        incarnation: Some("a1".into()),
+        source: Source::Refusal,
+        as_of: Default::default(),
+    }
+}
+
+#[tokio::test]
+async fn peers_find_each_other_through_one_seed_and_keep_one_link_each() {
+    let peers = mesh(4).await;
+    for peer in &peers {
+        let dump = peer.handle.dump().await.unwrap();
+        assert_eq!(dump.links.len(), 3);
+        let json = serde_json::to_value(&dump).unwrap();
+        assert_eq!(json["member"]["view"]["peers"].as_object().unwrap().len(), 3);
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_upstream_is_known_everywhere() {
+    let peers = mesh(4).await;
+    peers[0].handle.tell(Event::Leaving(mark())).await.unwrap();
+    let upstream: Upstream = "engine-1".parse().unwrap();
+    for peer in &peers {
+        peer.daemon.wait(|told| *told == Told::Notice(Notice::Leaving(mark()))).await;
+        assert!(peer.handle.snapshot().is_leaving(&upstream));
+    }
+}
+
+#[tokio::test]
+async fn a_goodbye_reaches_every_peer_before_the_process_ends() {
+    let peers = mesh(3).await;
+    peers[2].handle.stop().await;
+    peers[0].until_gone(&peers[2]).await;
+    peers[1].until_gone(&peers[2]).await;
+    let asked = peers[0].handle.ask_answer(peers[2].identity.incarnation, key(1), digest()).await;
+    assert_eq!(asked, Err(answer::Error::Gone));
+    let asked = peers[2].handle.ask_answer(Incarnation(100), key(1), digest()).await;
+    assert_eq!(asked, Err(answer::Error::Stopped));
+}
+
+#[tokio::test]
+async fn the_owner_answers_asks_many_at_once() {
+    let peers = mesh(2).await;
+    let owner = peers[1].identity.incarnation;
+    let asks = (1..=100).map(|number| {
+        let handle = peers[0].handle.clone();
+        async move { (number, handle.ask_answer(owner, key(number), digest()).await.unwrap()) }
+    });
+    for (number, stored) in futures_util::future::join_all(asks).await {
+        assert_eq!(stored.state, AnswerState::Settled);
+        assert_eq!(stored.body, key(number).to_string().as_bytes());
+    }
+}
+
+#[tokio::test]
+async fn asks_of_strangers_the_silent_and_the_dead_end_without_an_answer() {
+    let silent = Daemon { silent: true, ..Daemon::default() };
+    let owner = start_with(1, &[], silent, |settings| settings).await;
+    let seeds = [owner.identity.address];
+    let asker = start_with(0, &seeds, Daemon::default(), |settings| {
+        settings.ask_timeout(Duration::from_millis(300))
+    })
+    .await;
+    asker.until_up(&owner).await;
+    let ask = |owner| asker.handle.ask_answer(owner, key(1), digest());
+    assert_eq!(ask(Incarnation(9)).await, Err(answer::Error::Unknown));
+    assert_eq!(ask(owner.identity.incarnation).await, Err(answer::Error::Late));
+    let (lost, ()) = tokio::join!(ask(owner.identity.incarnation), async {
+        owner.daemon.wait(|told| matches!(told, Told::Asked(_))).await;
+        owner.handle.stop().await;
+    });
+    assert!(matches!(lost, Err(answer::Error::Lost | answer::Error::Late)), "{lost:?}");
+}
+
+#[tokio::test]
+async fn a_newer_configuration_travels_whole() {
+    let peers = mesh(2).await;
+    let (old, new) = (&peers[0], &peers[1]);
+    let bytes: Vec<u8> = (0..300_000_u32).map(|n| (n % 251) as u8).collect();
+    let digest = Digest::of(&bytes);
+    let configuration = Configuration { version: Offset(9), digest, bytes: bytes.into() };
+
+    let config = Some(Config { version: Offset(9), digest: 7 });
+    let status = Status { config, ..Status::default() };
+    new.handle.tell(Event::Status(status)).await.unwrap();
+    let ahead = |told: &Told| matches!(told, Told::Notice(Notice::Config { config, .. }) if config.version == Offset(9));
+    old.daemon.wait(ahead).await;
+    new.handle.offer_config(Offset(9), digest).await.unwrap();
+    let from = new.identity.instance.clone();
+    old.daemon.wait(|told| *told == Told::Offered(from.clone(), Offset(9), digest)).await;
+
+    old.handle.ask_config(from.clone(), Offset(9)).await.unwrap();
+    let asker = old.identity.instance.clone();
+    new.daemon.wait(|told| *told == Told::ConfigAsked(asker.clone(), Offset(9))).await;
+    new.handle.send_config(asker, configuration.clone()).await.unwrap();
+    old.daemon.wait(|told| *told == Told::Received(from.clone(), configuration.clone())).await;
+}
+
+#[tokio::test]
+async fn a_restarted_instance_is_met_as_a_new_incarnation() {
+    let peers = mesh(2).await;
+    peers[1].handle.stop().await;
+    peers[0].until_gone(&peers[1]).await;
+    let again = start(7, &[peers[0].identity.address]).await;
+    peers[0].until_up(&again).await;
+    again.until_up(&peers[0]).await;
+}
+
+#[test]
+fn a_full_queue_drops_the_oldest_gossip_and_never_a_leaving_upstream() {
+    let queue = Queue::new(3, 4_096);
+    let beat = |sequence| Message::from(Heartbeat { sequence, ..Heartbeat::default() });
+    let leaving = Message::from(Leaving::default());
+    for sequence in 1..=3 {
+        assert_eq!(queue.push(beat(sequence)), Pushed::Queued);
+    }
+    assert_eq!(queue.push(leaving.clone()), Pushed::Displaced { dropped: 1 });
+    let waiting: Vec<_> = std::iter::from_fn(|| queue.try_pop()).collect();
+    assert_eq!(waiting, [beat(2), beat(3), leaving.clone()]);
+    for _ in 0..3 {
+        assert_eq!(queue.push(leaving.clone()), Pushed::Queued);
+    }
+    assert_eq!(queue.push(beat(4)), Pushed::Dropped);
+    assert_eq!(queue.push(ConfigAsk::default().into()), Pushed::Full);
+    queue.close();
+    assert_eq!(queue.push(leaving), Pushed::Closed);
+    assert_eq!(queue.len(), 3);
+}
