--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! shares a [`node::Node`]. Requests read immutable snapshots and count by atomics.
 
 mod activity;
+pub mod admission;
 pub mod body;
 pub mod callers;
 pub mod clock;
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -9,12 +9,14 @@
 use goldcrestvale_base::id::{Incarnation, RecordId};
 use goldcrestvale_config::snapshot::Snapshot;
 use goldcrestvale_platform::log::Log;
+use goldcrestvale_route::admission;
 use goldcrestvale_upstream::{engine::Engine, pool::Limits, service::Service};
 
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock::Clock, gate::Gate, metrics::Metrics, phase::Life, settings::Settings, table::Table,
+    admission::Admission, clock::Clock, gate::Gate, metrics::Metrics, phase::Life,
+    settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -36,6 +38,10 @@
     pub upstreams: ArcSwap<Table>,
     /// Bound on the requests in progress.
     pub gate: Gate,
+    /// Admission of drafts.
+    pub drafts: Admission,
+    /// Admission of calls of plain services.
+    pub calls: Admission,
     /// Metrics.
     pub metrics: Metrics,
     /// Client of the engines.
@@ -57,9 +63,15 @@
             answer_bytes: settings.upstream.answer_bytes,
             ..Limits::default()
         };
+        let clock = Clock::start();
+        let slots = &settings.admission;
+        let bounds = |slots| admission::Settings::new(slots).waiting(settings.admission.waiting);
+        let [draft_seed, call_seed] = seeds(incarnation);
         Arc::new(Self {
+            drafts: Admission::new(bounds(slots.draft_slots), clock, draft_seed),
+            calls: Admission::new(bounds(slots.service_slots), clock, call_seed),
             incarnation,
-            clock: Clock::start(),
+            clock,
             life: Life::default(),
             config: ArcSwap::default(),
             upstreams: ArcSwap::default(),
@@ -80,3 +92,8 @@
         RecordId { incarnation: self.incarnation, sequence }
     }
 }
+
+/// Derives seeds of generators from the random bits of an incarnation.
+fn seeds(incarnation: Incarnation) -> [u64; 2] {
+    [incarnation.0 as u64, (incarnation.0 >> 64) as u64]
+}
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -29,6 +29,8 @@
     pub upstream: Upstreams,
     /// Section `draft`.
     pub draft: Draft,
+    /// Section `admission`.
+    pub admission: Admission,
     /// Section `stop`.
     pub stop: Stop,
 }
@@ -168,6 +170,23 @@
     }
 }
 
+/// Admission of requests.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    /// Drafts that run at once.
+    pub draft_slots: usize,
+    /// Calls of plain services that run at once.
+    pub service_slots: usize,
+    /// Requests of each kind that wait at most.
+    pub waiting: usize,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self { draft_slots: 512, service_slots: 512, waiting: 4_000 }
+    }
+}
+
 /// Planned stops.
 #[derive(Debug, Clone)]
 pub struct Stop {
--- a/crates/goldcrestvale_route/tests/customer_rate.rs
+++ b/crates/goldcrestvale_route/tests/customer_rate.rs
@@ -22,7 +22,7 @@
     let mut bucket = Bucket::new(4.0, at(0));
     while bucket.try_take(at(0), 1.0).is_ok() {}
     let after = bucket.try_take(at(0), 1.0).expect_err("an empty bucket");
-    assert_eq!(bucket.try_take(at(0) + after - Duration::from_millis(1), 1.0).is_ok(), false);
+    assert!(bucket.try_take(at(0) + after - Duration::from_millis(1), 1.0).is_err());
     assert!(bucket.try_take(at(0) + after, 1.0).is_ok());
 }
 
--- a/crates/goldcrestvale_route/tests/retry_budget.rs
+++ b/crates/goldcrestvale_route/tests/retry_budget.rs
@@ -10,7 +10,7 @@
 #[test]
 fn rules() {
     let not_run = || Exchange::new().refuse();
-    let table: [(&str, Instant, Verdict, u32, Result<(), Refusal>); 6] = [
+    let table = [
         ("not run", Instant(0), not_run(), 1, Ok(())),
         ("may have run", Instant(0), Verdict::MayHaveRun, 1, Err(Refusal::MayHaveRun)),
         ("ran", Instant(0), Verdict::Ran, 1, Err(Refusal::MayHaveRun)),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,6 +4,7 @@
 
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
+    admission::Queued,
     callers,
     daemon::{Builder, Daemon},
     metrics::{self, Metrics},
@@ -90,7 +91,13 @@
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
         let (tail, state) = Tail::new();
-        let daemon = Builder::new(node.clone()).with(Identity).with(tail).with(Watch).start();
+        let daemon = Builder::new(node.clone())
+            .with(Identity)
+            .with(tail)
+            .with(Watch)
+            .with(Queued { name: "drafts", admission: node.drafts.clone() })
+            .with(Queued { name: "calls", admission: node.calls.clone() })
+            .start();
         let callers = listen_callers(&node).await?;
         let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
         let operators = listen_operators(&node, operators).await?;
