--- a/src/settings/fault.rs
+++ b/src/settings/fault.rs
@@ -31,6 +31,14 @@
     }
 }
 
+/// States what is wrong with a value, without repeating a secret.
+pub(super) fn wrong(key: &str, value: &str, detail: &str) -> String {
+    if key.contains("secret") || key.contains("token") {
+        return format!("the value {detail}");
+    }
+    format!("{value:?} {detail}")
+}
+
 /// Writes one fault a line.
 pub(super) fn join(faults: &[Fault]) -> String {
     faults.iter().map(Fault::to_string).collect::<Vec<_>>().join("\n")
