--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, clock::Clock, gate::Gate, metrics::Metrics, phase::Life,
+    admission::Admission, clock::Clock, gate::Gate, metrics::Metrics, peers::Peers, phase::Life,
     settings::Settings, table::Table,
 };
 
@@ -50,6 +50,8 @@
     pub services: Service,
     /// Client of the platform log.
     pub log: Log,
+    /// The other entry instances.
+    pub peers: Peers,
     /// Cancelled when a planned stop is asked for.
     pub drain: CancellationToken,
     sequence: AtomicU64,
@@ -80,6 +82,7 @@
             engines: Engine::new(limits),
             services: Service::new(limits),
             log: Log::new(settings.platform.address, settings.platform.timeout),
+            peers: Peers::default(),
             drain: CancellationToken::new(),
             sequence: AtomicU64::new(0),
             settings,
