Keep commands from panicking when their output is closed

Cause: println! panics on a closed pipe, seen with `dump | head`. Ruled out: resetting SIGPIPE, which needs unsafe code. Change: answers and errors are written with write! and a closed pipe is no error.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -1,6 +1,6 @@
 //! Speaking to the operators' interface of an instance.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::Write, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
@@ -94,12 +94,12 @@
     }
 }
 
-#[expect(clippy::print_stdout, reason = "the answer is the command's output")]
+/// Prints the command's output; a reader that has gone needs none.
 pub(super) fn print(value: &Value) {
-    println!("{value:#}");
+    let _ = writeln!(std::io::stdout(), "{value:#}");
 }
 
-#[expect(clippy::print_stderr, reason = "the command's errors go to standard error")]
+/// Prints an error; a reader that has gone needs none.
 pub(super) fn complain(text: &str) {
-    eprintln!("goldcrestvale: {text}");
+    let _ = writeln!(std::io::stderr(), "goldcrestvale: {text}");
 }
--- a/tests/operator_tools.rs
+++ b/tests/operator_tools.rs
@@ -91,3 +91,16 @@
     assert_eq!(fleet.entries[0].process.wait().await?, Some(0));
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_output() -> io::Result<()> {
+    let fleet = fleet().await?;
+    let at = fleet.entries[0].operators.to_string();
+    let mut child = std::process::Command::new(ROUTER)
+        .args(["dump", &at, "--token", TOKEN])
+        .stdout(std::process::Stdio::piped())
+        .spawn()?;
+    drop(child.stdout.take());
+    assert_eq!(child.wait()?.code(), Some(0));
+    Ok(())
+}
