Limit the rate of customers over all entry instances

Cause: requests_per_second of a customer was configured and not enforced. Ruled out: a central counter, which a cut-off instance could not reach; each instance takes from its lent share and falls back to its own. Change: _entry::limits with a bucket per customer, demand told to peers; faults of secret settings do not print the value, and the test says so.

--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use goldcrestvale_base::id::Request as RequestId;
+use goldcrestvale_base::id::{Customer, Request as RequestId};
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use uuid::Uuid;
@@ -57,6 +57,7 @@
     let path = Path::parse(request.method(), request.uri())?;
     let caller = auth::authenticate(request.headers(), &node.config.load())?;
     trace.set_customer(&caller.customer);
+    check_limit(&node, &caller.customer)?;
     let pass = node.gate.try_enter().ok_or_else(|| busy(&node))?;
     match path {
         Path::Completions => draft::serve(node, id, caller, request, trace, pass).await,
@@ -77,6 +78,15 @@
     }
 }
 
+fn check_limit(node: &Node, customer: &Customer) -> Result<()> {
+    let config = node.config.load();
+    let Some(rate) = config.customers.get(customer).and_then(|c| c.body.requests_per_second) else {
+        return Ok(());
+    };
+    let share = node.peers.snapshot().share(customer);
+    node.limits.take(node.clock.now(), customer, rate, share)
+}
+
 fn busy(node: &Node) -> Refusal {
     let most = node.settings.callers.streams;
     Refusal::early(Cause::Busy, format!("{most} requests are in progress"))
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod gate;
 pub mod header;
+pub mod limits;
 pub mod metrics;
 pub mod node;
 pub mod operators;
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -10,13 +10,13 @@
 use goldcrestvale_config::snapshot::Snapshot;
 use goldcrestvale_platform::log::Log;
 use goldcrestvale_route::admission;
-use goldcrestvale_upstream::{engine::Engine, pool::Limits, service::Service};
+use goldcrestvale_upstream::{engine::Engine, pool, service::Service};
 
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, clock::Clock, gate::Gate, metrics::Metrics, peers::Peers, phase::Life,
-    settings::Settings, table::Table,
+    admission::Admission, clock::Clock, gate::Gate, limits::Limits, metrics::Metrics, peers::Peers,
+    phase::Life, settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -38,6 +38,8 @@
     pub upstreams: ArcSwap<Table>,
     /// Bound on the requests in progress.
     pub gate: Gate,
+    /// The customers' rate limits.
+    pub limits: Limits,
     /// Admission of drafts.
     pub drafts: Admission,
     /// Admission of calls of plain services.
@@ -60,10 +62,10 @@
 impl Node {
     /// Creates the shared state of an instance that has not started its tasks.
     pub fn new(settings: Settings, incarnation: Incarnation, metrics: Metrics) -> Arc<Self> {
-        let limits = Limits {
+        let limits = pool::Limits {
             connect_timeout: settings.upstream.connect_timeout,
             answer_bytes: settings.upstream.answer_bytes,
-            ..Limits::default()
+            ..pool::Limits::default()
         };
         let clock = Clock::start();
         let slots = &settings.admission;
@@ -72,6 +74,7 @@
         Arc::new(Self {
             drafts: Admission::new(bounds(slots.draft_slots), clock, draft_seed),
             calls: Admission::new(bounds(slots.service_slots), clock, call_seed),
+            limits: Limits::default(),
             incarnation,
             clock,
             life: Life::default(),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,6 +7,7 @@
     admission::Queued,
     callers,
     daemon::{Builder, Daemon},
+    limits::Demand,
     metrics::{self, Metrics},
     node::Node,
     operators::Desk,
@@ -103,6 +104,7 @@
             .with(tail)
             .with(Watch)
             .with(peers)
+            .with(Demand)
             .with(Queued { name: "drafts", admission: node.drafts.clone() })
             .with(Queued { name: "calls", admission: node.calls.clone() })
             .start();
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -30,7 +30,7 @@
         ("[callers]\nstreams = many", "[callers] streams: \"many\"", "1000000"),
         ("[stop]\nnotice_ms = -1", "[stop] notice_ms: \"-1\"", "milliseconds"),
         ("[operators]\naddress = 192.0.2.1:1", "[operators] token: is missing", "loopback"),
-        ("[operators]\ntoken =", "[operators] token: \"\" is empty", "secret"),
+        ("[operators]\ntoken =", "[operators] token: the value is empty", "secret"),
         ("[log]\nlevel = loud", "[log] level: \"loud\"", "trace"),
         ("[log]\nformat = xml", "[log] format: \"xml\"", "json"),
         ("[draft]\nmax_tokens = 1\nmax_tokens = 2", "[draft] max_tokens: stands more", "one value"),
@@ -52,3 +52,11 @@
     let error = File::parse("some.ini", text).expect_err("faults").to_string();
     assert_eq!(error.lines().count(), 5, "{error}");
 }
+
+#[test]
+fn secrets_are_not_printed() {
+    let text = "[peer]\nsecret = 0123456789abcdef-wrong\n";
+    let error = File::parse("some.ini", text).expect_err("a malformed secret").to_string();
+    assert!(error.contains("[peer] secret: "), "{error}");
+    assert!(!error.contains("0123456789abcdef"), "{error}");
+}
