Wire the membership into the daemon

Cause: leaving upstreams, the goodbye and the peers' counters have to reach requests and operators. Change: section [peer]; the platform's list, load reports, refusals of engines and operators all feed one set of leaving upstreams, of which the table of upstreams shows what is published; goodbye at shutdown; dump section and gauges. A fault in a secret no longer repeats its value. Ruled out: flags set in the table by each source, which forgot a life's state when the row of an upstream came back. Conclusion: cargo test -p goldcrestvale passes; leaving and stops get their own tests next.

--- a/crates/goldcrestvale_entry/src/callers/draft/relay.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/relay.rs
@@ -8,7 +8,10 @@
     time::Instant,
     verdict::Verdict,
 };
-use goldcrestvale_upstream::message::{Cancel, Step, StepAnswer, StepInput, StepOutput};
+use goldcrestvale_upstream::{
+    error::Error,
+    message::{self, Cancel, Step, StepAnswer, StepInput, StepOutput},
+};
 
 use super::{
     answer::{Piece, Text, is_awaited},
@@ -118,7 +121,7 @@
             .engines
             .step(stage.row.address, &step, limit)
             .await
-            .map_err(|e| Refusal::new(Verdict::MayHaveRun, Cause::Upstream, e.to_string()))?;
+            .map_err(|e| self.fail(stage, &e))?;
         if !is_awaited(name, answer.name) {
             let detail = format!("engine {} answered another step", stage.row.name);
             return Err(Refusal::new(Verdict::MayHaveRun, Cause::Upstream, detail));
@@ -127,6 +130,15 @@
     }
 }
 
+impl Relay {
+    fn fail(&self, stage: &Stage, error: &Error) -> Refusal {
+        if let Error::Refused { refusal: message::Refusal::Leaving, .. } = error {
+            self.node.peers.refuse(&stage.row, self.node.clock.wall());
+        }
+        Refusal::new(Verdict::MayHaveRun, Cause::Upstream, error.to_string())
+    }
+}
+
 impl Drop for Relay {
     /// Drops the request's state on every stage, also when the caller has gone.
     fn drop(&mut self) {
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod peers;
 pub mod phase;
 pub mod refusal;
 pub mod server;
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -14,7 +14,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock::Clock, gate::Gate, metrics::Metrics, phase::Life, settings::Settings, table::Table,
+    clock::Clock, gate::Gate, metrics::Metrics, peers::Peers, phase::Life, settings::Settings,
+    table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -44,6 +45,8 @@
     pub services: Service,
     /// Client of the platform log.
     pub log: Log,
+    /// The other entry instances.
+    pub peers: Peers,
     /// Cancelled when a planned stop is asked for.
     pub drain: CancellationToken,
     sequence: AtomicU64,
@@ -68,6 +71,7 @@
             engines: Engine::new(limits),
             services: Service::new(limits),
             log: Log::new(settings.platform.address, settings.platform.timeout),
+            peers: Peers::default(),
             drain: CancellationToken::new(),
             sequence: AtomicU64::new(0),
             settings,
--- a/crates/goldcrestvale_entry/src/operators/mod.rs
+++ b/crates/goldcrestvale_entry/src/operators/mod.rs
@@ -66,7 +66,9 @@
             (&Method::GET, ["metrics"]) => probe::metrics(&self.node),
             (&Method::GET, ["dump"]) => Ok(json(StatusCode::OK, &self.dump.collect())),
             (&Method::POST, ["drain"]) => Ok(probe::drain(&self.node)),
-            (&Method::POST, ["drain", upstream]) => probe::drain_upstream(&self.node, upstream),
+            (&Method::POST, ["drain", upstream]) => {
+                probe::drain_upstream(&self.node, upstream).await
+            }
             (_, ["config", rest @ ..]) => {
                 let rest: Vec<String> = rest.iter().map(|&s| s.to_owned()).collect();
                 config::serve(&self.node, self.tail.clone(), &rest, request).await
--- a/crates/goldcrestvale_entry/src/operators/probe.rs
+++ b/crates/goldcrestvale_entry/src/operators/probe.rs
@@ -1,8 +1,7 @@
 //! Liveness, readiness, metrics and drain.
 
-use std::sync::Arc;
-
 use goldcrestvale_base::id::Upstream;
+use goldcrestvale_member::leaving::Source;
 use http::{HeaderValue, Response, StatusCode, header};
 use log::info;
 use serde_json::json;
@@ -13,7 +12,6 @@
     node::Node,
     phase::Phase,
     refusal::{Cause, Refusal, Result},
-    table::{Row, Table},
 };
 
 pub(super) fn live() -> Response<Body> {
@@ -41,21 +39,12 @@
     json(StatusCode::ACCEPTED, &json!({ "phase": node.life.phase() }))
 }
 
-pub(super) fn drain_upstream(node: &Node, name: &str) -> Result<Response<Body>> {
+pub(super) async fn drain_upstream(node: &Node, name: &str) -> Result<Response<Body>> {
     let unknown = || Refusal::early(Cause::Unknown, format!("no upstream {name}"));
     let name: Upstream = name.parse().map_err(|_| unknown())?;
     if !node.upstreams.load().rows.contains_key(&name) {
         return Err(unknown());
     }
-    node.upstreams.rcu(|table| Arc::new(with_leaving(table, &name)));
-    info!(upstream:% = name, source = "operator"; "upstream is leaving");
+    node.peers.leave(&node.upstreams.load(), &name, Source::Operator, node.clock.wall()).await;
     Ok(json(StatusCode::ACCEPTED, &json!({ "upstream": name, "leaving": true })))
 }
-
-fn with_leaving(table: &Table, name: &Upstream) -> Table {
-    let mut table = table.clone();
-    if let Some(row) = table.rows.get_mut(name) {
-        *row = Arc::new(Row { leaving: true, ..Row::clone(row) });
-    }
-    table
-}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -0,0 +1,253 @@
+//! The other entry instances, and the upstreams that leave.
+//!
+//! Every source that says an upstream leaves is fed to the membership, which spreads it; the
+//! table of upstreams only shows what the membership has published.
+
+mod events;
+mod tasks;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
+
+use goldcrestvale_base::{
+    id::{Instance, Offset, Upstream},
+    time::Wall,
+};
+use goldcrestvale_member::{
+    event::Event,
+    identity::{Identity, Seed},
+    leaving::{Mark, Source},
+    settings::Settings as Membership,
+};
+use goldcrestvale_peer::{
+    events::{Ask, Configuration, Reply},
+    handle::Handle,
+    peer,
+    settings::Settings,
+    snapshot::Snapshot,
+};
+use goldcrestvale_platform::message::{Listed, Listing, Role, State};
+use goldcrestvale_wire::key::{Keyring, Secret};
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+
+use self::events::Inbox;
+pub use self::tasks::Attend;
+use crate::{
+    node::Node,
+    settings,
+    table::{Report, Row, Table},
+};
+
+/// The result of starting the peer tasks.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The address for peers cannot be bound.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address} for peers: {source}"))]
+pub struct Error {
+    /// The address in the settings.
+    pub address: SocketAddr,
+    /// What the operating system reported.
+    pub source: std::io::Error,
+}
+
+/// Answers other instances that ask for the result of an idempotent call.
+pub trait Owner: Send + Sync {
+    /// Takes an ask; the reply may be sent later.
+    fn answer(&self, ask: Ask, reply: Reply);
+}
+
+/// Serves configurations to other instances and takes theirs.
+pub trait Store: Send + Sync {
+    /// Takes the news that a peer has a newer configuration, or a different one.
+    fn offered(&self, from: &Instance, version: Offset);
+
+    /// Takes a request for the configuration.
+    fn asked(&self, from: &Instance, version: Offset);
+
+    /// Takes a configuration.
+    fn received(&self, from: &Instance, configuration: Configuration);
+}
+
+/// The way to the other entry instances.
+#[derive(Default)]
+pub struct Peers {
+    started: OnceLock<Started>,
+    owner: OnceLock<Arc<dyn Owner>>,
+    store: OnceLock<Arc<dyn Store>>,
+}
+
+struct Started {
+    handle: Handle,
+    address: Option<SocketAddr>,
+}
+
+impl std::fmt::Debug for Peers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Peers").field("address", &self.address()).finish_non_exhaustive()
+    }
+}
+
+impl Peers {
+    /// Binds the address for peers and starts the tasks; without a shared secret the instance
+    /// stays alone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(&self, node: &Arc<Node>) -> Result<Attend> {
+        let settings = &node.settings;
+        let events = Inbox::new(Arc::downgrade(node));
+        let (handle, address) = match &settings.peer.secret {
+            Some(secret) => {
+                let address = settings.peer.address;
+                let listener = TcpListener::bind(address).await.context(Snafu { address })?;
+                let address = listener.local_addr().context(Snafu { address })?;
+                let settings = peer_settings(node, address, secret);
+                (peer::start_on(listener, settings, events), Some(address))
+            }
+            None => {
+                // Nobody is spoken to, so that the secret is never used.
+                let secret = Secret::new([0; 32]);
+                let settings = peer_settings(node, settings.peer.address, &secret);
+                (peer::start_alone(settings, events), None)
+            }
+        };
+        // A second start keeps the first tasks.
+        let _ = self.started.set(Started { handle: handle.clone(), address });
+        Ok(Attend::new(handle))
+    }
+
+    /// Returns the address that peers are told, if this instance speaks to others.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.started.get()?.address
+    }
+
+    /// Returns the handle on the tasks, once they are started.
+    pub fn handle(&self) -> Option<&Handle> {
+        self.started.get().map(|started| &started.handle)
+    }
+
+    /// Returns what the membership published last.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.handle().map(Handle::snapshot).unwrap_or_default()
+    }
+
+    /// Sets who answers asks; the first one stays.
+    pub fn set_owner(&self, owner: Arc<dyn Owner>) {
+        let _ = self.owner.set(owner);
+    }
+
+    /// Sets who serves configurations; the first one stays.
+    pub fn set_store(&self, store: Arc<dyn Store>) {
+        let _ = self.store.set(store);
+    }
+
+    /// Passes the platform's list on.
+    pub async fn list(&self, known: &Table, listing: &Listing) {
+        let Some(Started { handle, address }) = self.started.get() else { return };
+        if address.is_some() {
+            self.tell(handle, Event::Listed(seeds(listing))).await;
+        }
+        for listed in listing.instances.iter().filter(|listed| listed.role != Role::Entry) {
+            let Ok(upstream) = listed.name.parse::<Upstream>() else { continue };
+            if listed.state == State::Leaving {
+                let (incarnation, source, as_of) = (None, Source::List, listing.as_of);
+                let mark = Mark { upstream, incarnation, source, as_of };
+                self.tell(handle, Event::Leaving(mark)).await;
+            }
+        }
+        for name in known.rows.keys() {
+            let listed = listing.instances.iter().any(|listed| listed.name == name.as_str());
+            if !listed {
+                self.tell(handle, Event::Removed(name.clone())).await;
+            }
+        }
+    }
+
+    /// Passes a load report on: which life the upstream is in, and whether it leaves.
+    pub async fn report(&self, node: &Node, upstream: &Upstream, report: &Report) {
+        let Some(handle) = self.handle() else { return };
+        let at = node.clock.wall();
+        let table = node.upstreams.load();
+        let known = table.rows.get(upstream).and_then(|row| row.report.as_ref());
+        let incarnation = report.incarnation().to_owned();
+        if known.is_none_or(|(_, old)| old.incarnation() != incarnation) {
+            let upstream = upstream.clone();
+            self.tell(handle, Event::Seen { upstream, incarnation, at }).await;
+        }
+        if report.is_leaving() {
+            let (upstream, incarnation) = (upstream.clone(), Some(report.incarnation().into()));
+            let mark = Mark { upstream, incarnation, source: Source::Report, as_of: at };
+            self.tell(handle, Event::Leaving(mark)).await;
+        }
+    }
+
+    /// Notes that an upstream refused a request because it leaves.
+    pub fn refuse(&self, row: &Row, as_of: Wall) {
+        let mark = mark_of(row, Source::Refusal, as_of);
+        if let Some(handle) = self.handle()
+            && let Err(e) = handle.try_tell(Event::Leaving(mark))
+        {
+            // The next load report says the same.
+            log::debug!(upstream:% = row.name, error:% = e; "refusal not noted");
+        }
+    }
+
+    /// Lets an upstream leave, and waits until this instance gives it no new work.
+    pub async fn leave(&self, table: &Table, upstream: &Upstream, source: Source, as_of: Wall) {
+        if let (Some(handle), Some(row)) = (self.handle(), table.rows.get(upstream))
+            && let Err(e) = handle.apply(Event::Leaving(mark_of(row, source, as_of))).await
+        {
+            log::warn!(upstream:% = upstream, error:% = e; "leaving upstream not noted");
+        }
+    }
+
+    async fn tell(&self, handle: &Handle, event: Event) {
+        if let Err(e) = handle.tell(event).await {
+            log::debug!(error:% = e; "event not taken");
+        }
+    }
+}
+
+fn mark_of(row: &Row, source: Source, as_of: Wall) -> Mark {
+    let incarnation = row.report.as_ref().map(|(_, report)| report.incarnation().to_owned());
+    Mark { upstream: row.name.clone(), incarnation, source, as_of }
+}
+
+/// Returns the entry instances that stay, with their addresses for peers.
+fn seeds(listing: &Listing) -> Vec<Seed> {
+    let entries = listing.instances.iter().filter(|listed| listed.role == Role::Entry);
+    let seed = |listed: &Listed| {
+        let instance = listed.name.parse().ok()?;
+        Some(Seed { instance, domain: listed.domain.clone(), address: listed.address })
+    };
+    entries.filter_map(seed).collect()
+}
+
+fn peer_settings(node: &Node, address: SocketAddr, secret: &Secret) -> Settings {
+    let settings::Settings { instance, peer, .. } = &node.settings;
+    let own = Identity {
+        instance: instance.name.clone(),
+        incarnation: node.incarnation,
+        domain: instance.domain.clone(),
+        address,
+    };
+    let membership = Membership::new(own)
+        .seeds(if peer.secret.is_some() { peer.seeds.clone() } else { Vec::new() })
+        .instances(peer.instances)
+        .heartbeat(peer.heartbeat)
+        .gossip(peer.heartbeat * 5)
+        .hold(peer.limit_hold);
+    let keys = Keyring { primary: secret.clone(), secondary: peer.accepted_secret.clone() };
+    Settings { max_connections: peer.connections, ..Settings::new(membership, keys) }
+        .max_frame(peer.frame_bytes)
+        .queue(QUEUE_MESSAGES, peer.queue_bytes)
+        .ask_timeout(peer.ask_timeout)
+}
+
+/// Most messages that wait for one peer.
+const QUEUE_MESSAGES: usize = 256;
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -0,0 +1,101 @@
+//! What the peer tasks tell this instance.
+
+use std::sync::{Arc, Weak};
+
+use goldcrestvale_base::id::{Digest, Instance, Offset};
+use goldcrestvale_member::action::Notice;
+use goldcrestvale_peer::{
+    events::{AnswerState, Ask, Configuration, Events, Reply, Stored},
+    snapshot::Snapshot,
+};
+use log::{info, warn};
+
+use crate::{
+    node::Node,
+    table::{Row, Table},
+};
+
+/// Takes what the peer tasks tell; the node outlives it only while the instance runs.
+pub(super) struct Inbox {
+    node: Weak<Node>,
+}
+
+impl Inbox {
+    pub(super) fn new(node: Weak<Node>) -> Self {
+        Self { node }
+    }
+
+    fn offered(&self, from: &Instance, version: Offset) {
+        if let Some(node) = self.node.upgrade()
+            && let Some(store) = node.peers.store.get()
+        {
+            store.offered(from, version);
+        }
+    }
+}
+
+impl Events for Inbox {
+    fn published(&self, snapshot: &Arc<Snapshot>) {
+        let Some(node) = self.node.upgrade() else { return };
+        let stale = |row: &Arc<Row>| row.leaving != snapshot.is_leaving(&row.name);
+        if node.upstreams.load().rows.values().any(stale) {
+            node.upstreams.rcu(|table| Arc::new(with_leaving(table, snapshot)));
+        }
+    }
+
+    fn notice(&self, notice: Notice) {
+        match notice {
+            Notice::Up(peer) => {
+                info!(instance:% = peer.instance, incarnation:% = peer.incarnation; "peer is live");
+            }
+            Notice::Suspect(instance) => info!(instance:%; "peer missed heartbeats"),
+            Notice::Dead(instance) => warn!(instance:%; "peer counts as dead"),
+            Notice::Gone { instance, incarnation } => {
+                info!(instance:%, incarnation:%; "peer has ended");
+            }
+            Notice::Leaving(mark) => {
+                info!(upstream:% = mark.upstream, source:? = mark.source; "upstream is leaving");
+            }
+            Notice::Config { instance, config } => self.offered(&instance, config.version),
+        }
+    }
+
+    fn config_offered(&self, from: &Instance, version: Offset, _: Digest) {
+        self.offered(from, version);
+    }
+
+    fn config_asked(&self, from: &Instance, version: Offset) {
+        if let Some(node) = self.node.upgrade()
+            && let Some(store) = node.peers.store.get()
+        {
+            store.asked(from, version);
+        }
+    }
+
+    fn config_received(&self, from: &Instance, configuration: Configuration) {
+        if let Some(node) = self.node.upgrade()
+            && let Some(store) = node.peers.store.get()
+        {
+            store.received(from, configuration);
+        }
+    }
+
+    fn asked(&self, ask: Ask, reply: Reply) {
+        let node = self.node.upgrade();
+        match node.as_ref().and_then(|node| node.peers.owner.get()) {
+            Some(owner) => owner.answer(ask, reply),
+            None => reply.send(Stored::without_answer(AnswerState::Unknown)),
+        }
+    }
+}
+
+fn with_leaving(table: &Table, snapshot: &Snapshot) -> Table {
+    let mut table = table.clone();
+    for row in table.rows.values_mut() {
+        let leaving = snapshot.is_leaving(&row.name);
+        if row.leaving != leaving {
+            *row = Arc::new(Row { leaving, ..Row::clone(row) });
+        }
+    }
+    table
+}
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_wire::key::Secret;
 
 /// Settings of an entry instance, one field per section of the settings file.
 ///
@@ -25,6 +26,8 @@
     pub operators: Operators,
     /// Section `platform`.
     pub platform: Platform,
+    /// Section `peer`.
+    pub peer: Peer,
     /// Section `upstream`.
     pub upstream: Upstreams,
     /// Section `draft`.
@@ -126,6 +129,51 @@
     }
 }
 
+/// The other entry instances.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Address to listen on, which the other instances are told.
+    pub address: SocketAddr,
+    /// Secret that all instances share; without it this instance stays alone.
+    pub secret: Option<Secret>,
+    /// Another secret that is accepted, while instances change to a new one.
+    pub accepted_secret: Option<Secret>,
+    /// Addresses of instances to try before the platform's list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Instances that share the customers' limits while the platform's list is not known.
+    pub instances: u32,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Time that a part of a limit is lent for.
+    pub limit_hold: Duration,
+    /// Longest frame, in bytes.
+    pub frame_bytes: usize,
+    /// Most bytes that wait for one peer.
+    pub queue_bytes: usize,
+    /// Most connections of peers.
+    pub connections: usize,
+    /// Longest time to wait for a peer's answer.
+    pub ask_timeout: Duration,
+}
+
+impl Default for Peer {
+    fn default() -> Self {
+        Self {
+            address: loopback(7070),
+            secret: None,
+            accepted_secret: None,
+            seeds: Vec::new(),
+            instances: 1,
+            heartbeat: Duration::from_secs(1),
+            limit_hold: Duration::from_secs(3),
+            frame_bytes: 1 << 20,
+            queue_bytes: 4 << 20,
+            connections: 1_024,
+            ask_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
 /// Calls to upstreams.
 #[derive(Debug, Clone)]
 pub struct Upstreams {
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -57,7 +57,9 @@
         match list.fetch().await {
             Ok(listing) => {
                 up = true;
+                let known = node.upstreams.load_full();
                 node.upstreams.rcu(|table| Arc::new(merge(table, &listing)));
+                node.peers.list(&known, &listing).await;
             }
             Err(e) => {
                 node.metrics.platform_failures.add(1, &[KeyValue::new("call", "list")]);
@@ -90,7 +92,7 @@
             continue;
         };
         let row = match table.rows.get(&name) {
-            Some(old) if old.address == listed.address => update(old, listed),
+            Some(old) if old.address == listed.address => old.clone(),
             _ => insert(name.clone(), listed),
         };
         rows.insert(name, row);
@@ -98,15 +100,6 @@
     Table { rows }
 }
 
-fn update(old: &Arc<Row>, listed: &Listed) -> Arc<Row> {
-    let leaving = old.leaving || listed.state == State::Leaving;
-    if leaving == old.leaving {
-        return old.clone();
-    }
-    info!(upstream:% = old.name, source = "list"; "upstream is leaving");
-    Arc::new(Row { leaving, ..Row::clone(old) })
-}
-
 fn insert(name: Upstream, listed: &Listed) -> Arc<Row> {
     info!(upstream:% = name, address:% = listed.address; "upstream is known");
     Arc::new(Row {
@@ -131,6 +124,9 @@
             .filter_map(std::future::ready)
             .collect()
             .await;
+        for (name, report) in &reports {
+            node.peers.report(&node, name, report).await;
+        }
         let now = node.clock.now();
         node.upstreams.rcu(|table| {
             let mut table = Table::clone(table);
@@ -165,10 +161,6 @@
     now: goldcrestvale_base::time::Instant,
     report: &Report,
 ) -> Arc<Row> {
-    // A new life of the upstream takes work again.
-    let same_life =
-        row.report.as_ref().is_some_and(|(_, old)| old.incarnation() == report.incarnation());
-    let leaving = report.is_leaving() || (row.leaving && (same_life || row.report.is_none()));
     let report = Some((now, report.clone()));
-    Arc::new(Row { leaving, report, ..Row::clone(row) })
+    Arc::new(Row { report, ..Row::clone(row) })
 }
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -136,17 +136,18 @@
     /// Takes the platform's list.
     pub fn list(&mut self, now: Instant, seeds: &[Seed]) {
         self.listed = true;
-        self.stale = true;
         for peer in self.peers.values_mut() {
             peer.listed = false;
         }
         for seed in seeds.iter().filter(|seed| seed.instance != self.own.instance) {
             if self.has_room(&seed.instance) {
+                self.stale |= !self.peers.contains_key(&seed.instance);
                 let peer = self.peers.entry(seed.instance.clone());
                 let peer = peer.or_insert_with(|| Peer::new(now, seed.clone()));
                 peer.listed = true;
                 // The list lags: what the instance itself says about its address is newer.
                 if peer.incarnation.is_none() || peer.state == State::Gone {
+                    self.stale |= peer.seed != *seed;
                     peer.seed = seed.clone();
                 }
             }
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -58,10 +58,21 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     Event(Event),
+    /// An event whose effect the daemon waits for.
+    Apply(Event, oneshot::Sender<()>),
     Ask(Question),
-    OfferConfig { version: Offset, digest: Digest },
-    AskConfig { to: Instance, version: Offset },
-    SendConfig { to: Instance, configuration: Configuration },
+    OfferConfig {
+        version: Offset,
+        digest: Digest,
+    },
+    AskConfig {
+        to: Instance,
+        version: Offset,
+    },
+    SendConfig {
+        to: Instance,
+        configuration: Configuration,
+    },
     Dump(oneshot::Sender<Dump>),
     Stop(oneshot::Sender<()>),
 }
@@ -149,6 +160,11 @@
     fn command(&mut self, command: Command) {
         match command {
             Command::Event(event) => self.step(event),
+            Command::Apply(event, done) => {
+                self.step(event);
+                self.publish();
+                let _ = done.send(());
+            }
             Command::Ask(question) => self.ask(question),
             Command::OfferConfig { version, digest } => {
                 let digest = field::put_digest(digest);
@@ -380,13 +396,15 @@
     pub(crate) fn publish(&self) {
         let now = self.shared.clock.now();
         let configured = self.shared.settings.membership.instances;
-        self.snapshot.store(Arc::new(Snapshot {
+        let snapshot = Arc::new(Snapshot {
             leaving: self.member.leaving().clone(),
             shares: self.member.shares(now),
             others: self.member.others().clone(),
             instances: self.member.view().instances(configured),
             schema: self.member.schema(),
-        }));
+        });
+        self.snapshot.store(Arc::clone(&snapshot));
+        self.events.published(&snapshot);
     }
 
     fn dump(&self) -> Dump {
--- a/crates/goldcrestvale_peer/src/events.rs
+++ b/crates/goldcrestvale_peer/src/events.rs
@@ -12,13 +12,16 @@
 
 pub use goldcrestvale_wire::message::{AnswerState, Header};
 
-use crate::{count::Counts, queue::Queue};
+use crate::{count::Counts, queue::Queue, snapshot::Snapshot};
 
 /// What the daemon does about the news of other instances.
 ///
 /// The methods are called by the task that holds the membership, so they must return at once;
 /// longer work goes into a task of the daemon.
 pub trait Events: Send + Sync + 'static {
+    /// Takes the snapshot that was just published.
+    fn published(&self, _snapshot: &Arc<Snapshot>) {}
+
     /// Takes a change of the view, a leaving upstream, or a peer's newer configuration.
     fn notice(&self, notice: Notice);
 
--- a/crates/goldcrestvale_peer/src/handle.rs
+++ b/crates/goldcrestvale_peer/src/handle.rs
@@ -52,6 +52,17 @@
         self.command(Command::Event(event)).await
     }
 
+    /// Feeds an event and waits until the snapshot shows its effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn apply(&self, event: Event) -> Result<()> {
+        let (done, applied) = oneshot::channel();
+        self.command(Command::Apply(event, done)).await?;
+        applied.await.ok().context(StoppedSnafu)
+    }
+
     /// Feeds an event without waiting, for the path of a request.
     ///
     /// # Errors
--- a/crates/goldcrestvale_peer/src/peer.rs
+++ b/crates/goldcrestvale_peer/src/peer.rs
@@ -58,6 +58,13 @@
 
 /// Starts the tasks on a listener that is bound already.
 pub fn start_on(listener: TcpListener, settings: Settings, events: impl Events) -> Handle {
+    let handle = start_alone(settings, events);
+    tokio::spawn(listen(listener, Arc::clone(&handle.shared)));
+    handle
+}
+
+/// Starts the tasks of an instance that accepts no peers.
+pub fn start_alone(settings: Settings, events: impl Events) -> Handle {
     let (inputs, receiver) = mpsc::channel(INPUTS);
     let member = Member::new(settings.membership.clone());
     let shared = Arc::new(Shared {
@@ -73,7 +80,6 @@
     let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
     let core = Core::new(Arc::clone(&shared), Arc::clone(&snapshot), events, member);
     core.publish();
-    tokio::spawn(listen(listener, Arc::clone(&shared)));
     tokio::spawn(core.run(receiver));
     Handle { shared, snapshot }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -49,6 +49,12 @@
         /// What the operating system reported.
         source: std::io::Error,
     },
+    /// The address for peers cannot be bound.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// What failed.
+        source: goldcrestvale_entry::peers::Error,
+    },
     /// A signal handler cannot be set.
     #[snafu(display("cannot handle signals: {source}"))]
     Signals {
@@ -89,8 +95,10 @@
         let metrics = Metrics::new().context(MetricsSnafu)?;
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
+        let peers = node.peers.start(&node).await.context(PeersSnafu)?;
         let (tail, state) = Tail::new();
-        let daemon = Builder::new(node.clone()).with(Identity).with(tail).with(Watch).start();
+        let daemon =
+            Builder::new(node.clone()).with(Identity).with(tail).with(Watch).with(peers).start();
         let callers = listen_callers(&node).await?;
         let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
         let operators = listen_operators(&node, operators).await?;
@@ -98,7 +106,8 @@
             instance:% = node.settings.instance.name,
             incarnation:% = incarnation,
             callers:% = callers.address,
-            operators:% = operators.address;
+            operators:% = operators.address,
+            peers:? = node.peers.address();
             "listening"
         );
         Ok(Self { daemon, callers, operators })
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -118,7 +118,7 @@
             path: path.to_owned(),
             section: section.to_owned(),
             key: key.to_owned(),
-            wrong: format!("{value:?} {detail}"),
+            wrong: fault::wrong(key, value, &detail),
             right: field.expected.to_owned(),
         })
     }
--- a/src/settings/fault.rs
+++ b/src/settings/fault.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// States what is wrong with a value, without repeating a secret.
+pub(super) fn wrong(key: &str, value: &str, detail: &str) -> String {
+    let secret = key.contains("secret") || key.contains("token");
+    if secret && !value.is_empty() {
+        return format!("the value {detail}");
+    }
+    format!("{value:?} {detail}")
+}
+
 /// Writes one fault a line.
 pub(super) fn join(faults: &[Fault]) -> String {
     faults.iter().map(Fault::to_string).collect::<Vec<_>>().join("\n")
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -1,5 +1,9 @@
 //! The known settings, one row a key.
 
+use std::net::SocketAddr;
+
+use goldcrestvale_wire::key::Secret;
+
 use super::{File, parse};
 
 /// One known key of the settings file.
@@ -18,6 +22,9 @@
 const BYTES: &str = "bytes from 1024 to 1073741824";
 const HEADER_BYTES: &str = "bytes from 8192 to 1048576";
 
+const SECRET: &str = "64 hexadecimal digits";
+const SEEDS: &str = "addresses separated by commas, as in 10.0.0.1:7070, 10.0.0.2:7070";
+
 /// Builds one row: section, key, what is expected, the field, and how its value is parsed.
 macro_rules! field {
     ($section:literal, $key:literal, $expected:expr, $($target:ident).+, $parse:expr) => {
@@ -52,6 +59,16 @@
     parse::text(value).map(Some)
 }
 
+fn secret(value: &str) -> parse::Result<Option<Secret>> {
+    // The fault would repeat the value, which may be a secret with a slip in it.
+    value.parse().map(Some).map_err(|_| "is not a secret".to_owned())
+}
+
+fn seeds(value: &str) -> parse::Result<Vec<SocketAddr>> {
+    let seeds = value.split(',').map(str::trim).filter(|seed| !seed.is_empty());
+    seeds.map(parse::from_str).collect()
+}
+
 /// All known settings; keys of one section stand together.
 pub(super) const FIELDS: &[Field] = &[
     field!("instance", "name", NAME, entry.instance.name, parse::from_str),
@@ -70,6 +87,17 @@
     field!("platform", "timeout_ms", MILLIS, entry.platform.timeout, parse::millis),
     field!("platform", "poll_ms", MILLIS, entry.platform.poll, parse::millis),
     field!("platform", "list_interval_ms", MILLIS, entry.platform.list_interval, parse::millis),
+    field!("peer", "address", ADDRESS, entry.peer.address, parse::from_str),
+    field!("peer", "secret", SECRET, entry.peer.secret, secret),
+    field!("peer", "accepted_secret", SECRET, entry.peer.accepted_secret, secret),
+    field!("peer", "seeds", SEEDS, entry.peer.seeds, seeds),
+    field!("peer", "instances", COUNT, entry.peer.instances, count),
+    field!("peer", "heartbeat_ms", MILLIS, entry.peer.heartbeat, parse::millis),
+    field!("peer", "limit_hold_ms", MILLIS, entry.peer.limit_hold, parse::millis),
+    field!("peer", "frame_bytes", BYTES, entry.peer.frame_bytes, bytes),
+    field!("peer", "queue_bytes", BYTES, entry.peer.queue_bytes, bytes),
+    field!("peer", "connections", COUNT, entry.peer.connections, count),
+    field!("peer", "ask_timeout_ms", MILLIS, entry.peer.ask_timeout, parse::millis),
     field!("upstream", "connect_timeout_ms", MILLIS, entry.upstream.connect_timeout, parse::millis),
     field!("upstream", "load_interval_ms", MILLIS, entry.upstream.load_interval, parse::millis),
     field!("upstream", "load_timeout_ms", MILLIS, entry.upstream.load_timeout, parse::millis),
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -31,6 +31,8 @@
         ("[stop]\nnotice_ms = -1", "[stop] notice_ms: \"-1\"", "milliseconds"),
         ("[operators]\naddress = 192.0.2.1:1", "[operators] token: is missing", "loopback"),
         ("[operators]\ntoken =", "[operators] token: \"\" is empty", "secret"),
+        ("[peer]\nsecret = abc", "[peer] secret: the value is not a secret", "64 hexadecimal"),
+        ("[peer]\nseeds = one", "[peer] seeds: \"one\"", "10.0.0.1:7070"),
         ("[log]\nlevel = loud", "[log] level: \"loud\"", "trace"),
         ("[log]\nformat = xml", "[log] format: \"xml\"", "json"),
         ("[draft]\nmax_tokens = 1\nmax_tokens = 2", "[draft] max_tokens: stands more", "one value"),
