--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,6 +4,7 @@
 
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
+    admission::Queued,
     callers,
     daemon::{Builder, Daemon},
     metrics::{self, Metrics},
@@ -97,8 +98,14 @@
         let node = Node::new(settings, incarnation, metrics);
         let peers = node.peers.start(&node).await.context(PeersSnafu)?;
         let (tail, state) = Tail::new();
-        let daemon =
-            Builder::new(node.clone()).with(Identity).with(tail).with(Watch).with(peers).start();
+        let daemon = Builder::new(node.clone())
+            .with(Identity)
+            .with(tail)
+            .with(Watch)
+            .with(peers)
+            .with(Queued { name: "drafts", admission: node.drafts.clone() })
+            .with(Queued { name: "calls", admission: node.calls.clone() })
+            .start();
         let callers = listen_callers(&node).await?;
         let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
         let operators = listen_operators(&node, operators).await?;
