--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! shares a [`node::Node`]. Requests read immutable snapshots and count by atomics.
 
 mod activity;
+pub mod admission;
 pub mod body;
 pub mod callers;
 pub mod clock;
@@ -11,9 +12,11 @@
 pub mod gate;
 pub mod header;
 pub mod health;
+pub mod limits;
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod peers;
 pub mod phase;
 pub mod plans;
 pub mod refusal;
