Prove recovery and whole answers of drafts over real sockets

Cause: the decision is proved on virtual time; the driver, the client and the connections need their own proof.

Ruled out: engines inside the test process; the fleet of processes is there already and a killed process closes its sockets as a crash does.

The metric of the recovery time is read back in the test.

--- /dev/null
+++ b/tests/draft_recovery.rs
@@ -0,0 +1,227 @@
+//! Drafts whose engines die, hang, leave or lose answers while a caller reads the stream.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use goldcrestvale_standin::{
+    caller::{Caller, Event, Events},
+    fleet::{Builder, Fleet, LAYERS, MODEL, Programs, Standin, TOKEN},
+    process::Signal,
+    reference,
+};
+use serde_json::{Value, json};
+
+const PROMPT: &str = "a tribute";
+const COUNT: u32 = 60;
+
+/// Longest time from the loss of a stage to the next token, and to an error without one.
+const TARGET: Duration = Duration::from_secs(1);
+
+/// Starts an entry instance and engines, two for each half of the model but where one is named.
+async fn fleet(engines: &[(&str, u32, u32)]) -> io::Result<Fleet> {
+    let programs = Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale"));
+    let mut builder = Builder::new(programs).entry("entry-1", "");
+    for (name, from, to) in engines {
+        builder = builder.engine(name, *from, *to, &["--time-scale=1"]);
+    }
+    builder.start().await
+}
+
+const HALVES: [(&str, u32, u32); 4] = [("a1", 0, 6), ("a2", 0, 6), ("b1", 6, 12), ("b2", 6, 12)];
+
+fn ask(count: u32, resume: &[u32]) -> Value {
+    json!({
+        "model": MODEL, "prompt": PROMPT, "max_tokens": count, "stream": true, "resume": resume,
+    })
+}
+
+fn expected() -> Vec<u32> {
+    let prompt: Vec<u32> = PROMPT.bytes().map(u32::from).collect();
+    reference::answer(&prompt, LAYERS, COUNT as usize)
+}
+
+fn token(event: &Event) -> Option<u32> {
+    (event.name == "token").then(|| event.data["token"].as_u64().map(|token| token as u32))?
+}
+
+async fn start(fleet: &Fleet, resume: &[u32]) -> io::Result<Events> {
+    let entry = fleet.entries[0].callers;
+    fleet.customer().stream(entry, "/v1/completions", &ask(COUNT, resume)).await
+}
+
+/// Reads some tokens.
+async fn read(events: &mut Events, count: usize) -> io::Result<Vec<u32>> {
+    let mut tokens = Vec::new();
+    while tokens.len() < count {
+        let event = events.next().await?.expect("the stream goes on");
+        tokens.push(token(&event).unwrap_or_else(|| panic!("{event:?}")));
+    }
+    Ok(tokens)
+}
+
+/// Returns the engine that runs the stage of a letter.
+async fn used<'a>(fleet: &'a mut Fleet, stage: &str) -> io::Result<&'a mut Standin> {
+    for engine in fleet.engines.iter_mut().filter(|engine| engine.name.starts_with(stage)) {
+        if engine.counts().await?["steps"].as_u64() > Some(0) {
+            return Ok(engine);
+        }
+    }
+    panic!("no engine of stage {stage} ran a step")
+}
+
+/// Reads the rest of a stream, and returns it with the longest time between two events.
+async fn rest(mut events: Events) -> io::Result<(Vec<Event>, Duration)> {
+    let (mut all, mut longest, mut last) = (Vec::new(), Duration::ZERO, Instant::now());
+    while let Some(event) = events.next().await? {
+        longest = longest.max(last.elapsed());
+        last = Instant::now();
+        all.push(event);
+    }
+    Ok((all, longest))
+}
+
+/// Returns the recoveries that the entry instance counted.
+async fn recoveries(fleet: &Fleet) -> io::Result<u64> {
+    let answer = Caller::new(&[("authorization", &format!("Bearer {TOKEN}"))])
+        .get(fleet.entries[0].operators, "/metrics")
+        .await?;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+
+    let line = text.lines().find(|line| line.starts_with("goldcrestvale_recovery_seconds_count"));
+    Ok(line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0))
+}
+
+/// What befalls an engine in the middle of a stream.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    Kill,
+    Fault(&'static str, u64),
+}
+
+async fn befall(engine: &Standin, trouble: Trouble) -> io::Result<()> {
+    match trouble {
+        Trouble::Kill => engine.process.signal(Signal::SIGKILL),
+        Trouble::Fault(fault, 0) => engine.fault(&json!({ fault: true })).await,
+        Trouble::Fault(fault, count) => engine.fault(&json!({ fault: count })).await,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_is_the_reference_whatever_befalls_a_stage() -> io::Result<()> {
+    // The trouble, and whether the stage is lost by it.
+    let table = [
+        (Trouble::Kill, true),
+        (Trouble::Fault("die_at_step", 2), true),
+        (Trouble::Fault("hang", 0), true),
+        (Trouble::Fault("hang_after", 0), true),
+        (Trouble::Fault("refuse", 0), true),
+        (Trouble::Fault("busy", 0), true),
+        (Trouble::Fault("lose_answers", 1), false),
+        (Trouble::Fault("cross", 1), false),
+    ];
+    for (trouble, lost) in table {
+        for stage in ["a", "b"] {
+            let mut fleet = fleet(&HALVES).await?;
+            let mut events = start(&fleet, &[]).await?;
+            let mut tokens = read(&mut events, 5).await?;
+            befall(used(&mut fleet, stage).await?, trouble).await?;
+            let (events, longest) = rest(events).await?;
+            tokens.extend(events.iter().filter_map(token));
+            assert_eq!(tokens, expected(), "{trouble:?} at {stage}");
+            let end = events.last().expect("a last event");
+            assert_eq!((end.name.as_str(), &end.data["count"]), ("end", &json!(COUNT)));
+            let digest = reference_digest(&tokens);
+            assert_eq!(end.data["digest"], json!(digest), "{trouble:?} at {stage}");
+            assert!(longest < TARGET, "{trouble:?} at {stage}: {longest:?}");
+            let recoveries = recoveries(&fleet).await?;
+            assert_eq!(recoveries > 0, lost, "{trouble:?} at {stage}: {recoveries}");
+        }
+    }
+    Ok(())
+}
+
+fn reference_digest(tokens: &[u32]) -> goldcrestvale::base::id::Digest {
+    let bytes: Vec<u8> = tokens.iter().flat_map(|token| token.to_le_bytes()).collect();
+    goldcrestvale::base::id::Digest::of(&bytes)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_stage_moves_its_cache() -> io::Result<()> {
+    for stage in ["a", "b"] {
+        let mut fleet = fleet(&HALVES).await?;
+        let mut events = start(&fleet, &[]).await?;
+        let mut tokens = read(&mut events, 5).await?;
+        let leaving = used(&mut fleet, stage).await?;
+        let (name, control) = (leaving.name.clone(), leaving.control);
+        fleet.customer().post(control, "/leave", &Value::Null).await?;
+        let (events, longest) = rest(events).await?;
+        tokens.extend(events.iter().filter_map(token));
+        assert_eq!(tokens, expected(), "{stage}");
+        assert!(longest < TARGET, "{stage}: {longest:?}");
+        let mut moved = (0, 0);
+        for engine in &fleet.engines {
+            let counts = engine.counts().await?;
+            let exported = counts["exports"].as_u64().unwrap_or(0);
+            assert!(exported == 0 || engine.name == name, "{counts}");
+            moved.0 += exported;
+            moved.1 += counts["imports"].as_u64().unwrap_or(0);
+            assert_eq!(counts["violations"], json!([]));
+        }
+        assert_eq!(moved, (1, 1), "{stage}");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stage_without_replacement_is_an_error_at_once() -> io::Result<()> {
+    let alone = [("a1", 0, 6), ("b1", 6, 12)];
+    let mut fleet = fleet(&alone).await?;
+    let mut events = start(&fleet, &[]).await?;
+    let mut tokens = read(&mut events, 5).await?;
+    let killed = Instant::now();
+    used(&mut fleet, "b").await?.process.signal(Signal::SIGKILL)?;
+    let (events, _) = rest(events).await?;
+    assert!(killed.elapsed() < TARGET, "{:?}", killed.elapsed());
+    tokens.extend(events.iter().filter_map(token));
+    let error = events.last().expect("a last event");
+    assert_eq!((error.name.as_str(), &error.data["cause"]), ("error", &json!("no-upstream")));
+    assert_eq!(error.data["verdict"], "may-have-run");
+    assert!(error.data["retry_after_ms"].as_u64() > Some(0), "{error:?}");
+    assert!(tokens.len() < COUNT as usize && expected().starts_with(&tokens));
+
+    let plain = json!({ "model": MODEL, "prompt": PROMPT, "max_tokens": 4 });
+    let entry = fleet.entries[0].callers;
+    let answer = fleet.customer().post(entry, "/v1/completions", &plain).await?;
+    assert_eq!(answer.status.as_u16(), 503, "{}", answer.json());
+    assert!(answer.json().get("tokens").is_none(), "{}", answer.json());
+
+    // A new engine joins, and the caller resumes with the tokens that it holds.
+    let program = Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale")).standin;
+    let held = ["--from=6".to_owned(), "--to=12".to_owned()];
+    let joined = Standin::start(&program, "engine", "b2", &held).await?;
+    fleet.list(&joined, "engine", "drafting", "live").await?;
+    let known = |dump: &Value| !dump["upstreams"]["rows"]["b2"]["report"].is_null();
+    fleet.wait_dump(0, known).await?;
+    let events = start(&fleet, &tokens).await?;
+    let (events, _) = rest(events).await?;
+    tokens.extend(events.iter().filter_map(token));
+    assert_eq!(tokens, expected());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_goes_away_cancels_every_stage() -> io::Result<()> {
+    let fleet = fleet(&HALVES).await?;
+    let mut events = start(&fleet, &[]).await?;
+    read(&mut events, 3).await?;
+    drop(events);
+    for engine in &fleet.engines {
+        while engine.counts().await?["caches"].as_u64() != Some(0) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    fleet.wait_dump(0, |dump| dump["instance"]["requests_in_progress"] == 0).await?;
+    Ok(())
+}
