Leave suspected engines by rebuilding, and forgive failures after a time

Cause: an engine that hangs while idle in a chain was left by a KV move that could take 2 s; a failed import was rebuilt on the engine that could not import; an engine that failed once was avoided for the whole draft, so that a long draft over two engines a stage ended with an error.

Ruled out: moving from a suspected engine at all; its answers are what is in doubt.

Change: event Suspected rebuilds elsewhere where that is possible and otherwise changes nothing; a move is bounded by 500 ms and says which side failed; a draft avoids an engine for 10 s. The random plots also accuse engines that work.

--- a/crates/goldcrestvale_entry/src/callers/draft/call.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/call.rs
@@ -13,7 +13,7 @@
 };
 use goldcrestvale_upstream::{
     Error, Result,
-    message::{Cancel, Refusal},
+    message::{Cancel, Kv, Refusal},
 };
 use smallvec::{SmallVec, smallvec};
 
@@ -63,16 +63,17 @@
 }
 
 /// Moves a KV cache from one engine to another, under a new attempt.
-pub(super) fn move_kv(node: Arc<Node>, from: Arc<Row>, to: Arc<Row>, kv: Moved) -> Call {
+pub(super) fn move_kv(node: Arc<Node>, from: Arc<Row>, to: Arc<Row>, moved: Moved) -> Call {
     Box::pin(async move {
-        let attempt = kv.new_attempt;
-        smallvec![match transfer(&node, &from, &to, &kv).await {
-            Ok(positions) => Event::KvMoved { attempt, positions },
-            Err(error) => {
-                log::debug!(upstream:% = from.name, error:% = error; "a KV cache was not moved");
-                Event::KvFailed { attempt }
-            }
-        }]
+        let attempt = moved.new_attempt;
+        let kv = match export(&node, &from, &moved).await {
+            Ok(kv) => kv,
+            Err(error) => return smallvec![kv_failed(&from, attempt, false, &error)],
+        };
+        match node.engines.import_kv(to.address, &kv, moved.limit).await {
+            Ok(()) => smallvec![Event::KvMoved { attempt, positions: kv.positions }],
+            Err(error) => smallvec![kv_failed(&to, attempt, true, &error)],
+        }
     })
 }
 
@@ -83,18 +84,23 @@
     pub(super) attempt: u32,
     pub(super) new_attempt: u32,
     pub(super) layers: Layers,
+    /// How long the export and the import may take, each.
+    pub(super) limit: Duration,
 }
 
-async fn transfer(node: &Node, from: &Row, to: &Row, moved: &Moved) -> Result<u32> {
-    let limit = node.settings.upstream.step_timeout;
-    let mut kv = node.engines.export_kv(from.address, moved.request, moved.attempt, limit).await?;
+async fn export(node: &Node, from: &Row, moved: &Moved) -> Result<Kv> {
+    let (request, attempt) = (moved.request, moved.attempt);
+    let kv = node.engines.export_kv(from.address, request, attempt, moved.limit).await?;
     if kv.layers != moved.layers {
         let detail = format!("a KV cache of layers {:?}", kv.layers);
         return Err(Error::Malformed { address: from.address, detail });
     }
-    kv.attempt = moved.new_attempt;
-    node.engines.import_kv(to.address, &kv, limit).await?;
-    Ok(kv.positions)
+    Ok(Kv { attempt: moved.new_attempt, ..kv })
+}
+
+fn kv_failed(row: &Row, attempt: u32, exported: bool, error: &Error) -> Event {
+    log::debug!(upstream:% = row.name, error:% = error; "a KV cache was not moved");
+    Event::KvFailed { attempt, exported }
 }
 
 /// Cancels an attempt in the background.
--- a/crates/goldcrestvale_entry/src/callers/draft/relay.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/relay.rs
@@ -141,16 +141,26 @@
         self.check_left(now, plans);
     }
 
-    /// Tells the draft to leave engines that are leaving, gone from the list or ejected.
+    /// Tells the draft of engines that are leaving, gone from the list or ejected.
     fn check_left(&mut self, now: Instant, plans: Arc<Plans>) {
         if Arc::ptr_eq(&self.checked, &plans) {
             return;
         }
+        self.left.retain(|upstream| plans.is_leaving(upstream) || plans.is_ejected(now, upstream));
         for upstream in self.draft.upstreams() {
-            if !self.left.contains(upstream) && plans.is_left(now, upstream) {
-                self.left.push(upstream.clone());
-                self.events.push_back(Event::Leaving { upstream: upstream.clone() });
+            if self.left.contains(upstream) {
+                continue;
             }
+            let upstream = upstream.clone();
+            let event = if plans.is_ejected(now, &upstream) {
+                Event::Suspected { upstream: upstream.clone() }
+            } else if plans.is_leaving(&upstream) {
+                Event::Leaving { upstream: upstream.clone() }
+            } else {
+                continue;
+            };
+            self.left.push(upstream);
+            self.events.push_back(event);
         }
         self.checked = plans;
     }
@@ -175,13 +185,18 @@
                     call::cancel(self.node.clone(), row, self.id, attempt);
                 }
             }
-            Action::MoveKv { from, attempt, to, new_attempt, layers, .. } => {
-                let moved = Moved { request: self.id, attempt, new_attempt, layers };
+            Action::MoveKv { from, attempt, to, new_attempt, layers, timeout, .. } => {
+                let limit = timeout / 2;
+                let moved = Moved { request: self.id, attempt, new_attempt, layers, limit };
                 match self.row(&from).zip(self.row(&to)) {
                     Some((from, to)) => {
                         self.calls.push(call::move_kv(self.node.clone(), from, to, moved));
                     }
-                    None => self.events.push_back(Event::KvFailed { attempt: new_attempt }),
+                    None => {
+                        let exported = self.row(&from).is_some();
+                        let event = Event::KvFailed { attempt: new_attempt, exported };
+                        self.events.push_back(event);
+                    }
                 }
             }
             Action::Commit { position, token } => return Ok(Some(self.piece(position, token))),
--- a/crates/goldcrestvale_entry/src/plans.rs
+++ b/crates/goldcrestvale_entry/src/plans.rs
@@ -92,9 +92,14 @@
         self.table.rows.get(upstream)
     }
 
-    /// Returns whether an upstream is to be left by the drafts that run on it.
-    pub fn is_left(&self, now: Instant, upstream: &Upstream) -> bool {
-        self.row(upstream).is_none_or(|row| row.leaving) || !self.health.is_usable(now, upstream)
+    /// Returns whether an upstream is leaving, or is gone from the list.
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        self.row(upstream).is_none_or(|row| row.leaving)
+    }
+
+    /// Returns whether an upstream gets no work for a time because it failed or is slow.
+    pub fn is_ejected(&self, now: Instant, upstream: &Upstream) -> bool {
+        self.health.is_ejected(now, upstream)
     }
 
     fn is_from(&self, table: &Arc<Table>, config: &Arc<Snapshot>, health: &Arc<Monitor>) -> bool {
--- a/crates/goldcrestvale_route/src/draft.rs
+++ b/crates/goldcrestvale_route/src/draft.rs
@@ -30,12 +30,14 @@
 //! A lost stage is rebuilt from the nearest boundary before it whose activations were retained
 //! from position 0, at worst from the tokens themselves; stages after it keep their KV caches.
 //! A stage whose engine is leaving is moved by exporting its KV cache, and rebuilt where that
-//! fails. Where no engine can replace a lost stage the draft fails at once.
+//! fails; a stage whose engine is suspected is rebuilt elsewhere. Where no engine can replace a
+//! lost stage the draft fails at once; a leaving or suspected engine is then kept.
 
 mod action;
 mod boundary;
 mod budget;
 mod event;
+mod leave;
 mod machine;
 mod place;
 mod prompt;
--- a/crates/goldcrestvale_route/src/draft/action.rs
+++ b/crates/goldcrestvale_route/src/draft/action.rs
@@ -101,6 +101,8 @@
         layers: Layers,
         /// Positions that the cache covers.
         positions: u32,
+        /// Time after which the move counts as failed.
+        timeout: Duration,
     },
     /// Hand a token to the caller.
     Commit {
--- a/crates/goldcrestvale_route/src/draft/event.rs
+++ b/crates/goldcrestvale_route/src/draft/event.rs
@@ -50,11 +50,16 @@
             /// Name of the engine.
             upstream: Upstream,
         },
-        /// An engine is leaving, or is to be left because it or its link is slow.
+        /// An engine is leaving; it goes on with what it has begun.
         Leaving {
             /// Name of the engine.
             upstream: Upstream,
         },
+        /// An engine or its link is suspected of failing: it is left where another can take over.
+        Suspected {
+            /// Name of the engine.
+            upstream: Upstream,
+        },
         /// A KV cache was exported and imported under its new attempt.
         KvMoved {
             /// The new attempt.
@@ -66,6 +71,8 @@
         KvFailed {
             /// The attempt that it was to be imported under.
             attempt: u32,
+            /// Whether it was exported, and the import failed.
+            exported: bool,
         },
         /// Time has passed; due at the latest at [`Draft::wake`](super::Draft::wake).
         Tick,
--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -33,8 +33,8 @@
     pub(super) places: SmallVec<[Place; 4]>,
     /// The highest attempt number in use.
     pub(super) attempt: u32,
-    /// Engines that the draft does not use any more.
-    pub(super) avoided: SmallVec<[Upstream; 4]>,
+    /// Engines that the draft does not use, each up to a time.
+    pub(super) avoided: SmallVec<[(Upstream, Instant); 2]>,
     pub(super) loss: Option<Loss>,
     pub(super) tally: Tally,
     /// Taken when the draft ends.
@@ -101,10 +101,13 @@
             },
             Event::EngineLost { upstream } => self.engine_lost(now, &upstream, planner),
             Event::Leaving { upstream } => self.engine_leaving(now, &upstream, planner),
+            Event::Suspected { upstream } => self.engine_suspected(now, &upstream, planner),
             Event::KvMoved { attempt, positions } => {
                 self.kv_moved(now, attempt, positions, planner)
             }
-            Event::KvFailed { attempt } => self.kv_failed(now, attempt, planner),
+            Event::KvFailed { attempt, exported } => {
+                self.kv_failed(now, attempt, exported, planner)
+            }
             Event::Tick => self.tick(now, planner),
             Event::Cancel => Err(Error::Cancelled),
         }
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -8,7 +8,7 @@
     Action, Draft, Error, Fault, Way,
     action::{ChainSnafu, RebuildsSnafu},
     machine::Loss,
-    place::{Move, Place, Work},
+    place::{Place, Work},
 };
 use crate::chain::{Chain, Plan};
 
@@ -40,7 +40,7 @@
                 let upstream = place.stage.upstream.clone();
                 self.lose(now, index);
                 self.places[index].work = Work::Idle;
-                self.avoid(&upstream);
+                self.avoid(now, &upstream);
                 self.leave(now, index, planner)
             }
             // The engine lost the KV cache but not the layers.
@@ -52,7 +52,7 @@
             | Fault::Gap
             | Fault::Refused => {
                 let upstream = place.stage.upstream.clone();
-                self.avoid(&upstream);
+                self.avoid(now, &upstream);
                 self.rebuild(now, index, planner)
             }
         }
@@ -64,7 +64,7 @@
         upstream: &Upstream,
         planner: &dyn Plan,
     ) -> Result<(), Error> {
-        self.avoid(upstream);
+        self.avoid(now, upstream);
         while let Some(index) = self.places.iter().position(|p| p.stage.upstream == *upstream) {
             self.rebuild(now, index, planner)?;
         }
@@ -73,102 +73,11 @@
             _ => None,
         };
         while let Some(attempt) = self.places.iter().find_map(moving) {
-            self.kv_failed(now, attempt, planner)?;
+            self.kv_failed(now, attempt, true, planner)?;
         }
         Ok(())
     }
 
-    /// Moves the stages of a leaving engine, each as soon as it is idle. Where nothing can take
-    /// them over, the draft goes on until the engine refuses a step.
-    pub(super) fn engine_leaving(
-        &mut self,
-        now: Instant,
-        upstream: &Upstream,
-        planner: &dyn Plan,
-    ) -> Result<(), Error> {
-        self.avoid(upstream);
-        for place in &mut self.places {
-            place.leaving |= place.stage.upstream == *upstream;
-        }
-        self.leave_idle(now, planner)
-    }
-
-    /// Starts to move the stages that are to leave and await no answer.
-    pub(super) fn leave_idle(&mut self, now: Instant, planner: &dyn Plan) -> Result<(), Error> {
-        let ready = |place: &Place| place.leaving && matches!(place.work, Work::Idle);
-        while let Some(index) = self.places.iter().position(ready) {
-            self.places[index].leaving = false;
-            let layers = self.places[index].stage.layers;
-            if planner.plan(layers, &self.avoided).is_ok() {
-                self.leave(now, index, planner)?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Moves the KV cache of an idle place to another engine, or rebuilds it there.
-    fn leave(&mut self, now: Instant, index: usize, planner: &dyn Plan) -> Result<(), Error> {
-        let place = &mut self.places[index];
-        place.leaving = false;
-        let target = planner.cover(place.stage.layers, &self.avoided);
-        let Some(to) = target.filter(|_| self.prompt.settings.moves && place.kv > 0) else {
-            return self.rebuild(now, index, planner);
-        };
-        self.attempt += 1;
-        self.actions.push(Action::MoveKv {
-            from: place.stage.upstream.clone(),
-            attempt: place.attempt,
-            to: to.upstream.clone(),
-            new_attempt: self.attempt,
-            layers: place.stage.layers,
-            positions: place.kv,
-        });
-        let until = now + self.prompt.settings.move_timeout;
-        place.work = Work::Moving(Move { to, attempt: self.attempt, until });
-        Ok(())
-    }
-
-    pub(super) fn kv_moved(
-        &mut self,
-        now: Instant,
-        attempt: u32,
-        positions: u32,
-        planner: &dyn Plan,
-    ) -> Result<(), Error> {
-        let Some(index) = self.moving(attempt) else { return Ok(()) };
-        if self.places[index].kv != positions {
-            return self.rebuild(now, index, planner);
-        }
-        let place = &mut self.places[index];
-        let Work::Moving(kv) = std::mem::replace(&mut place.work, Work::Idle) else {
-            return Ok(());
-        };
-        let old = std::mem::replace(&mut place.stage, kv.to);
-        let upstream = old.upstream;
-        self.actions.push(Action::CancelAttempt { upstream, attempt: place.attempt });
-        place.attempt = kv.attempt;
-        self.tally.moved += 1;
-        Ok(())
-    }
-
-    pub(super) fn kv_failed(
-        &mut self,
-        now: Instant,
-        attempt: u32,
-        planner: &dyn Plan,
-    ) -> Result<(), Error> {
-        match self.moving(attempt) {
-            Some(index) => self.rebuild(now, index, planner),
-            None => Ok(()),
-        }
-    }
-
-    fn moving(&self, attempt: u32) -> Option<usize> {
-        let moved =
-            |place: &Place| matches!(&place.work, Work::Moving(kv) if kv.attempt == attempt);
-        self.places.iter().position(moved)
-    }
-
     pub(super) fn tick(&mut self, now: Instant, planner: &dyn Plan) -> Result<(), Error> {
         let due = |place: &Place| place.wake().is_some_and(|at| at <= now);
         while let Some(index) = self.places.iter().position(due) {
@@ -183,7 +92,12 @@
     }
 
     /// Replaces a lost stage, and where its inputs were not retained the stages before it.
-    fn rebuild(&mut self, now: Instant, index: usize, planner: &dyn Plan) -> Result<(), Error> {
+    pub(super) fn rebuild(
+        &mut self,
+        now: Instant,
+        index: usize,
+        planner: &dyn Plan,
+    ) -> Result<(), Error> {
         self.lose(now, index);
         let rebuilds = self.prompt.settings.rebuilds;
         ensure!(self.tally.rebuilds < rebuilds, RebuildsSnafu { rebuilds });
@@ -196,7 +110,7 @@
             from: self.places[first].stage.layers.from,
             to: self.places[last].stage.layers.to,
         };
-        let chain = planner.plan(span, &self.avoided).context(ChainSnafu)?;
+        let chain = planner.plan(span, &self.excluded(now)).context(ChainSnafu)?;
         let needed = chain.time(self.length(), self.prompt.settings.chunk);
         self.prompt.check_time(now, needed)?;
         for lost in first..=last {
@@ -250,14 +164,25 @@
     }
 
     /// Records when a stage was lost, up to the next token.
-    fn lose(&mut self, now: Instant, index: usize) {
+    pub(super) fn lose(&mut self, now: Instant, index: usize) {
         let sent = self.places[index].sent().map_or(now, |sent| sent.at);
         self.loss.get_or_insert(Loss { sent, known: now });
     }
 
-    fn avoid(&mut self, upstream: &Upstream) {
-        if !self.avoided.contains(upstream) {
-            self.avoided.push(upstream.clone());
-        }
+    pub(super) fn avoid(&mut self, now: Instant, upstream: &Upstream) {
+        let until = now + self.prompt.settings.avoid;
+        self.avoided.retain(|(avoided, _)| avoided != upstream);
+        self.avoided.push((upstream.clone(), until));
+    }
+
+    /// Returns the engines that the draft does not use now.
+    pub(super) fn excluded(&self, now: Instant) -> SmallVec<[Upstream; 4]> {
+        let present = self.avoided.iter().filter(|(_, until)| now < *until);
+        present.map(|(upstream, _)| upstream.clone()).collect()
+    }
+
+    /// Returns whether other engines hold the layers of a place.
+    pub(super) fn is_replaceable(&self, now: Instant, index: usize, planner: &dyn Plan) -> bool {
+        planner.plan(self.places[index].stage.layers, &self.excluded(now)).is_ok()
     }
 }
--- a/crates/goldcrestvale_route/src/draft/settings.rs
+++ b/crates/goldcrestvale_route/src/draft/settings.rs
@@ -39,6 +39,8 @@
         pub busy_pause: Duration,
         /// Times that a step is sent to an engine that is busy or whose connection broke.
         pub tries: u32,
+        /// Time for which a draft does not use an engine that failed it.
+        pub avoid: Duration,
         /// Times that stages of one draft may be rebuilt.
         pub rebuilds: u32,
         /// Time after which a failed draft may be asked for again.
@@ -56,9 +58,10 @@
             timeout_factor: 4,
             timeout_floor: Duration::from_millis(250),
             timeout_ceiling: Duration::from_secs(30),
-            move_timeout: Duration::from_secs(2),
+            move_timeout: Duration::from_millis(500),
             busy_pause: Duration::from_millis(20),
             tries: 2,
+            avoid: Duration::from_secs(10),
             rebuilds: 32,
             retry_after: Duration::from_secs(1),
         }
--- a/crates/goldcrestvale_route/src/health/monitor.rs
+++ b/crates/goldcrestvale_route/src/health/monitor.rs
@@ -127,6 +127,11 @@
         self.records.get(upstream).is_none_or(usable)
     }
 
+    /// Returns whether an upstream gets no work for a time because it failed or is slow.
+    pub fn is_ejected(&self, now: Instant, upstream: &Upstream) -> bool {
+        self.records.get(upstream).is_some_and(|record| record.is_ejected(now))
+    }
+
     /// Returns the upstreams that may get no new work.
     pub fn iter_unusable(&self, now: Instant) -> impl Iterator<Item = &Upstream> {
         self.records.keys().filter(move |upstream| !self.is_usable(now, upstream))
--- a/crates/goldcrestvale_route/tests/layer_order.rs
+++ b/crates/goldcrestvale_route/tests/layer_order.rs
@@ -48,6 +48,7 @@
         4 => Just(Trouble::Die),
         2 => Just(Trouble::Vanish),
         2 => any::<bool>().prop_map(|export| Trouble::Leave { export }),
+        1 => any::<bool>().prop_map(|lost| Trouble::Accuse { lost }),
         1 => Just(Trouble::Slow(100)),
         1 => Just(Trouble::Evict),
         1 => (proptest::sample::select(refusals), 1..4_u32)
--- /dev/null
+++ b/crates/goldcrestvale_route/tests/support/judge.rs
@@ -0,0 +1,115 @@
+//! The answer without a router, and the judge of a draft.
+
+use std::time::Duration;
+
+use goldcrestvale_base::prelude::*;
+use goldcrestvale_route::draft::{Failure, Prompt, Tally};
+
+pub fn mix(state: u64, input: u64, salt: u64) -> u64 {
+    let mut x = state ^ input.rotate_left(23) ^ salt.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^ (x >> 31)
+}
+
+pub fn token_of(activation: u64) -> u32 {
+    (activation % 50_021) as u32
+}
+
+/// Computes the answer to a prompt with no router: each layer once for each position, in order.
+pub fn reference(prompt: &[u32], count: usize, depth: u32) -> Vec<u32> {
+    let mut states = vec![0; depth as usize];
+    let mut tokens = prompt.to_vec();
+    let mut position = 0;
+    while tokens.len() < prompt.len() + count {
+        let mut activation = 0;
+        while position < tokens.len() {
+            activation = u64::from(tokens[position]);
+            for (layer, state) in states.iter_mut().enumerate() {
+                *state = mix(*state, activation, layer as u64);
+                activation = *state;
+            }
+            position += 1;
+        }
+        tokens.push(token_of(activation));
+    }
+    tokens.split_off(prompt.len())
+}
+
+/// Returns the digest that ends an answer.
+pub fn digest(tokens: &[u32]) -> Digest {
+    let bytes: Vec<u8> = tokens.iter().flat_map(|token| token.to_le_bytes()).collect();
+    Digest::of(&bytes)
+}
+
+pub fn request() -> Request {
+    "018f3c5e-0000-7000-8000-000000000001".parse().expect("a valid request")
+}
+
+pub fn prompt(length: u32, most: u32) -> Prompt {
+    let tokens = (0..length).map(|i| i * 7 + 3).collect();
+    Prompt::new(request(), "notices".parse().expect("a valid name"), tokens, most)
+}
+
+pub fn prompt_tokens(length: u32) -> Vec<u32> {
+    (0..length).map(|i| i * 7 + 3).collect()
+}
+
+/// How a draft ended.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Tokens in the order of their commits, each with its position and time.
+    pub tokens: Vec<(u32, u32, Instant)>,
+    /// Count and digest, or the failure.
+    pub end: Result<(u32, Digest), Failure>,
+    pub at: Instant,
+    pub tally: Tally,
+    /// Detection and rebuild time of each recovery.
+    pub recoveries: Vec<(Duration, Duration)>,
+    /// Most bytes that the draft held.
+    pub bytes: usize,
+    /// Positions times layers that engines ran.
+    pub engine_runs: u64,
+    /// Events handed over after the end, and the actions that they gave rise to.
+    pub after_end: usize,
+    /// Engines that got a step that starts a KV cache after they began to leave.
+    pub started_while_leaving: u32,
+}
+
+impl Outcome {
+    /// Returns the longest time between two tokens.
+    pub fn longest_gap(&self) -> Duration {
+        let gaps = self.tokens.windows(2).map(|pair| pair[1].2.since(pair[0].2));
+        gaps.max().unwrap_or_default()
+    }
+}
+
+/// Judges a finished draft: the answer is the reference's, in order, each token once.
+///
+/// # Errors
+///
+/// Says what was violated.
+pub fn judge(outcome: &Outcome, prompt: u32, most: u32, depth: u32) -> Result<(), String> {
+    let expected = reference(&prompt_tokens(prompt), most as usize, depth);
+    for (index, (position, token, _)) in outcome.tokens.iter().enumerate() {
+        if *position != prompt + index as u32 || *token != expected[index] {
+            return Err(format!("token {index}: {token} at {position}, not {}", expected[index]));
+        }
+    }
+    if outcome.after_end > 0 {
+        return Err("actions after the end".into());
+    }
+    let Ok((count, found)) = &outcome.end else { return Ok(()) };
+    if (*count, *found) != (most, digest(&expected)) || outcome.tokens.len() != most as usize {
+        return Err(format!("the end says {count} tokens with digest {found}"));
+    }
+    let tally = &outcome.tally;
+    let needed = u64::from(prompt + most - 1) * u64::from(depth);
+    if tally.needed != needed || tally.run < needed || outcome.engine_runs < tally.run {
+        return Err(format!("{needed} needed, {tally:?}, engines ran {}", outcome.engine_runs));
+    }
+    if tally.rebuilds == 0 && tally.run != needed {
+        return Err(format!("layers ran twice with nothing rebuilt: {tally:?}"));
+    }
+    Ok(())
+}
