--- a/crates/goldcrestvale_ledger/src/batch/queue.rs
+++ b/crates/goldcrestvale_ledger/src/batch/queue.rs
@@ -33,7 +33,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { waiting: 4_096, records: 512, in_flight: 4 }
+        Self { waiting: 4_096, records: 512, in_flight: 2 }
     }
 }
 
--- a/crates/goldcrestvale_ledger/src/claim/fold.rs
+++ b/crates/goldcrestvale_ledger/src/claim/fold.rs
@@ -97,7 +97,7 @@
     ///
     /// Fails if the record is not the next one; the state stays as it was.
     pub fn apply(&mut self, record: View<'_>) -> prefix::Result<Outcome> {
-        self.prefix.advance(record.offset, record.written)?;
+        self.prefix.advance(&record)?;
         self.expire();
         if !self.seen.insert(record.id, self.prefix.clock()) {
             return Ok(Outcome::Repeated);
@@ -263,9 +263,14 @@
             }
             self.remove(&key);
         }
-        self.seen.expire(self.window.horizon(clock));
+        if self.next().0.is_multiple_of(WRITERS_CHECK) {
+            self.seen.expire(self.window.horizon(clock));
+        }
     }
 }
 
+/// Records between two looks for processes that stopped writing.
+const WRITERS_CHECK: u64 = 1_024;
+
 /// Bytes of one claim in the input of the digest.
 const ENTRY_BYTES: usize = 16 + 16 + 8 + 16 + 3;
--- a/crates/goldcrestvale_ledger/src/desk.rs
+++ b/crates/goldcrestvale_ledger/src/desk.rs
@@ -12,7 +12,7 @@
 mod settings;
 
 pub use call::{Call, Ticket};
-pub use event::{Action, Event, Page};
+pub use event::{Action, Event};
 pub use machine::Desk;
 pub use refusal::{Cause, Refused, Scope};
 pub use settings::Settings;
--- a/crates/goldcrestvale_ledger/src/desk/event.rs
+++ b/crates/goldcrestvale_ledger/src/desk/event.rs
@@ -1,4 +1,4 @@
-use goldcrestvale_base::id::{Key, Offset};
+use goldcrestvale_base::id::Key;
 
 use super::{
     call::{Call, Ticket},
@@ -7,20 +7,9 @@
 use crate::{
     batch::Batch,
     claim::{Claim, Lost, Owner, OwnerAnswer, Settled, Standing, Unanswered, Won},
-    record::View,
+    record::Page,
 };
 
-/// What was read from the stream.
-#[derive(Debug, Clone, Copy)]
-pub struct Page<'a> {
-    /// Oldest offset that the stream still holds.
-    pub oldest: Offset,
-    /// Offset that the next record of the stream will have.
-    pub end: Offset,
-    /// The records from the asked offset on, without gaps.
-    pub records: &'a [View<'a>],
-}
-
 /// Something that happened.
 #[derive(Debug)]
 pub enum Event<'a> {
--- a/crates/goldcrestvale_ledger/src/desk/machine.rs
+++ b/crates/goldcrestvale_ledger/src/desk/machine.rs
@@ -60,6 +60,9 @@
     pub(super) next_deadline: Option<Instant>,
     pub(super) log_out: bool,
     pub(super) log_reset: bool,
+    /// Whether a page showed an end before what was read.
+    pub(super) log_doubted: bool,
+    pub(super) alarms: u64,
     pub(super) draining: bool,
     pub(super) marked: bool,
 }
@@ -96,6 +99,8 @@
             next_deadline: None,
             log_out: false,
             log_reset: false,
+            log_doubted: false,
+            alarms: 0,
             draining: false,
             marked: false,
         }
@@ -177,6 +182,11 @@
         self.log_reset
     }
 
+    /// Returns how often the stream showed an older state than was read before.
+    pub fn alarms(&self) -> u64 {
+        self.alarms
+    }
+
     fn call(&mut self, call: Call, now: Instant, out: &mut Vec<Action>) {
         let Call { ticket, key, deadline, .. } = call;
         let claim = Claim::new(key);
--- a/crates/goldcrestvale_ledger/src/desk/reading.rs
+++ b/crates/goldcrestvale_ledger/src/desk/reading.rs
@@ -5,24 +5,30 @@
 
 use super::{
     call::{Slot, Stage},
-    event::{Action, Page},
+    event::Action,
     machine::Desk,
     refusal::{Cause, Scope},
 };
 use crate::{
     batch::Policy,
     claim::{Abandonment, Kind, Outcome, OwnerAnswer, Refusal},
-    record::View,
+    prefix::Continuity,
+    record::{Page, View},
 };
 
 impl<P: Policy> Desk<P> {
-    /// Reads on; a stream that went back is an alarm, and one that was trimmed is read anew.
+    /// Reads on, unless the page shows that the stream went back or may have.
     pub(super) fn read(&mut self, page: Page<'_>, now: Instant, out: &mut Vec<Action>) {
-        if self.fold.prefix().check_end(page.end).is_err() {
-            return self.reset_log(out);
+        match self.fold.prefix().compare(&page) {
+            Continuity::Reset => return self.reset_log(out),
+            Continuity::Behind => return self.doubt_log(),
+            Continuity::Same => self.log_doubted = false,
+            Continuity::Unknown if self.log_doubted && page.oldest < self.fold.next() => return,
+            Continuity::Unknown => {}
         }
-        if page.oldest > self.fold.next() {
+        if page.oldest > self.fold.next() || self.log_doubted {
             self.fold.restart(page.oldest);
+            self.log_doubted = false;
         }
         self.observe(page, now);
         for &record in page.records {
@@ -37,8 +43,15 @@
         self.mark(page.end, now);
     }
 
+    /// Reads nothing more until the last record that was read is seen in its place again.
+    fn doubt_log(&mut self) {
+        self.log_doubted = true;
+        self.alarms += 1;
+    }
+
     fn reset_log(&mut self, out: &mut Vec<Action>) {
         self.log_reset = true;
+        self.alarms += 1;
         self.give_up_all(Cause::LogReset, out);
     }
 
--- a/crates/goldcrestvale_ledger/src/lease/fold.rs
+++ b/crates/goldcrestvale_ledger/src/lease/fold.rs
@@ -83,7 +83,7 @@
     ///
     /// Fails if the record is not the next one; the state stays as it was.
     pub fn apply(&mut self, record: View<'_>) -> prefix::Result<Outcome> {
-        self.prefix.advance(record.offset, record.written)?;
+        self.prefix.advance(&record)?;
         self.forget();
         if !self.seen.insert(record.id, self.prefix.clock()) {
             return Ok(Outcome::Repeated);
--- a/crates/goldcrestvale_ledger/src/lease/keeper.rs
+++ b/crates/goldcrestvale_ledger/src/lease/keeper.rs
@@ -11,9 +11,8 @@
     record::{Kind, Record},
 };
 use crate::{
-    desk::Page,
-    prefix::Prefix,
-    record::{Draft, Sequence, View},
+    prefix::{Continuity, Prefix},
+    record::{Draft, Page, Sequence, View},
 };
 
 /// Share of a lease's length after which it is renewed.
@@ -92,6 +91,7 @@
     marked: Option<Instant>,
     releasing: bool,
     log_reset: bool,
+    log_doubted: bool,
 }
 
 #[derive(Debug)]
@@ -116,6 +116,7 @@
             marked: None,
             releasing: false,
             log_reset: false,
+            log_doubted: false,
         }
     }
 
@@ -165,15 +166,27 @@
     }
 
     fn read(&mut self, page: Page<'_>, now: Instant) {
-        if self.fold.prefix().check_end(page.end).is_err() {
-            self.log_reset = true;
-            self.state = State::Idle;
-            return;
+        match self.fold.prefix().compare(&page) {
+            Continuity::Reset => {
+                self.log_reset = true;
+                self.state = State::Idle;
+                return;
+            }
+            Continuity::Behind => {
+                self.log_doubted = true;
+                return;
+            }
+            Continuity::Same => self.log_doubted = false,
+            Continuity::Unknown if self.log_doubted && page.oldest < self.fold.prefix().next() => {
+                return;
+            }
+            Continuity::Unknown => {}
         }
-        if page.oldest > self.fold.prefix().next() {
+        if page.oldest > self.fold.prefix().next() || self.log_doubted {
             self.fold = Fold::new(Prefix::trimmed(page.oldest));
             self.state = State::Idle;
             self.changed = Some(now);
+            self.log_doubted = false;
         }
         for &record in page.records {
             if record.offset < self.fold.prefix().next() {
--- a/crates/goldcrestvale_ledger/src/lib.rs
+++ b/crates/goldcrestvale_ledger/src/lib.rs
@@ -21,7 +21,7 @@
         claim::{Claim, Window},
         desk::{Action, Desk, Event},
         lease::Lease,
-        record::{Draft, Sequence, View},
+        record::{Draft, Page, Sequence, View},
         shard::Layout,
     };
 }
--- a/crates/goldcrestvale_ledger/src/record.rs
+++ b/crates/goldcrestvale_ledger/src/record.rs
@@ -32,6 +32,17 @@
     pub data: &'a str,
 }
 
+/// What was read from the stream.
+#[derive(Debug, Clone, Copy)]
+pub struct Page<'a> {
+    /// Oldest offset that the stream still holds.
+    pub oldest: Offset,
+    /// Offset that the next record of the stream will have.
+    pub end: Offset,
+    /// The records from the asked offset on, without gaps.
+    pub records: &'a [View<'a>],
+}
+
 /// The source of record identities of one process for one stream.
 ///
 /// Each stream has its own range of numbers, so that the numbers of a stream run without large
