Claim keyed calls in the log before they are sent

Cause: calls with an idempotency key were sent without a claim, so two instances could run one key.

Ruled out: sending in the request's own future (a caller that leaves would drop a dispatched claim without its end); claims under a lock of the request path (one task for each stream owns its desk instead).

Change: claims.rs runs a desk for each claim stream, with the client of the log; callers/keyed.rs dispatches, tries other instances while nothing was sent, asks the owner of a key as a peer, and replays kept answers; answers are kept within bounds of bytes and time; settings [claims]; a planned stop waits for calls and their records. Claim<Lent> carries the unsent exchange through the service's client and back.

--- /dev/null
+++ b/crates/goldcrestvale_entry/src/callers/keyed.rs
@@ -0,0 +1,274 @@
+//! Calls with an idempotency key: claimed in the log, dispatched once, answered from one result.
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestvale_base::{
+    id::{Customer, Digest, Key, Service, Upstream},
+    verdict::Verdict,
+};
+use goldcrestvale_ledger::{
+    claim::{self, Claim, Lost, Owner, OwnerAnswer, Standing, Won},
+    desk,
+};
+use goldcrestvale_peer::events::{AnswerState, Stored};
+use goldcrestvale_upstream::service::{Answer, Call};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+
+use super::{
+    service::{Ready, choose, respond, verdict_of},
+    trace::Trace,
+};
+use crate::{
+    body::Body,
+    claims::{End, Reply, Right},
+    gate::Pass,
+    node::Node,
+    refusal::{Cause, Refusal, Result},
+};
+
+/// Instances of a service that one call tries while nothing was sent.
+const MOST_TRIES: usize = 3;
+/// Pause between two asks of an owner whose call is under way.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a claim is about.
+#[derive(Debug, Clone)]
+pub(super) struct Keyed {
+    pub(super) key: Key,
+    pub(super) customer: Customer,
+    pub(super) service: Service,
+}
+
+/// Claims a call and sends it, or answers it with the result of the call that holds its key.
+pub(super) async fn serve(
+    node: Arc<Node>,
+    keyed: Keyed,
+    ready: Ready,
+    trace: &mut Trace,
+    pass: Pass,
+) -> Result<Response<Body>> {
+    let digest = digest_of(&ready.call);
+    let key = keyed.key;
+    let call = desk::Call {
+        ticket: node.claims.next_ticket(),
+        key,
+        customer: keyed.customer,
+        service: keyed.service,
+        digest,
+        deadline: ready.until,
+    };
+    match node.claims.decide(call).await {
+        Some(Reply::Dispatch(right)) => dispatch(node, right, ready, trace, pass).await,
+        Some(Reply::Refuse(refused)) => Err(refusal(&refused)),
+        Some(Reply::Replay { claim, outcome }) => replay(&node, claim, &outcome),
+        Some(Reply::AskOwner { claim, owner, standing }) => {
+            ask(&node, claim, &owner, standing, digest, &ready).await
+        }
+        None => Err(Refusal::early(Cause::Stopping, "the claim streams are not read any more")),
+    }
+}
+
+fn digest_of(call: &Call) -> Digest {
+    let mut text = format!("{} {}\n", call.method, call.path).into_bytes();
+    text.extend_from_slice(&call.body);
+    Digest::of(&text)
+}
+
+/// Sends the call in a task of its own, so that it ends as it would if its caller goes away.
+async fn dispatch(
+    node: Arc<Node>,
+    right: Right,
+    ready: Ready,
+    trace: &mut Trace,
+    pass: Pass,
+) -> Result<Response<Body>> {
+    let Some((claim, end)) = right.take() else {
+        return Err(Refusal::new(Verdict::MayHaveRun, Cause::Internal, "the claim was taken"));
+    };
+    let sending = async move {
+        let _pass = pass;
+        send(node, claim, end, ready).await
+    };
+    match tokio::spawn(sending).await {
+        Ok(Sent { upstream, tries, result }) => {
+            if let Some(upstream) = &upstream {
+                trace.set_upstream(upstream, tries);
+            }
+            result.map(|answer| respond(&answer))
+        }
+        Err(e) => Err(Refusal::new(Verdict::MayHaveRun, Cause::Internal, e.to_string())),
+    }
+}
+
+/// How a call ended.
+struct Sent {
+    upstream: Option<Upstream>,
+    tries: u32,
+    result: Result<Arc<Answer>>,
+}
+
+/// Sends a call, to another instance as long as nothing was sent.
+async fn send(node: Arc<Node>, claim: Claim<Won>, end: End, ready: Ready) -> Sent {
+    let mut tried: Vec<Upstream> = Vec::new();
+    let mut claim = claim;
+    let mut last = None;
+    while tried.len() < MOST_TRIES {
+        let row = match choose(&node, &ready.pool, &tried) {
+            Ok(row) => row,
+            Err(refusal) => {
+                last.get_or_insert(refusal);
+                break;
+            }
+        };
+        tried.push(row.name.clone());
+        let limit = ready.until.since(node.clock.now());
+        let (lent, exchange) = claim.lend();
+        let guard = row.enter();
+        let result = node.services.call(row.address, ready.call.clone(), exchange, limit).await;
+        drop(guard);
+        match result {
+            Ok(answer) => return ended(tried, finish(&node, lent.dispatched(), end, answer)),
+            Err(e) => match e.verdict() {
+                Verdict::NotRun(unsent) => {
+                    last = Some(Refusal::new(e.verdict(), Cause::Upstream, e.to_string()));
+                    claim = lent.recover(unsent);
+                }
+                verdict => {
+                    end.lose(lent.dispatched().lose());
+                    let refusal = Refusal::new(verdict, Cause::Upstream, e.to_string());
+                    return ended(tried, Err(refusal));
+                }
+            },
+        }
+    }
+    end.give_back(claim);
+    let none = || Refusal::early(Cause::NoUpstream, "no instance of the service is left to try");
+    let refusal = last.unwrap_or_else(none);
+    ended(tried, Err(refusal.retry_after(node.settings.platform.list_interval)))
+}
+
+fn ended(tried: Vec<Upstream>, result: Result<Arc<Answer>>) -> Sent {
+    let tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+    Sent { upstream: tried.into_iter().next_back(), tries, result }
+}
+
+/// Keeps a whole answer for repeated calls and ends the claim.
+fn finish(
+    node: &Node,
+    claim: Claim<claim::Dispatched>,
+    end: End,
+    answer: Answer,
+) -> Result<Arc<Answer>> {
+    let answer = Arc::new(answer);
+    if verdict_of(&answer) == Verdict::Ran {
+        node.claims.answers().insert(claim.key(), answer.clone(), node.clock.now());
+        end.settle(claim.settle(answer.status.as_u16()));
+    } else {
+        end.lose(claim.lose());
+    }
+    Ok(answer)
+}
+
+/// Answers with what another call of the key at this instance came to.
+fn replay(node: &Node, claim: Claim<Lost>, outcome: &OwnerAnswer) -> Result<Response<Body>> {
+    let key = claim.key();
+    match (outcome, node.claims.answers().get(&key)) {
+        (OwnerAnswer::Ran, Some(answer)) => Ok(respond(&answer)),
+        _ => Err(held(node, claim.end(outcome))),
+    }
+}
+
+/// Asks the owner of the key until it tells the outcome or the call's time is over.
+async fn ask(
+    node: &Node,
+    claim: Claim<Lost>,
+    owner: &Owner,
+    standing: Standing,
+    digest: Digest,
+    ready: &Ready,
+) -> Result<Response<Body>> {
+    let Some(peers) = node.peers.handle() else {
+        return Err(held(node, claim.end(&silent(standing))));
+    };
+    loop {
+        let left = ready.until.since(node.clock.now());
+        let asked = peers.ask_answer(owner.incarnation, claim.key(), digest);
+        let Ok(Ok(stored)) = tokio::time::timeout(left, asked).await else {
+            return Err(held(node, claim.end(&silent(standing))));
+        };
+        match stored.state {
+            AnswerState::Settled => return passed_on(stored),
+            AnswerState::Running if left > ASK_PAUSE => tokio::time::sleep(ASK_PAUSE).await,
+            AnswerState::Running => return Err(held(node, claim.end(&OwnerAnswer::MayHaveRun))),
+            AnswerState::TooLong => return Err(held(node, claim.end(&OwnerAnswer::Ran))),
+            AnswerState::Abandoned => return Err(held(node, claim.end(&OwnerAnswer::GivenUp))),
+            AnswerState::Unknown | AnswerState::Conflict => {
+                return Err(held(node, claim.end(&silent(standing))));
+            }
+        }
+    }
+}
+
+/// Returns what the log alone tells of a call.
+fn silent(standing: Standing) -> OwnerAnswer {
+    match standing {
+        Standing::Settled(_) => OwnerAnswer::Ran,
+        Standing::Claimed => OwnerAnswer::Silent,
+    }
+}
+
+fn passed_on(stored: Stored) -> Result<Response<Body>> {
+    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let header = |header: &goldcrestvale_peer::events::Header| {
+        let name = header.name.parse::<HeaderName>().ok()?;
+        Some((name, HeaderValue::from_bytes(&header.value).ok()?))
+    };
+    let headers: HeaderMap = stored.headers.iter().filter_map(header).collect();
+    Ok(respond(&Answer { status, headers, body: stored.body }))
+}
+
+/// Refuses a call whose key another call holds.
+fn held(node: &Node, verdict: Verdict) -> Refusal {
+    let detail = match verdict {
+        Verdict::Ran => "the call of this key ran; its answer is not kept any more",
+        Verdict::MayHaveRun => "another call of this key holds it; ask the service for its outcome",
+        Verdict::NotRun(_) => "another call of this key was given up; call again",
+    };
+    let refusal = Refusal::new(verdict, Cause::KeyClaimed, detail);
+    match verdict {
+        Verdict::Ran => refusal,
+        _ => refusal.retry_after(node.settings.platform.timeout),
+    }
+}
+
+/// Returns the refusal that the desk decided.
+fn refusal(refused: &desk::Refused) -> Refusal {
+    let (cause, detail) = describe(refused.cause);
+    let refusal = Refusal::new(refused.verdict, cause, detail);
+    match refused.retry_after {
+        Some(after) => refusal.retry_after(after),
+        None => refusal,
+    }
+}
+
+fn describe(cause: desk::Cause) -> (Cause, &'static str) {
+    use claim::Refusal as Key;
+    match cause {
+        desk::Cause::Key(Key::Malformed) => (Cause::KeyInvalid, "the key is not a version 7 UUID"),
+        desk::Cause::Key(Key::TooOld) => (Cause::KeyInvalid, "the key is older than the window"),
+        desk::Cause::Key(Key::TooNew) => (Cause::KeyInvalid, "the key was issued in the future"),
+        desk::Cause::Key(Key::Unproven) => {
+            (Cause::Starting, "this instance does not know yet whether the key was used")
+        }
+        desk::Cause::Key(Key::Mismatch) => {
+            (Cause::KeyReused, "the key was used for another request")
+        }
+        desk::Cause::LogOut => (Cause::LogOut, "the platform log cannot be reached"),
+        desk::Cause::LogReset => (Cause::LogOut, "the platform log went back to an older state"),
+        desk::Cause::Deadline => (Cause::Deadline, "the log did not decide in time"),
+        desk::Cause::Busy => (Cause::Busy, "too many calls wait for the log"),
+        desk::Cause::Draining => (Cause::Stopping, "the instance is stopping"),
+        desk::Cause::GivenUp => (Cause::KeyClaimed, "the call was given up before it was sent"),
+        desk::Cause::HeldElsewhere => (Cause::KeyClaimed, "another call of this key holds it"),
+    }
+}
--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 pub mod draft;
+mod keyed;
 mod path;
 pub mod service;
 mod sse;
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -4,15 +4,20 @@
 
 use goldcrestvale_base::{
     exchange::Exchange,
-    id::{Request as RequestId, Service},
+    id::{Key, Request as RequestId, Service, Upstream},
+    time::Instant,
     verdict::Verdict,
 };
 use goldcrestvale_config::record;
 use goldcrestvale_upstream::service::{Answer, Call};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
-use super::{auth::Caller, trace::Trace};
+use super::{
+    auth::Caller,
+    keyed::{self, Keyed},
+    trace::Trace,
+};
 use crate::{
     body::{self, Body},
     gate::Pass,
@@ -36,7 +41,7 @@
     target: Target,
     request: Request<Incoming>,
     trace: &mut Trace,
-    _pass: Pass,
+    pass: Pass,
 ) -> Result<Response<Body>> {
     let config = node.config.load_full();
     let service = config
@@ -48,51 +53,85 @@
         let detail = format!("{} may not use service {}", caller.customer, target.service);
         return Err(Refusal::early(Cause::NotBound, detail));
     }
-    check_key(&service.body, &target, &request)?;
+    let key = read_key(&service.body, &target, &request)?;
     let (head, incoming) = request.into_parts();
     let limits = &node.settings.callers;
     let body = body::read(incoming, limits.body_bytes, limits.body_timeout).await?;
-    let row = choose(&node, &service.body.pool)?;
-    trace.set_upstream(&row.name, 1);
-    let call = Call {
-        method: head.method,
-        path: target.rest,
-        headers: forward_headers(&head.headers, id),
-        body,
-    };
     let limit = deadline(&caller, &service.body);
+    let ready = Ready {
+        pool: service.body.pool.clone(),
+        call: Call {
+            method: head.method,
+            path: target.rest,
+            headers: forward_headers(&head.headers, id),
+            body,
+        },
+        until: trace.started() + limit,
+    };
+    match key {
+        Some(key) => {
+            let keyed = Keyed { key, customer: caller.customer, service: target.service };
+            keyed::serve(node, keyed, ready, trace, pass).await
+        }
+        None => send(node, ready, trace).await,
+    }
+}
+
+/// A call that is ready to be sent to an instance of its service.
+#[derive(Debug, Clone)]
+pub(super) struct Ready {
+    pub(super) pool: String,
+    pub(super) call: Call,
+    pub(super) until: Instant,
+}
+
+/// Sends an idempotent call.
+async fn send(node: Arc<Node>, ready: Ready, trace: &mut Trace) -> Result<Response<Body>> {
+    let row = choose(&node, &ready.pool, &[])?;
+    trace.set_upstream(&row.name, 1);
+    let limit = ready.until.since(node.clock.now());
     let _guard = row.enter();
-    match node.services.call(row.address, call, Exchange::new(), limit).await {
-        Ok(answer) => Ok(respond(answer)),
+    match node.services.call(row.address, ready.call, Exchange::new(), limit).await {
+        Ok(answer) => Ok(respond(&answer)),
         Err(e) => Err(Refusal::new(e.verdict(), Cause::Upstream, e.to_string())),
     }
 }
 
-fn check_key(
+/// Returns the idempotency key of a call that is not idempotent, which needs one.
+fn read_key(
     service: &record::Service,
     target: &Target,
     request: &Request<Incoming>,
-) -> Result<()> {
+) -> Result<Option<Key>> {
     let method = request.method().as_str();
     let listed = service
         .methods
         .iter()
         .find(|m| m.method == method && target.rest.starts_with(m.path.as_str()));
-    let idempotent = listed.is_some_and(|m| m.idempotent);
-    if idempotent || request.headers().contains_key(names::IDEMPOTENCY_KEY) {
-        return Ok(());
+    if listed.is_some_and(|m| m.idempotent) {
+        return Ok(None);
+    }
+    if let Some(text) = request.headers().get(names::IDEMPOTENCY_KEY) {
+        let key = text.to_str().ok().and_then(|text| text.parse::<Key>().ok());
+        let detail = "Idempotency-Key is not a version 7 UUID";
+        return match key.filter(|key| key.issued().is_some()) {
+            Some(key) => Ok(Some(key)),
+            None => Err(Refusal::early(Cause::KeyInvalid, detail)),
+        };
     }
     let detail = format!("{method} {} is not idempotent and needs Idempotency-Key", target.rest);
     Err(Refusal::early(Cause::KeyMissing, detail))
 }
 
-fn choose(node: &Node, pool: &str) -> Result<Arc<Row>> {
+/// Returns the instance of a pool with the least work, beside those that were tried.
+pub(super) fn choose(node: &Node, pool: &str, tried: &[Upstream]) -> Result<Arc<Row>> {
     let table = node.upstreams.load();
     let queued = |row: &&Arc<Row>| {
         let reported = row.report.as_ref().map_or(0, |(_, report)| report.queued());
         reported + row.in_progress()
     };
-    table.iter_services(pool).min_by_key(queued).cloned().ok_or_else(|| {
+    let untried = |row: &&Arc<Row>| !tried.contains(&row.name);
+    table.iter_services(pool).filter(untried).min_by_key(queued).cloned().ok_or_else(|| {
         Refusal::early(Cause::NoUpstream, format!("no live instance in pool {pool}"))
             .retry_after(node.settings.platform.list_interval)
     })
@@ -131,11 +170,20 @@
     kept
 }
 
-fn respond(answer: Answer) -> Response<Body> {
-    let mut response = Response::new(body::full(answer.body));
+/// Passes an answer on; one of status 503 may come from before the call ran.
+pub(super) fn respond(answer: &Answer) -> Response<Body> {
+    let mut response = Response::new(body::full(answer.body.clone()));
     *response.status_mut() = answer.status;
     *response.headers_mut() = without_hop_headers(&answer.headers);
-    let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
+    let verdict = HeaderValue::from_static(verdict_of(answer).as_str());
     response.headers_mut().insert(names::VERDICT, verdict);
     response
 }
+
+/// Returns what a whole answer says about its call.
+pub(super) fn verdict_of(answer: &Answer) -> Verdict {
+    match answer.status {
+        StatusCode::SERVICE_UNAVAILABLE => Verdict::MayHaveRun,
+        _ => Verdict::Ran,
+    }
+}
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod body;
 pub mod callers;
+pub mod claims;
 pub mod clock;
 pub mod daemon;
 pub mod gate;
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -15,8 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, clock::Clock, gate::Gate, limits::Limits, metrics::Metrics, peers::Peers,
-    phase::Life, settings::Settings, table::Table,
+    admission::Admission, claims::Claims, clock::Clock, gate::Gate, limits::Limits,
+    metrics::Metrics, peers::Peers, phase::Life, settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -52,6 +52,8 @@
     pub services: Service,
     /// Client of the platform log.
     pub log: Log,
+    /// Calls with an idempotency key.
+    pub claims: Claims,
     /// The other entry instances.
     pub peers: Peers,
     /// Cancelled when a planned stop is asked for.
@@ -85,6 +87,7 @@
             engines: Engine::new(limits),
             services: Service::new(limits),
             log: Log::new(settings.platform.address, settings.platform.timeout),
+            claims: Claims::new(&settings.claims),
             peers: Peers::default(),
             drain: CancellationToken::new(),
             sequence: AtomicU64::new(0),
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -34,6 +34,8 @@
     pub draft: Draft,
     /// Section `admission`.
     pub admission: Admission,
+    /// Section `claims`.
+    pub claims: Claims,
     /// Section `stop`.
     pub stop: Stop,
 }
@@ -235,6 +237,33 @@
     }
 }
 
+/// Calls with an idempotency key.
+#[derive(Debug, Clone)]
+pub struct Claims {
+    /// Number of claim streams; the same at every instance.
+    pub streams: u16,
+    /// Longest age of an idempotency key.
+    pub window: Duration,
+    /// Most calls of one stream that wait for the log or for their service.
+    pub calls: usize,
+    /// Appends a second that the platform's log takes from all instances.
+    pub appends_per_second: u32,
+    /// Most bytes of answers kept for repeated calls.
+    pub answer_bytes: usize,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            streams: 1,
+            window: Duration::from_secs(600),
+            calls: 4_096,
+            appends_per_second: 300,
+            answer_bytes: 8 << 20,
+        }
+    }
+}
+
 /// Planned stops.
 #[derive(Debug, Clone)]
 pub struct Stop {
--- a/crates/goldcrestvale_ledger/src/claim/life.rs
+++ b/crates/goldcrestvale_ledger/src/claim/life.rs
@@ -2,7 +2,7 @@
     domain,
     exchange::{Exchange, Sent, Unsent},
     id::{Key, Offset},
-    verdict::Verdict,
+    verdict::{NotRun, Verdict},
 };
 
 use super::record::{Abandonment, Kind, Settlement};
@@ -26,6 +26,12 @@
     exchange: Exchange<Unsent>,
 }
 
+/// The right to send was lent to a client, which tells whether it used it.
+#[derive(Debug)]
+pub struct Lent {
+    offset: Offset,
+}
+
 /// The call may have reached the service.
 #[derive(Debug)]
 pub struct Dispatched {
@@ -189,6 +195,27 @@
         Claim { key: self.key, state: Dispatched { offset, exchange: exchange.send() } }
     }
 
+    /// Lends the unsent exchange to a client of the service.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_base::verdict::Verdict;
+    /// use goldcrestvale_ledger::claim::{Claim, Won};
+    ///
+    /// fn refused_connection(claim: Claim<Won>) -> Claim<Won> {
+    ///     let (claim, exchange) = claim.lend();
+    ///     match exchange.refuse() {
+    ///         Verdict::NotRun(proof) => claim.recover(proof),
+    ///         _ => unreachable!("an unsent exchange is refused as not run"),
+    ///     }
+    /// }
+    /// ```
+    pub fn lend(self) -> (Claim<Lent>, Exchange<Unsent>) {
+        let Won { offset, exchange } = self.state;
+        (Claim { key: self.key, state: Lent { offset } }, exchange)
+    }
+
     /// Gives the claim up before anything was sent.
     pub fn abandon(self) -> Claim<Abandoned> {
         let Won { offset, exchange } = self.state;
@@ -196,6 +223,20 @@
     }
 }
 
+impl Claim<Lent> {
+    /// Takes the claim back with the client's proof that the lent exchange was not sent.
+    pub fn recover(self, _unsent: NotRun) -> Claim<Won> {
+        let Lent { offset } = self.state;
+        Claim { key: self.key, state: Won { offset, exchange: Exchange::new() } }
+    }
+
+    /// Notes that the client sent the exchange, or may have.
+    pub fn dispatched(self) -> Claim<Dispatched> {
+        let Lent { offset } = self.state;
+        Claim { key: self.key, state: Dispatched { offset, exchange: Exchange::new().send() } }
+    }
+}
+
 impl Claim<Dispatched> {
     /// Ends the claim with the status of the service's whole answer.
     pub fn settle(self, status: u16) -> Claim<Settled> {
--- a/crates/goldcrestvale_ledger/src/desk/machine.rs
+++ b/crates/goldcrestvale_ledger/src/desk/machine.rs
@@ -182,6 +182,12 @@
         self.log_reset
     }
 
+    /// Returns whether a page ended before what was read; the next read should begin at
+    /// [`Prefix::read_from`].
+    pub fn is_log_doubted(&self) -> bool {
+        self.log_doubted
+    }
+
     /// Returns how often the stream showed an older state than was read before.
     pub fn alarms(&self) -> u64 {
         self.alarms
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,7 +5,7 @@
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
     admission::Queued,
-    callers,
+    callers, claims,
     daemon::{Builder, Daemon},
     limits::Demand,
     metrics::{self, Metrics},
@@ -104,6 +104,7 @@
             .with(tail)
             .with(Watch)
             .with(peers)
+            .with(claims::Attend)
             .with(Demand)
             .with(Queued { name: "drafts", admission: node.drafts.clone() })
             .with(Queued { name: "calls", admission: node.calls.clone() })
