Prove verdicts and claims with real processes

Cause: verdicts of keyed calls under faults, and one key through two instances, were not proved outside the decision package.

--- /dev/null
+++ b/tests/claim_process.rs
@@ -0,0 +1,183 @@
+//! One key through two entry instances as processes, while its owner is killed or paused.
+
+use std::io;
+
+use goldcrestvale_standin::{
+    caller::{Answer, Caller},
+    fleet::{Builder, Fleet, Programs, SERVICE},
+    process::{Signal, value_of},
+};
+use serde_json::{Value, json};
+
+const SECRET: &str = "6b7d1f4a0c9e8b2d5f3a1c7e9d0b4f68a2c5e7d9b1f3a5c7e9d0b2f4a6c8e0d1";
+
+/// Starts two entry instances that know each other and one instance of the service.
+async fn pair() -> io::Result<Fleet> {
+    let settings = |seeds: &str| {
+        format!(
+            "[platform]\ntimeout_ms = 500\npoll_ms = 200\n\
+             [peer]\naddress = 127.0.0.1:0\nsecret = {SECRET}\nheartbeat_ms = 100\n{seeds}\n"
+        )
+    };
+    let mut fleet = Builder::new(Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale")))
+        .service("booking-1")
+        .entry("entry-1", &settings(""))
+        .start()
+        .await?;
+    let line = fleet.entries[0].process.wait_line("event=\"listening\"").await?;
+    let address = value_of(&line, "peers").unwrap_or_default();
+    let address = address.trim_matches('"').trim_start_matches("Some(").trim_end_matches(')');
+    fleet.start_entry("entry-2", &settings(&format!("seeds = {address}"))).await?;
+    fleet.wait_ready().await?;
+    Ok(fleet)
+}
+
+fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+async fn book(fleet: &Fleet, entry: usize, key: &str) -> io::Result<Answer> {
+    let caller = fleet.customer().with("goldcrestvale-deadline-ms", "3000");
+    let caller = caller.with("idempotency-key", key);
+    let path = format!("/services/{SERVICE}/notices");
+    caller.post(fleet.entries[entry].callers, &path, &json!({ "page": 3 })).await
+}
+
+fn verdict(answer: &Answer) -> &str {
+    answer.header("goldcrestvale-verdict")
+}
+
+async fn effects(fleet: &Fleet, key: &str) -> io::Result<u64> {
+    let counts = fleet.services[0].counts().await?;
+    Ok(counts["by_key"][key].as_u64().unwrap_or(0))
+}
+
+/// Waits until the service runs a request.
+async fn wait_running(fleet: &Fleet) -> io::Result<()> {
+    loop {
+        let load = Caller::default().get(fleet.services[0].address, "/load").await?.json();
+        if load["running"].as_u64() > Some(0) {
+            return Ok(());
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_once_through_both() -> io::Result<()> {
+    let fleet = pair().await?;
+    for round in 0..20 {
+        let key = new_key();
+        let (first, second) = tokio::join!(book(&fleet, 0, &key), book(&fleet, 1, &key));
+        let (first, second) = (first?, second?);
+        assert_eq!(effects(&fleet, &key).await?, 1, "round {round}");
+        let both = (verdict(&first), verdict(&second));
+        assert_eq!(both, ("ran", "ran"), "{} {}", first.json(), second.json());
+        assert_eq!(first.json(), second.json(), "the same answer through both");
+        let again = book(&fleet, round % 2, &key).await?;
+        assert_eq!((verdict(&again), again.json()), ("ran", first.json()));
+        assert_eq!(effects(&fleet, &key).await?, 1, "round {round}, again");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed() -> io::Result<()> {
+    let mut fleet = pair().await?;
+    fleet.services[0].fault(&json!({ "hang_after": true })).await?;
+    let key = new_key();
+    {
+        let owner = book(&fleet, 0, &key);
+        let killed = async {
+            wait_running(&fleet).await?;
+            fleet.entries[0].process.signal(Signal::SIGKILL)
+        };
+        let (answer, killed) = tokio::join!(owner, killed);
+        killed?;
+        assert!(answer.is_err(), "a killed process does not answer");
+    }
+    fleet.entries[0].process.wait().await?;
+    fleet.services[0].fault(&json!({})).await?;
+    let again = book(&fleet, 1, &key).await?;
+    assert_eq!(verdict(&again), "may-have-run", "{}", again.json());
+    assert!(!again.header("retry-after").is_empty());
+    assert_eq!(effects(&fleet, &key).await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_paused() -> io::Result<()> {
+    let fleet = pair().await?;
+    fleet.services[0].fault(&json!({ "delay_ms": 300 })).await?;
+    let key = new_key();
+    let owner = book(&fleet, 0, &key);
+    let others = async {
+        wait_running(&fleet).await?;
+        fleet.entries[0].process.signal(Signal::SIGSTOP)?;
+        let other = book(&fleet, 1, &key).await?;
+        assert_eq!(verdict(&other), "may-have-run", "{}", other.json());
+        fleet.entries[0].process.signal(Signal::SIGCONT)?;
+        io::Result::Ok(())
+    };
+    let (answer, others) = tokio::join!(owner, others);
+    others?;
+    assert!(["ran", "may-have-run"].contains(&verdict(&answer?)));
+    assert_eq!(effects(&fleet, &key).await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_paused() -> io::Result<()> {
+    let fleet = pair().await?;
+    // The owner is stopped as soon as its claim is in the log, read back or not.
+    fleet.platform.fault(&json!({ "late_ms": 200 })).await?;
+    fleet.services[0].fault(&json!({ "delay_ms": 1000 })).await?;
+    let key = new_key();
+    let before = fleet.platform.counts().await?["appends"].as_u64();
+    let owner = book(&fleet, 0, &key);
+    let others = async {
+        while fleet.platform.counts().await?["appends"].as_u64() <= before {
+            tokio::task::yield_now().await;
+        }
+        fleet.entries[0].process.signal(Signal::SIGSTOP)?;
+        fleet.platform.fault(&json!({})).await?;
+        let other = book(&fleet, 1, &key).await?;
+        assert_eq!(verdict(&other), "may-have-run", "{}", other.json());
+        assert!(effects(&fleet, &key).await? <= 1);
+        fleet.entries[0].process.signal(Signal::SIGCONT)?;
+        io::Result::Ok(())
+    };
+    let (answer, others) = tokio::join!(owner, others);
+    others?;
+    let answer = answer?;
+    let ran = effects(&fleet, &key).await?;
+    match verdict(&answer) {
+        "not-run" => assert_eq!(ran, 0, "{}", answer.json()),
+        _ => assert_eq!(ran, 1, "{}", answer.json()),
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop() -> io::Result<()> {
+    let mut fleet = pair().await?;
+    fleet.services[0].fault(&json!({ "delay_ms": 500 })).await?;
+    let key = new_key();
+    {
+        let owner = book(&fleet, 0, &key);
+        let stopped = async {
+            wait_running(&fleet).await?;
+            fleet.entries[0].process.signal(Signal::SIGTERM)
+        };
+        let (answer, stopped) = tokio::join!(owner, stopped);
+        stopped?;
+        assert_eq!(verdict(&answer?), "ran");
+    }
+    assert_eq!(fleet.entries[0].process.wait().await?, Some(0));
+    let settled = |dump: &Value| dump["claims"]["streams"]["claims-0"]["next"] == 2;
+    fleet.wait_dump(1, settled).await?;
+    let again = book(&fleet, 1, &key).await?;
+    assert_eq!(verdict(&again), "ran", "the log says that the call ran: {}", again.json());
+    assert_eq!(effects(&fleet, &key).await?, 1);
+    Ok(())
+}
