Keep admission work-conserving, and hint at cached prefixes

Cause: taking the last waiting request of a customer removed the customer before the request was counted as running; its end then underflowed.

--- a/crates/goldcrestvale_route/src/admission/queue.rs
+++ b/crates/goldcrestvale_route/src/admission/queue.rs
@@ -146,8 +146,8 @@
                 line.running -= 1;
             }
             self.refresh(&customer);
-        } else {
-            self.dequeue(ticket);
+        } else if let Some(ask) = self.dequeue(ticket) {
+            self.refresh(&ask.customer);
         }
         self.release(now, rng)
     }
@@ -232,14 +232,13 @@
         self.refresh(&customer);
     }
 
-    /// Takes a waiting request out of the queue.
+    /// Takes a waiting request out of the queue; the caller refreshes its customer.
     fn dequeue(&mut self, ticket: Ticket) -> Option<Ask> {
         let (customer, place) = self.places.remove(&ticket)?;
         let line = self.lines.get_mut(&customer)?;
         let ask = line.remove(&place)?;
         self.backlog -= u64::from(ask.cost);
         self.latest.remove(&(ask.deadline - ask.service, ticket));
-        self.refresh(&customer);
         Some(ask)
     }
 
@@ -282,9 +281,12 @@
             if at >= now {
                 break;
             }
-            if self.dequeue(ticket).is_none() {
-                self.latest.pop_first();
-                continue;
+            match self.dequeue(ticket) {
+                Some(ask) => self.refresh(&ask.customer),
+                None => {
+                    self.latest.pop_first();
+                    continue;
+                }
             }
             let refused = self.refuse(Cause::Deadline, Duration::ZERO, rng);
             released.push(Released::Refuse(ticket, refused));
--- a/crates/goldcrestvale_route/src/lib.rs
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod draft;
 pub mod health;
 pub mod limit;
+pub mod prefix;
 pub mod retry;
 
 /// Re-exports the types that most users of this package name.
--- a/crates/goldcrestvale_route/tests/admission_fair.rs
+++ b/crates/goldcrestvale_route/tests/admission_fair.rs
@@ -279,3 +279,34 @@
     }
     assert!((18..=21).contains(&slots), "{slots} slots");
 }
+
+/// Whatever comes and goes, no slot is free while a request waits.
+#[test]
+fn work_conserving() {
+    for customers in [1, 3, 100, 500] {
+        let mut rng = ChaCha8Rng::seed_from_u64(customers);
+        let mut queue = Queue::new(Settings::new(16));
+        let mut running = Vec::new();
+        let mut now = Instant(0);
+        for step in 0..20_000 {
+            now = now + Duration::from_micros(100);
+            if step < 500 || rng.random() {
+                let name = customer(&format!("c{}", rng.random_range(0..customers)));
+                let ask = Ask::new(name, now + Duration::from_secs(600));
+                match queue.offer(now, ask, &mut rng) {
+                    Decision::Run(ticket) => running.push(ticket),
+                    Decision::Wait(_) => {}
+                    Decision::Refuse(refused) => panic!("step {step}: {refused:?}"),
+                }
+            } else if !running.is_empty() {
+                let ended = running.swap_remove(rng.random_range(0..running.len()));
+                for released in queue.finish(now, ended, &mut rng) {
+                    let Released::Run(ticket) = released else { panic!("{released:?}") };
+                    running.push(ticket);
+                }
+            }
+            assert_eq!(queue.running(), running.len());
+            assert!(queue.waiting() == 0 || running.len() >= 16, "{customers}, step {step}");
+        }
+    }
+}
