--- a/crates/goldcrestvale_config/src/body.rs
+++ b/crates/goldcrestvale_config/src/body.rs
@@ -75,7 +75,7 @@
             ($map:ident, $name:expr, $body:expr) => {
                 if let Some(name) = $name {
                     let entity = Arc::new(Entity { version, body: $body });
-                    Arc::make_mut(&mut self.$map).insert(name, entity);
+                    self.$map.insert_mut(name, entity);
                 }
             };
         }
@@ -83,14 +83,14 @@
             Body::Customer(body) => {
                 self.remove(&Kind::Customer, name);
                 if let Ok(name) = name.parse() {
-                    Arc::make_mut(&mut self.credentials).insert(body.credential, name);
+                    self.credentials.insert_mut(body.credential, name);
                 }
                 insert!(customers, name.parse().ok(), body);
             }
             Body::Binding(body) => {
                 self.remove(&Kind::Binding, name);
                 let ends = (body.customer.clone(), body.target.clone());
-                Arc::make_mut(&mut self.bound).insert(ends, name.to_owned());
+                self.bound.insert_mut(ends, name.to_owned());
                 insert!(bindings, Some(name.to_owned()), body);
             }
             Body::Service(body) => insert!(services, name.parse().ok(), body),
@@ -105,21 +105,23 @@
     pub(crate) fn remove(&mut self, kind: &Kind, name: &str) {
         match kind {
             Kind::Customer => {
-                if let Some(entity) = Arc::make_mut(&mut self.customers).remove(name) {
-                    Arc::make_mut(&mut self.credentials).remove(&entity.body.credential);
+                if let Some(entity) = self.customers.get(name) {
+                    self.credentials.remove_mut(&entity.body.credential);
+                    self.customers.remove_mut(name);
                 }
             }
             Kind::Binding => {
-                if let Some(entity) = Arc::make_mut(&mut self.bindings).remove(name) {
+                if let Some(entity) = self.bindings.get(name) {
                     let ends = (entity.body.customer.clone(), entity.body.target.clone());
-                    Arc::make_mut(&mut self.bound).remove(&ends);
+                    self.bound.remove_mut(&ends);
+                    self.bindings.remove_mut(name);
                 }
             }
-            Kind::Service => drop(Arc::make_mut(&mut self.services).remove(name)),
-            Kind::Model => drop(Arc::make_mut(&mut self.models).remove(name)),
-            Kind::Placement => drop(Arc::make_mut(&mut self.placements).remove(name)),
-            Kind::Trait => drop(Arc::make_mut(&mut self.traits).remove(name)),
-            Kind::Limit => drop(Arc::make_mut(&mut self.limits).remove(name)),
+            Kind::Service => drop(self.services.remove_mut(name)),
+            Kind::Model => drop(self.models.remove_mut(name)),
+            Kind::Placement => drop(self.placements.remove_mut(name)),
+            Kind::Trait => drop(self.traits.remove_mut(name)),
+            Kind::Limit => drop(self.limits.remove_mut(name)),
             Kind::Other(_) => {}
         }
     }
--- a/crates/goldcrestvale_config/src/snapshot.rs
+++ b/crates/goldcrestvale_config/src/snapshot.rs
@@ -1,13 +1,16 @@
 //! An immutable view of the configuration in force.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use goldcrestvale_base::id::{self, Digest, Offset};
+use rpds::RedBlackTreeMapSync;
 
 use crate::record::{Binding, Customer, Limit, Model, Placement, Service, Target, Trait};
 
-/// The entities of one kind by name.
-pub type Entities<K, T> = Arc<BTreeMap<K, Arc<Entity<T>>>>;
+/// The entities of one kind, in order of their names.
+///
+/// The map is persistent: a change copies the path to one entity, not the map.
+pub type Entities<K, T> = RedBlackTreeMapSync<K, Arc<Entity<T>>>;
 
 /// An entity in force.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,8 +42,8 @@
     pub limits: Entities<String, Limit>,
     /// Offset after the last record of the prefix; every entity's version is below it.
     pub version: Offset,
-    pub(crate) credentials: Arc<BTreeMap<Digest, id::Customer>>,
-    pub(crate) bound: Arc<BTreeMap<(id::Customer, Target), String>>,
+    pub(crate) credentials: RedBlackTreeMapSync<Digest, id::Customer>,
+    pub(crate) bound: RedBlackTreeMapSync<(id::Customer, Target), String>,
 }
 
 impl Snapshot {
@@ -50,7 +53,7 @@
         credential: &Digest,
     ) -> Option<(&id::Customer, &Entity<Customer>)> {
         let name = self.credentials.get(credential)?;
-        self.customers.get_key_value(name).map(|(name, entity)| (name, &**entity))
+        self.customers.get(name).map(|entity| (name, &**entity))
     }
 
     /// Returns the binding of a customer to a target; without one, the customer may not call it.
--- a/crates/goldcrestvale_config/tests/config_fold.rs
+++ b/crates/goldcrestvale_config/tests/config_fold.rs
@@ -220,7 +220,7 @@
     for placement in snapshot.placements.values() {
         assert!(snapshot.models.contains_key(&placement.body.model));
     }
-    for (name, customer) in snapshot.customers.iter() {
+    for (name, customer) in &snapshot.customers {
         let found = snapshot.customer_by_credential(&customer.body.credential);
         assert_eq!(found.map(|(name, _)| name), Some(name));
     }
