Tell a change that was not taken from a rejected one

Cause: an append that the log refuses, as while it is out, was answered as rejected at once, as if the change broke a rule.

Ruled out: answering at the first refusal; a log that is back within the operator's patience takes the change.

Change: the desk repeats refused appends too, and answers NotTaken at the deadline only if no append may stand. Offers are weighed by the short digest that heartbeats carry, and Frame names what instances send each other.

--- a/crates/goldcrestvale_config/src/desk.rs
+++ b/crates/goldcrestvale_config/src/desk.rs
@@ -54,8 +54,12 @@
             /// The id.
             id: RecordId,
         },
-        /// The instance has too many changes waiting; this one was not appended here.
-        Busy,
+        /// The change was not appended, and will not be: the log takes no records, or too many
+        /// changes wait.
+        NotTaken {
+            /// Why.
+            reason: String,
+        },
     }
 
     /// What became of one append.
@@ -105,8 +109,8 @@
 struct Waiting {
     data: Arc<str>,
     deadline: Instant,
-    /// Whether any append may have reached the log.
-    may_stand: bool,
+    /// Why no append has reached the log; `None` once one may have.
+    refused: Option<String>,
     /// Whether the log acknowledged an append.
     stored: bool,
     in_flight: bool,
@@ -160,7 +164,11 @@
             return Vec::new();
         }
         if self.waiting.len() >= MAX_WAITING {
-            return answer(Answer::Busy);
+            let reason = format!("{MAX_WAITING} changes wait already");
+            return answer(match origin {
+                Origin::New => Answer::NotTaken { reason },
+                Origin::Repeat { .. } => Answer::Unknown { id },
+            });
         }
         // The first copy of an old record may be forgotten, and the second would be judged anew.
         if matches!(origin, Origin::Repeat { age } if age > MAX_PATIENCE) {
@@ -177,7 +185,7 @@
         let waiting = Waiting {
             data: Arc::clone(&data),
             deadline: deadline.min(now + MAX_PATIENCE),
-            may_stand: matches!(origin, Origin::Repeat { .. }),
+            refused: (origin == Origin::New).then(|| "the log did not answer".to_owned()),
             stored: false,
             in_flight: true,
             wait: FIRST_WAIT,
@@ -187,35 +195,22 @@
         vec![Action::Append { id, data }]
     }
 
-    /// Takes the result of an append; the repeat of a lost one is spread by jitter.
-    pub fn appended(
-        &mut self,
-        now: Instant,
-        id: &RecordId,
-        append: &Append,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
-        let Some(waiting) = self.waiting.get_mut(id) else { return Vec::new() };
+    /// Takes the result of an append; the repeat of one that failed is spread by jitter.
+    pub fn appended(&mut self, now: Instant, id: &RecordId, append: &Append, rng: &mut impl Rng) {
+        let Some(waiting) = self.waiting.get_mut(id) else { return };
         waiting.in_flight = false;
         match append {
-            Append::Stored => {
-                waiting.stored = true;
-                waiting.may_stand = true;
-            }
-            Append::Lost => {
-                waiting.may_stand = true;
+            Append::Stored => waiting.stored = true,
+            Append::Lost | Append::Refused(_) => {
                 waiting.again = now + waiting.wait.mul_f64(rng.random_range(0.5..=1.0));
                 waiting.wait = (waiting.wait * 2).min(LONGEST_WAIT);
             }
-            // An earlier append may stand, so the fold or the deadline answers.
-            Append::Refused(_) if waiting.may_stand => waiting.stored = true,
-            Append::Refused(reason) => {
-                let answer = Answer::Rejected { reason: reason.clone() };
-                self.waiting.remove(id);
-                return vec![Action::Answer { id: *id, answer }];
-            }
         }
-        Vec::new()
+        match (append, &mut waiting.refused) {
+            (Append::Refused(reason), Some(last)) => last.clone_from(reason),
+            (Append::Refused(_), None) => {}
+            (Append::Stored | Append::Lost, refused) => *refused = None,
+        }
     }
 
     /// Answers the changes that the fold has reached; call it after records were folded.
@@ -236,7 +231,11 @@
         let mut actions = Vec::new();
         self.waiting.retain(|id, waiting| {
             if now >= waiting.deadline {
-                let answer = Answer::Unknown { id: *id };
+                // An append in flight may still reach the log.
+                let answer = match waiting.refused.take().filter(|_| !waiting.in_flight) {
+                    Some(reason) => Answer::NotTaken { reason },
+                    None => Answer::Unknown { id: *id },
+                };
                 actions.push(Action::Answer { id: *id, answer });
                 return false;
             }
--- a/crates/goldcrestvale_config/src/sync.rs
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -83,6 +83,25 @@
     }
 }
 
+/// Returns the first bytes of a digest, which heartbeats carry.
+pub fn brief_of(digest: &Digest) -> u64 {
+    let mut brief = [0; 8];
+    brief.copy_from_slice(&digest.0[..8]);
+    u64::from_be_bytes(brief)
+}
+
+domain! {
+    record
+    /// What instances send each other.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Frame {
+        /// Asks for state.
+        Ask(Ask),
+        /// Answers an ask.
+        Answer(Answer),
+    }
+}
+
 /// The anti-entropy of one instance.
 ///
 /// # Examples
@@ -138,15 +157,29 @@
 impl Sync {
     /// Weighs the offer of another instance.
     pub fn weigh(&mut self, fold: &mut Fold, offer: &Offer) -> Weighed {
-        if offer.version > fold.version() {
+        self.judge(fold, offer.version, |digest| digest == offer.digest)
+    }
+
+    /// Weighs an offer of which only the first bytes of the digest are told.
+    pub fn weigh_brief(&mut self, fold: &mut Fold, version: Offset, brief: u64) -> Weighed {
+        self.judge(fold, version, |digest| brief_of(&digest) == brief)
+    }
+
+    fn judge(
+        &mut self,
+        fold: &mut Fold,
+        version: Offset,
+        agrees: impl FnOnce(Digest) -> bool,
+    ) -> Weighed {
+        if version > fold.version() {
             return Weighed::Ask(self.ask(fold));
         }
-        match fold.digest_at(offer.version) {
-            Some(digest) if digest != offer.digest => {
+        match fold.digest_at(version) {
+            Some(digest) if !agrees(digest) => {
                 fold.alarms.divergences += 1;
                 Weighed::Diverged
             }
-            _ if offer.version == fold.version() => Weighed::Same,
+            _ if version == fold.version() => Weighed::Same,
             _ => Weighed::Older,
         }
     }
