--- a/src/serve.rs
+++ b/src/serve.rs
@@ -114,7 +114,7 @@
             incarnation:% = incarnation,
             callers:% = callers.address,
             operators:% = operators.address,
-            peers:? = node.peers.address();
+            peers = node.peers.address().map_or_else(|| "none".to_owned(), |peers| peers.to_string());
             "listening"
         );
         Ok(Self { daemon, callers, operators })
--- /dev/null
+++ b/tests/leaving_upstream.rs
@@ -0,0 +1,205 @@
+//! An upstream that leaves takes no new work, whichever source says so, and finishes its own.
+
+mod peers;
+
+use std::{
+    io,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use goldcrestvale_standin::{
+    caller::Caller,
+    fleet::{Fleet, LAYERS, MODEL, SERVICE, Standin, TOKEN},
+    process::Process,
+    reference,
+};
+use http::StatusCode;
+use peers::{ROUTER, builder, connect, is_leaving};
+use serde_json::{Value, json};
+
+/// Time from the first instance that knows it to the last.
+const SPREAD: Duration = Duration::from_secs(3);
+
+/// Calls through each entry instance once all know it.
+const CALLS: usize = 20;
+
+async fn services() -> io::Result<Fleet> {
+    let fleet = builder(2).service("booking-1").service("booking-2");
+    let mut fleet = fleet.start().await?;
+    connect(&mut fleet).await?;
+    Ok(fleet)
+}
+
+/// Two engines whose load reports are stale, so that only their refusals tell that they leave.
+async fn engines() -> io::Result<Fleet> {
+    let stale = ["--load-lag-ms=60000"];
+    let fleet = builder(2).engine("large-1", 0, 12, &stale).engine("large-2", 0, 12, &stale);
+    let mut fleet = fleet.start().await?;
+    connect(&mut fleet).await?;
+    Ok(fleet)
+}
+
+/// Waits until every entry instance shows the upstream as leaving, within the bound.
+async fn until_known(fleet: &Fleet, upstream: &str) -> io::Result<()> {
+    let known = async {
+        for entry in 0..fleet.entries.len() {
+            fleet.wait_dump(entry, |dump| is_leaving(dump, upstream)).await?;
+        }
+        Ok(())
+    };
+    match tokio::time::timeout(SPREAD, known).await {
+        Ok(known) => known,
+        Err(_) => Err(io::Error::other(format!("{upstream} is not leaving everywhere"))),
+    }
+}
+
+async fn call(fleet: &Fleet, entry: usize) -> io::Result<StatusCode> {
+    let path = format!("/services/{SERVICE}/jobs");
+    let answer = fleet.customer().get(fleet.entries[entry].callers, &path).await?;
+    Ok(answer.status)
+}
+
+async fn effects(service: &Standin) -> io::Result<Value> {
+    Ok(service.counts().await?["effects"].clone())
+}
+
+/// Calls through every entry instance; all succeed, and none reaches the first service instance.
+async fn expect_no_new_calls(fleet: &Fleet) -> io::Result<()> {
+    let before = effects(&fleet.services[0]).await?;
+    for entry in 0..fleet.entries.len() {
+        for _ in 0..CALLS {
+            assert_eq!(call(fleet, entry).await?, StatusCode::OK);
+        }
+    }
+    assert_eq!(effects(&fleet.services[0]).await?, before);
+    Ok(())
+}
+
+async fn leave(upstream: &Standin) -> io::Result<()> {
+    Caller::default().post(upstream.control, "/leave", &Value::Null).await?;
+    Ok(())
+}
+
+async fn drain(fleet: &Fleet, entry: usize, upstream: &str) -> io::Result<()> {
+    let at = fleet.entries[entry].operators.to_string();
+    let arguments = ["drain", &at, upstream, "--token", TOKEN].map(str::to_owned);
+    let mut process = Process::spawn(Path::new(ROUTER), &arguments)?;
+    assert_eq!(process.wait().await?, Some(0), "{}", process.output().await);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_list_alone() -> io::Result<()> {
+    let fleet = services().await?;
+    fleet.list(&fleet.services[0], "service", SERVICE, "leaving").await?;
+    until_known(&fleet, "booking-1").await?;
+    expect_no_new_calls(&fleet).await?;
+    // The list takes it back; the incarnation is leaving all the same.
+    fleet.list(&fleet.services[0], "service", SERVICE, "live").await?;
+    expect_no_new_calls(&fleet).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn its_load_report_alone() -> io::Result<()> {
+    let fleet = services().await?;
+    leave(&fleet.services[0]).await?;
+    until_known(&fleet, "booking-1").await?;
+    expect_no_new_calls(&fleet).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_at_one_instance_alone() -> io::Result<()> {
+    let fleet = services().await?;
+    drain(&fleet, 0, "booking-1").await?;
+    assert!(is_leaving(&fleet.dump(0).await?, "booking-1"), "in force when it is answered");
+    until_known(&fleet, "booking-1").await?;
+    expect_no_new_calls(&fleet).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn its_refusal_to_one_instance_alone() -> io::Result<()> {
+    let fleet = engines().await?;
+    leave(&fleet.engines[0]).await?;
+    let ask = json!({ "model": MODEL, "prompt": "a notice", "max_tokens": 4 });
+    let customer = fleet.customer();
+    // Until the first draft meets the refusal; the other engine serves the rest.
+    let until = Instant::now() + SPREAD;
+    while !is_leaving(&fleet.dump(0).await?, "large-1") {
+        assert!(Instant::now() < until, "no draft met the engine that leaves");
+        let drafts =
+            (0..4).map(|_| customer.post(fleet.entries[0].callers, "/v1/completions", &ask));
+        futures_util::future::join_all(drafts).await;
+    }
+    until_known(&fleet, "large-1").await?;
+    let before = fleet.engines[0].counts().await?;
+    for entry in &fleet.entries {
+        for _ in 0..CALLS {
+            let draft = customer.post(entry.callers, "/v1/completions", &ask).await?;
+            assert_eq!(draft.status, StatusCode::OK, "{}", draft.json());
+        }
+    }
+    let after = fleet.engines[0].counts().await?;
+    assert_eq!((&after["steps"], &after["refusals"]), (&before["steps"], &before["refusals"]));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_sources_at_once_and_its_next_life() -> io::Result<()> {
+    let fleet = services().await?;
+    let booking = &fleet.services[0];
+    let (listed, left, drained) = tokio::join!(
+        fleet.list(booking, "service", SERVICE, "leaving"),
+        leave(booking),
+        drain(&fleet, 1, "booking-1"),
+    );
+    listed.and(left).and(drained)?;
+    until_known(&fleet, "booking-1").await?;
+    expect_no_new_calls(&fleet).await?;
+    // Its next life takes work again, though it has the same name.
+    let arguments = [format!("--service={SERVICE}")];
+    let program = goldcrestvale_standin::fleet::Programs::beside(ROUTER).standin;
+    let next = Standin::start(&program, "service", "booking-1", &arguments).await?;
+    fleet.list(&next, "service", SERVICE, "live").await?;
+    for entry in 0..2 {
+        fleet.wait_dump(entry, |dump| !is_leaving(dump, "booking-1")).await?;
+        assert_eq!(call(&fleet, entry).await?, StatusCode::OK);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_in_progress_finishes() -> io::Result<()> {
+    let fleet = builder(2)
+        .engine("large-1", 0, 12, &["--time-scale=0.1"])
+        .service("booking-1")
+        .service("booking-2");
+    let mut fleet = fleet.start().await?;
+    connect(&mut fleet).await?;
+    let (customer, entry) = (fleet.customer(), fleet.entries[0].callers);
+
+    let ask = json!({ "model": MODEL, "prompt": "a tribute", "max_tokens": 200, "stream": true });
+    let mut draft = customer.stream(entry, "/v1/completions", &ask).await?;
+    let mut events = vec![draft.next().await?.expect("a first event")];
+    fleet.services[0].fault(&json!({ "delay_ms": 1_000 })).await?;
+    let path = format!("/services/{SERVICE}/jobs");
+    let calls = (0..4).map(|_| customer.get(entry, &path));
+    let (calls, drained) = tokio::join!(futures_util::future::join_all(calls), async {
+        fleet
+            .wait_dump(0, |dump| dump["instance"]["requests_in_progress"].as_u64() > Some(1))
+            .await?;
+        drain(&fleet, 0, "large-1").await?;
+        drain(&fleet, 0, "booking-1").await
+    });
+    drained?;
+    for call in calls {
+        assert_eq!(call?.status, StatusCode::OK);
+    }
+    events.extend(draft.collect().await?);
+    let token = |event: &goldcrestvale_standin::caller::Event| event.data["token"].as_u64();
+    let tokens: Vec<u32> = events.iter().filter_map(token).map(|token| token as u32).collect();
+    let prompt: Vec<u32> = "a tribute".bytes().map(u32::from).collect();
+    assert_eq!(tokens, reference::answer(&prompt, LAYERS, 200));
+    assert_eq!(events.last().map(|event| event.name.as_str()), Some("end"));
+    Ok(())
+}
