--- a/crates/goldcrestvale_standin/src/fleet.rs
+++ b/crates/goldcrestvale_standin/src/fleet.rs
@@ -246,6 +246,8 @@
     pub async fn start_entry(&mut self, name: &str, settings: &str) -> io::Result<()> {
         let mut file = NamedTempFile::with_suffix(".ini")?;
         let platform = self.platform.address;
+        let own_stop = settings.contains("[stop]");
+        let stop = if own_stop { "" } else { "[stop]\nnotice_ms = 100\ntimeout_ms = 20000\n" };
         write!(
             file,
             "[instance]\nname = {name}\ndomain = local\n\
@@ -253,8 +255,7 @@
              [operators]\naddress = 127.0.0.1:0\ntoken = {TOKEN}\n\
              [platform]\naddress = {platform}\nlist_interval_ms = 50\n\
              [upstream]\nload_interval_ms = 50\n\
-             [stop]\nnotice_ms = 100\ntimeout_ms = 20000\n\
-             {settings}\n"
+             {stop}{settings}\n"
         )?;
         let arguments =
             ["serve".to_owned(), "--settings".to_owned(), file.path().display().to_string()];
