--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -54,3 +54,11 @@
     let error = File::parse("some.ini", text).expect_err("faults").to_string();
     assert_eq!(error.lines().count(), 5, "{error}");
 }
+
+#[test]
+fn secrets_are_not_printed() {
+    let text = "[peer]\nsecret = 0123456789abcdef-wrong\n";
+    let error = File::parse("some.ini", text).expect_err("a malformed secret").to_string();
+    assert!(error.contains("[peer] secret: "), "{error}");
+    assert!(!error.contains("0123456789abcdef"), "{error}");
+}
