--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -15,8 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, claims::Claims, clock::Clock, gate::Gate, limits::Limits,
-    metrics::Metrics, peers::Peers, phase::Life, settings::Settings, table::Table,
+    admission::Admission, claims::Claims, clock::Clock, gate::Gate, health::Health, limits::Limits,
+    metrics::Metrics, peers::Peers, phase::Life, plans::Plans, settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -36,6 +36,10 @@
     pub config: ArcSwap<Snapshot>,
     /// Known upstreams.
     pub upstreams: ArcSwap<Table>,
+    /// Health of the upstreams.
+    pub health: Health,
+    /// Planners for the snapshots above.
+    pub plans: ArcSwap<Plans>,
     /// Bound on the requests in progress.
     pub gate: Gate,
     /// The customers' rate limits.
@@ -82,6 +86,8 @@
             life: Life::default(),
             config: ArcSwap::default(),
             upstreams: ArcSwap::default(),
+            health: Health::default(),
+            plans: ArcSwap::default(),
             gate: Gate::new(settings.callers.streams),
             metrics,
             engines: Engine::new(limits),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,6 +7,7 @@
     admission::Queued,
     callers, claims,
     daemon::{Builder, Daemon},
+    health::Judge,
     limits::Demand,
     metrics::{self, Metrics},
     node::Node,
@@ -103,6 +104,7 @@
             .with(Identity)
             .with(tail)
             .with(Watch)
+            .with(Judge)
             .with(peers)
             .with(claims::Attend)
             .with(Demand)
