Measure what an entry instance adds to a call

Cause: the cost of a request on the entry instance was not known. Ruled out: /proc/PID/task/*/schedstat, which the kernel here does not have; a log level of warn, because the fleet waits for the line that tells the addresses at info. The platform stand-in ends the waits of reads at a stop, which took up to a minute; a process keeps the last 10,000 lines of output. Conclusion: a baseline to measure changes of the path against.

--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -1,5 +1,9 @@
 //! Load and experiments: policies against baselines, figures as CSV and tables.
 
+pub mod baseline;
+pub mod cpu;
+pub mod load;
+pub mod overhead;
 pub mod policy;
 pub mod sim;
 
--- /dev/null
+++ b/crates/goldcrestvale_bench/src/main.rs
@@ -0,0 +1,43 @@
+//! Measurements and experiments: `goldcrestvale-bench SUBCOMMAND`.
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+};
+
+use clap::Parser;
+use goldcrestvale_bench::{baseline::Proxy, overhead};
+
+/// Measures the router and compares policies.
+#[derive(Debug, Parser)]
+#[command(name = "goldcrestvale-bench", version)]
+enum Command {
+    /// Measures what an entry instance adds to a call, with real processes on loopback.
+    Overhead(overhead::Settings),
+    /// Runs the bare pass-through, which `overhead` compares with.
+    Proxy {
+        /// Address to pass requests on to.
+        #[arg(long)]
+        target: SocketAddr,
+    },
+}
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let mut out = io::stdout();
+    match Command::parse() {
+        Command::Overhead(settings) => {
+            let table = overhead::run(&settings).await?;
+            if let Some(path) = &settings.out {
+                table.write(path)?;
+            }
+            write!(out, "{table}")
+        }
+        Command::Proxy { target } => {
+            let proxy = Proxy::bind(target).await?;
+            writeln!(out, "listening on {}", proxy.address()?)?;
+            out.flush()?;
+            proxy.run().await
+        }
+    }
+}
--- a/crates/goldcrestvale_standin/src/platform.rs
+++ b/crates/goldcrestvale_standin/src/platform.rs
@@ -15,7 +15,7 @@
 
 use goldcrestvale_base::{id::Offset, time::Wall};
 use goldcrestvale_platform::message::{Listed, Listing};
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 pub use fault::Faults;
 pub use settings::Settings;
@@ -36,6 +36,8 @@
     pub limited: u64,
     /// Appends that took effect and were not answered.
     pub lost: u64,
+    /// Reads that have begun to wait.
+    pub waits: u64,
     /// Reads answered.
     pub reads: u64,
 }
@@ -46,6 +48,7 @@
     settings: Settings,
     faults: Switch<Faults>,
     state: Mutex<State>,
+    leaving: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -64,7 +67,12 @@
     /// Fails when the address cannot be bound.
     pub async fn start(settings: Settings) -> io::Result<Handle<Self>> {
         let address = settings.address;
-        let platform = Self { settings, faults: Switch::default(), state: Mutex::default() };
+        let platform = Self {
+            settings,
+            faults: Switch::default(),
+            state: Mutex::default(),
+            leaving: watch::Sender::new(false),
+        };
         Handle::start(address, Arc::new(platform)).await
     }
 
--- a/crates/goldcrestvale_standin/src/platform/api.rs
+++ b/crates/goldcrestvale_standin/src/platform/api.rs
@@ -32,6 +32,11 @@
         self.state().counts.clone()
     }
 
+    /// Ends the waits of reads, which would hold up a stop.
+    fn leave(&self) {
+        self.leaving.send_replace(true);
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>> {
         let faults = self.faults.get();
         if faults.delay_ms > 0 {
@@ -126,9 +131,17 @@
                 return Ok(reply::json(StatusCode::OK, &page));
             }
         }
-        let mut end = self.state().streams.entry(stream.to_owned()).or_default().watch();
-        let reached = end.wait_for(|end| *end > from.0);
-        let _ = tokio::time::timeout(wait.min(MAX_WAIT), reached).await;
+        let mut end = {
+            let mut state = self.state();
+            state.counts.waits += u64::from(!wait.is_zero());
+            state.streams.entry(stream.to_owned()).or_default().watch()
+        };
+        let mut leaving = self.leaving.subscribe();
+        tokio::select! {
+            _ = end.wait_for(|end| *end > from.0) => {}
+            _ = leaving.wait_for(|leaving| *leaving) => {}
+            () = tokio::time::sleep(wait.min(MAX_WAIT)) => {}
+        }
         let mut state = self.state();
         state.counts.reads += 1;
         let stream = state.streams.entry(stream.to_owned()).or_default();
--- a/crates/goldcrestvale_standin/src/process.rs
+++ b/crates/goldcrestvale_standin/src/process.rs
@@ -1,6 +1,7 @@
 //! Running programs as processes of their own, for tests and measurement.
 
 use std::{
+    collections::VecDeque,
     io,
     path::Path,
     process::Stdio,
@@ -15,7 +16,7 @@
     sync::Notify,
 };
 
-/// A running program whose output is kept line by line; dropping it kills it.
+/// A running program whose last lines of output are kept; dropping it kills it.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
@@ -23,10 +24,13 @@
     output: Arc<Output>,
 }
 
+/// Number of lines that are kept; older ones are dropped.
+const KEPT_LINES: usize = 10_000;
+
 /// The lines of standard output and standard error so far.
 #[derive(Debug, Default)]
 struct Output {
-    lines: Mutex<Vec<String>>,
+    lines: Mutex<VecDeque<String>>,
     changed: Notify,
 }
 
@@ -85,9 +89,10 @@
         self.lines().into_iter().find(|line| line.contains(text))
     }
 
-    /// Returns all lines so far.
+    /// Returns the last lines so far.
     pub fn lines(&self) -> Vec<String> {
-        self.output.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        let lines = self.output.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.iter().cloned().collect()
     }
 
     /// Returns the id of the process.
@@ -117,7 +122,12 @@
 async fn collect(stream: impl AsyncRead + Unpin, output: Arc<Output>) {
     let mut lines = BufReader::new(stream).lines();
     while let Ok(Some(line)) = lines.next_line().await {
-        output.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        let mut kept = output.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if kept.len() == KEPT_LINES {
+            kept.pop_front();
+        }
+        kept.push_back(line);
+        drop(kept);
         output.changed.notify_waiters();
     }
 }
--- a/crates/goldcrestvale_standin/tests/log_contract.rs
+++ b/crates/goldcrestvale_standin/tests/log_contract.rs
@@ -72,6 +72,17 @@
     assert_eq!((status, sequences(&page)), (StatusCode::OK, vec![]));
 }
 
+#[tokio::test]
+async fn a_stop_ends_the_wait_of_a_read() {
+    let platform = start(Settings::default()).await;
+    let address = platform.address();
+    let path = "/streams/a/records?from=0&wait_ms=60000";
+    let reader = tokio::spawn(async move { client::get(address, path).await });
+    while client::get(address, "/counts").await.unwrap().json::<Counts>().unwrap().waits == 0 {}
+    platform.stop().await;
+    assert_eq!(reader.await.unwrap().unwrap().json::<Page>().unwrap().records.len(), 0);
+}
+
 #[tokio::test]
 async fn one_port_speaks_both_protocols() {
     let platform = start(Settings::default()).await;
