--- a/crates/goldcrestvale_config/src/sync.rs
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -83,6 +83,25 @@
     }
 }
 
+/// Returns the first bytes of a digest, which heartbeats carry.
+pub fn brief_of(digest: &Digest) -> u64 {
+    let mut brief = [0; 8];
+    brief.copy_from_slice(&digest.0[..8]);
+    u64::from_be_bytes(brief)
+}
+
+domain! {
+    record
+    /// What instances send each other.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Frame {
+        /// Asks for state.
+        Ask(Ask),
+        /// Answers an ask.
+        Answer(Answer),
+    }
+}
+
 /// The anti-entropy of one instance.
 ///
 /// # Examples
@@ -138,15 +157,29 @@
 impl Sync {
     /// Weighs the offer of another instance.
     pub fn weigh(&mut self, fold: &mut Fold, offer: &Offer) -> Weighed {
-        if offer.version > fold.version() {
+        self.judge(fold, offer.version, |digest| digest == offer.digest)
+    }
+
+    /// Weighs an offer of which only the first bytes of the digest are told.
+    pub fn weigh_brief(&mut self, fold: &mut Fold, version: Offset, brief: u64) -> Weighed {
+        self.judge(fold, version, |digest| brief_of(&digest) == brief)
+    }
+
+    fn judge(
+        &mut self,
+        fold: &mut Fold,
+        version: Offset,
+        agrees: impl FnOnce(Digest) -> bool,
+    ) -> Weighed {
+        if version > fold.version() {
             return Weighed::Ask(self.ask(fold));
         }
-        match fold.digest_at(offer.version) {
-            Some(digest) if digest != offer.digest => {
+        match fold.digest_at(version) {
+            Some(digest) if !agrees(digest) => {
                 fold.alarms.divergences += 1;
                 Weighed::Diverged
             }
-            _ if offer.version == fold.version() => Weighed::Same,
+            _ if version == fold.version() => Weighed::Same,
             _ => Weighed::Older,
         }
     }
@@ -182,10 +215,12 @@
     }
 
     fn ask(&self, fold: &Fold) -> Ask {
-        let newer = self.gather.newest().filter(|set| set.version > fold.version());
-        let chunk =
-            newer.and_then(|set| self.gather.missing(set).map(|index| Want { set: *set, index }));
-        Ask { version: fold.version(), chunk }
+        let newer = self.gather.latest().filter(|set| set.version > fold.version());
+        Ask { version: fold.version(), chunk: newer.and_then(|set| self.want(set)) }
+    }
+
+    fn want(&self, set: &Set) -> Option<Want> {
+        self.gather.missing(set).map(|index| Want { set: *set, index })
     }
 
     fn take_records(&mut self, fold: &mut Fold, base: Digest, records: Vec<Read>) -> Option<Ask> {
@@ -207,11 +242,16 @@
     }
 
     fn take_chunk(&mut self, fold: &mut Fold, chunk: Chunk) -> Option<Ask> {
-        if chunk.set.version <= fold.version() {
+        let set = chunk.set;
+        if set.version <= fold.version() {
             return None;
         }
         match self.gather.add(chunk) {
-            None => Some(self.ask(fold)).filter(|ask| ask.chunk.is_some()),
+            // Goes on with the set that this peer has, which need not be the newest begun.
+            None => {
+                let want = self.want(&set)?;
+                Some(Ask { version: fold.version(), chunk: Some(want) })
+            }
             Some(checkpoint) => {
                 let advanced = fold.try_advance(&checkpoint).is_ok_and(|advanced| advanced);
                 advanced.then(|| self.ask(fold))
@@ -220,8 +260,9 @@
     }
 
     fn give_checkpoint(&mut self, fold: &Fold) -> Answer {
-        let current = self.given.as_ref().is_some_and(|(set, _)| set.version == fold.version());
-        if !current {
+        // A checkpoint serves until the records behind it are no longer kept.
+        let given = self.given.as_ref().and_then(|(set, _)| fold.digest_at(set.version));
+        if given.is_none() {
             let checkpoint = fold.checkpoint();
             self.given = Some((checkpoint.set(), checkpoint.chunks().into()));
         }
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -3,15 +3,19 @@
 //! [`daemon::Builder`] assembles an instance from parts that register themselves; every part
 //! shares a [`node::Node`]. Requests read immutable snapshots and count by atomics.
 
+mod activity;
+pub mod admission;
 pub mod body;
 pub mod callers;
 pub mod clock;
 pub mod daemon;
 pub mod gate;
 pub mod header;
+pub mod limits;
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod peers;
 pub mod phase;
 pub mod refusal;
 pub mod server;
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -9,12 +9,14 @@
 use goldcrestvale_base::id::{Incarnation, RecordId};
 use goldcrestvale_config::snapshot::Snapshot;
 use goldcrestvale_platform::log::Log;
-use goldcrestvale_upstream::{engine::Engine, pool::Limits, service::Service};
+use goldcrestvale_route::admission;
+use goldcrestvale_upstream::{engine::Engine, pool, service::Service};
 
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    clock::Clock, gate::Gate, metrics::Metrics, phase::Life, settings::Settings, table::Table,
+    admission::Admission, clock::Clock, gate::Gate, limits::Limits, metrics::Metrics, peers::Peers,
+    phase::Life, settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -36,6 +38,12 @@
     pub upstreams: ArcSwap<Table>,
     /// Bound on the requests in progress.
     pub gate: Gate,
+    /// The customers' rate limits.
+    pub limits: Limits,
+    /// Admission of drafts.
+    pub drafts: Admission,
+    /// Admission of calls of plain services.
+    pub calls: Admission,
     /// Metrics.
     pub metrics: Metrics,
     /// Client of the engines.
@@ -44,6 +52,8 @@
     pub services: Service,
     /// Client of the platform log.
     pub log: Log,
+    /// The other entry instances.
+    pub peers: Peers,
     /// Cancelled when a planned stop is asked for.
     pub drain: CancellationToken,
     sequence: AtomicU64,
@@ -52,14 +62,21 @@
 impl Node {
     /// Creates the shared state of an instance that has not started its tasks.
     pub fn new(settings: Settings, incarnation: Incarnation, metrics: Metrics) -> Arc<Self> {
-        let limits = Limits {
+        let limits = pool::Limits {
             connect_timeout: settings.upstream.connect_timeout,
             answer_bytes: settings.upstream.answer_bytes,
-            ..Limits::default()
+            ..pool::Limits::default()
         };
+        let clock = Clock::start();
+        let slots = &settings.admission;
+        let bounds = |slots| admission::Settings::new(slots).waiting(settings.admission.waiting);
+        let [draft_seed, call_seed] = seeds(incarnation);
         Arc::new(Self {
+            drafts: Admission::new(bounds(slots.draft_slots), clock, draft_seed),
+            calls: Admission::new(bounds(slots.service_slots), clock, call_seed),
+            limits: Limits::default(),
             incarnation,
-            clock: Clock::start(),
+            clock,
             life: Life::default(),
             config: ArcSwap::default(),
             upstreams: ArcSwap::default(),
@@ -68,6 +85,7 @@
             engines: Engine::new(limits),
             services: Service::new(limits),
             log: Log::new(settings.platform.address, settings.platform.timeout),
+            peers: Peers::default(),
             drain: CancellationToken::new(),
             sequence: AtomicU64::new(0),
             settings,
@@ -80,3 +98,8 @@
         RecordId { incarnation: self.incarnation, sequence }
     }
 }
+
+/// Derives seeds of generators from the random bits of an incarnation.
+fn seeds(incarnation: Incarnation) -> [u64; 2] {
+    [incarnation.0 as u64, (incarnation.0 >> 64) as u64]
+}
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_wire::key::Secret;
 
 /// Settings of an entry instance, one field per section of the settings file.
 ///
@@ -25,10 +26,14 @@
     pub operators: Operators,
     /// Section `platform`.
     pub platform: Platform,
+    /// Section `peer`.
+    pub peer: Peer,
     /// Section `upstream`.
     pub upstream: Upstreams,
     /// Section `draft`.
     pub draft: Draft,
+    /// Section `admission`.
+    pub admission: Admission,
     /// Section `stop`.
     pub stop: Stop,
 }
@@ -60,10 +65,12 @@
     pub header_bytes: u32,
     /// Largest accepted request body, in bytes.
     pub body_bytes: usize,
-    /// How long a request head may take to arrive; also bounds idle HTTP/1.1 connections.
+    /// How long a request head may take to arrive.
     pub header_timeout: Duration,
     /// How long a request body may take to arrive.
     pub body_timeout: Duration,
+    /// How long a connection without a request in progress stays open.
+    pub idle_timeout: Duration,
     /// Most open connections; further ones are closed at once.
     pub connections: usize,
     /// Most drafts and service calls in progress; further ones are refused.
@@ -76,8 +83,9 @@
             address: loopback(8080),
             header_bytes: 16 << 10,
             body_bytes: 1 << 20,
-            header_timeout: Duration::from_secs(30),
+            header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
             connections: 10_000,
             streams: 4_000,
         }
@@ -123,6 +131,51 @@
     }
 }
 
+/// The other entry instances.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Address to listen on, which the other instances are told.
+    pub address: SocketAddr,
+    /// Secret that all instances share; without it this instance stays alone.
+    pub secret: Option<Secret>,
+    /// Another secret that is accepted, while instances change to a new one.
+    pub accepted_secret: Option<Secret>,
+    /// Addresses of instances to try before the platform's list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Instances that share the customers' limits while the platform's list is not known.
+    pub instances: u32,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Time that a part of a limit is lent for.
+    pub limit_hold: Duration,
+    /// Longest frame, in bytes.
+    pub frame_bytes: usize,
+    /// Most bytes that wait for one peer.
+    pub queue_bytes: usize,
+    /// Most connections of peers.
+    pub connections: usize,
+    /// Longest time to wait for a peer's answer.
+    pub ask_timeout: Duration,
+}
+
+impl Default for Peer {
+    fn default() -> Self {
+        Self {
+            address: loopback(7070),
+            secret: None,
+            accepted_secret: None,
+            seeds: Vec::new(),
+            instances: 1,
+            heartbeat: Duration::from_secs(1),
+            limit_hold: Duration::from_secs(3),
+            frame_bytes: 1 << 20,
+            queue_bytes: 4 << 20,
+            connections: 1_024,
+            ask_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
 /// Calls to upstreams.
 #[derive(Debug, Clone)]
 pub struct Upstreams {
@@ -165,6 +218,23 @@
     }
 }
 
+/// Admission of requests.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    /// Drafts that run at once.
+    pub draft_slots: usize,
+    /// Calls of plain services that run at once.
+    pub service_slots: usize,
+    /// Requests of each kind that wait at most.
+    pub waiting: usize,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self { draft_slots: 512, service_slots: 512, waiting: 4_000 }
+    }
+}
+
 /// Planned stops.
 #[derive(Debug, Clone)]
 pub struct Stop {
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -102,6 +102,16 @@
         self.peers.get(instance)
     }
 
+    /// Returns whether an incarnation is known to have ended.
+    pub fn has_ended(&self, incarnation: Incarnation) -> bool {
+        self.ended.contains(&incarnation)
+    }
+
+    /// Returns whether a connection to an instance is wanted.
+    pub fn is_target(&self, instance: &Instance) -> bool {
+        self.targets.contains(instance)
+    }
+
     /// Returns the peers with a connection.
     pub fn linked(&self) -> impl Iterator<Item = &Peer> {
         self.peers().filter(|peer| peer.linked)
@@ -126,17 +136,18 @@
     /// Takes the platform's list.
     pub fn list(&mut self, now: Instant, seeds: &[Seed]) {
         self.listed = true;
-        self.stale = true;
         for peer in self.peers.values_mut() {
             peer.listed = false;
         }
         for seed in seeds.iter().filter(|seed| seed.instance != self.own.instance) {
             if self.has_room(&seed.instance) {
+                self.stale |= !self.peers.contains_key(&seed.instance);
                 let peer = self.peers.entry(seed.instance.clone());
                 let peer = peer.or_insert_with(|| Peer::new(now, seed.clone()));
                 peer.listed = true;
                 // The list lags: what the instance itself says about its address is newer.
                 if peer.incarnation.is_none() || peer.state == State::Gone {
+                    self.stale |= peer.seed != *seed;
                     peer.seed = seed.clone();
                 }
             }
@@ -167,6 +178,10 @@
             && peer.incarnation == Some(incarnation)
         {
             peer.linked = false;
+            // Nobody here keeps a connection to it, so that only hearsay tells how it is.
+            if peer.seed.domain != self.own.domain && !self.targets.contains(instance) {
+                peer.direct = None;
+            }
         }
     }
 
@@ -220,9 +235,9 @@
         let notices = self.replace(now, who);
         if let Some(peer) = self.peers.get_mut(&who.instance) {
             peer.heard = Some(heard);
+            self.stale |= peer.seed != who.seed();
             peer.seed = who.seed();
         }
-        self.stale = true;
         notices
     }
 
@@ -288,6 +303,7 @@
     /// Puts an incarnation into the place of the one known so far.
     fn replace(&mut self, now: Instant, who: &Identity) -> Notices {
         let mut notices = Notices::new();
+        self.stale |= !self.peers.contains_key(&who.instance);
         let peer = self.peers.entry(who.instance.clone());
         let peer = peer.or_insert_with(|| Peer::new(now, who.seed()));
         let old = peer.incarnation.replace(who.incarnation);
--- a/crates/goldcrestvale_standin/src/process.rs
+++ b/crates/goldcrestvale_standin/src/process.rs
@@ -15,6 +15,7 @@
     process::{Child, Command},
     sync::Notify,
 };
+use tokio_util::task::TaskTracker;
 
 /// A running program whose last lines of output are kept; dropping it kills it.
 #[derive(Debug)]
@@ -22,6 +23,7 @@
     child: Child,
     id: Pid,
     output: Arc<Output>,
+    readers: TaskTracker,
 }
 
 /// Number of lines that are kept; older ones are dropped.
@@ -51,13 +53,15 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
         let id = child.id().ok_or_else(|| io::Error::other("the process has ended"))?;
         let output = Arc::new(Output::default());
+        let readers = TaskTracker::new();
         if let Some(stdout) = child.stdout.take() {
-            tokio::spawn(collect(stdout, output.clone()));
+            readers.spawn(collect(stdout, output.clone()));
         }
         if let Some(stderr) = child.stderr.take() {
-            tokio::spawn(collect(stderr, output.clone()));
+            readers.spawn(collect(stderr, output.clone()));
         }
-        Ok(Self { child, id: Pid::from_raw(id as i32), output })
+        readers.close();
+        Ok(Self { child, id: Pid::from_raw(id as i32), output, readers })
     }
 
     /// Waits for a line that contains a text and returns it.
@@ -95,6 +99,12 @@
         lines.iter().cloned().collect()
     }
 
+    /// Waits until the process has closed its output and returns all of it.
+    pub async fn output(&self) -> String {
+        self.readers.wait().await;
+        self.lines().join("\n")
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> i32 {
         self.id.as_raw()
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,8 +4,10 @@
 
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
+    admission::Queued,
     callers,
     daemon::{Builder, Daemon},
+    limits::Demand,
     metrics::{self, Metrics},
     node::Node,
     operators::Desk,
@@ -49,6 +51,12 @@
         /// What the operating system reported.
         source: std::io::Error,
     },
+    /// The address for peers cannot be bound.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// What failed.
+        source: goldcrestvale_entry::peers::Error,
+    },
     /// A signal handler cannot be set.
     #[snafu(display("cannot handle signals: {source}"))]
     Signals {
@@ -76,7 +84,7 @@
 struct Listening {
     address: SocketAddr,
     stop: CancellationToken,
-    task: JoinHandle<()>,
+    task: JoinHandle<bool>,
 }
 
 impl Instance {
@@ -89,8 +97,17 @@
         let metrics = Metrics::new().context(MetricsSnafu)?;
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
+        let peers = node.peers.start(&node).await.context(PeersSnafu)?;
         let (tail, state) = Tail::new();
-        let daemon = Builder::new(node.clone()).with(Identity).with(tail).with(Watch).start();
+        let daemon = Builder::new(node.clone())
+            .with(Identity)
+            .with(tail)
+            .with(Watch)
+            .with(peers)
+            .with(Demand)
+            .with(Queued { name: "drafts", admission: node.drafts.clone() })
+            .with(Queued { name: "calls", admission: node.calls.clone() })
+            .start();
         let callers = listen_callers(&node).await?;
         let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
         let operators = listen_operators(&node, operators).await?;
@@ -98,7 +115,8 @@
             instance:% = node.settings.instance.name,
             incarnation:% = incarnation,
             callers:% = callers.address,
-            operators:% = operators.address;
+            operators:% = operators.address,
+            peers = node.peers.address().map_or_else(|| "none".to_owned(), |peers| peers.to_string());
             "listening"
         );
         Ok(Self { daemon, callers, operators })
@@ -158,8 +176,7 @@
         info!(in_progress = node.gate.inside(); "leaving");
         tokio::time::sleep(node.settings.stop.notice).await;
         node.life.advance(Phase::Draining);
-        self.callers.finish().await;
-        let clean = node.gate.inside() == 0;
+        let clean = self.callers.finish().await;
         self.daemon.finish().await;
         self.operators.finish().await;
         info!(clean; "stopped");
@@ -168,10 +185,10 @@
 }
 
 impl Listening {
-    async fn finish(self) {
+    /// Stops accepting; returns whether every request in progress could finish.
+    async fn finish(self) -> bool {
         self.stop.cancel();
-        // The task ends by itself and does not panic.
-        let _ = self.task.await;
+        self.task.await.unwrap_or(false)
     }
 }
 
@@ -180,6 +197,7 @@
     let bounds = Bounds {
         header_bytes: callers.header_bytes,
         header_timeout: callers.header_timeout,
+        idle_timeout: callers.idle_timeout,
         connections: callers.connections,
     };
     let server = bind(callers.address, bounds, "callers").await?;
@@ -193,6 +211,7 @@
     let bounds = Bounds {
         header_bytes: callers.header_bytes,
         header_timeout: callers.header_timeout,
+        idle_timeout: callers.idle_timeout,
         connections: OPERATOR_CONNECTIONS,
     };
     let server = bind(node.settings.operators.address, bounds, "operators").await?;
