Admit, balance and retry on the request path

Cause: the decisions of admission, choice and retries were not called by the paths of drafts and calls. Ruled out: admission before the body is read, since cost and deadline are not known then; the bound on requests in progress stays in front of it. Change: both paths wait for a slot, held as long as the request; instances of services are chosen by corrected load; idempotent calls are tried elsewhere while nothing was sent, within a budget.

--- a/crates/goldcrestvale_entry/src/callers/draft.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft.rs
@@ -11,7 +11,12 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
-use super::{auth::Caller, sse, trace::Trace};
+use super::{
+    admit::{self, Need},
+    auth::Caller,
+    sse,
+    trace::Trace,
+};
 use crate::{
     body::{self, Body},
     gate::Pass,
@@ -28,12 +33,14 @@
     caller: Caller,
     request: Request<Incoming>,
     trace: &mut Trace,
-    pass: Pass,
+    mut pass: Pass,
 ) -> Result<Response<Body>> {
     let limits = &node.settings.callers;
     let body = body::read(request.into_body(), limits.body_bytes, limits.body_timeout).await?;
     let ask = Ask::parse(&body, &caller, &node)?;
     let until = trace.started() + ask.deadline;
+    let need = Need { priority: ask.priority, until, cost: ask.cost() };
+    pass.hold(admit::enter(&node, &node.drafts, &caller, need).await?);
     let relay = Relay::plan(node.clone(), id, ask, until)?;
     if let Some(first) = relay.first_upstream() {
         trace.set_upstream(first, 1);
--- a/crates/goldcrestvale_entry/src/callers/draft/ask.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/ask.rs
@@ -84,6 +84,18 @@
     }
 }
 
+/// Positions of a prompt that take as long as one token of an answer.
+const PROMPT_PER_TOKEN: usize = 32;
+
+impl Ask {
+    /// Returns the expected work, in tokens of an answer.
+    pub(super) fn cost(&self) -> u32 {
+        let prompt = self.prompt.len().div_ceil(PROMPT_PER_TOKEN) as u32;
+        let resumed = self.resume.len() as u32;
+        prompt + self.max_tokens.saturating_sub(resumed)
+    }
+}
+
 fn check_size(
     prompt: usize,
     resumed: usize,
--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' interface: drafts and calls of plain services.
 
+mod admit;
 mod auth;
 pub mod draft;
 mod keyed;
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -9,11 +9,15 @@
     verdict::Verdict,
 };
 use goldcrestvale_config::record;
+use goldcrestvale_route::{balance::Choice, retry::Series};
 use goldcrestvale_upstream::service::{Answer, Call};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use opentelemetry::KeyValue;
+use smallvec::SmallVec;
 
 use super::{
+    admit::{self, Need},
     auth::Caller,
     keyed::{self, Keyed},
     trace::Trace,
@@ -41,7 +45,7 @@
     target: Target,
     request: Request<Incoming>,
     trace: &mut Trace,
-    pass: Pass,
+    mut pass: Pass,
 ) -> Result<Response<Body>> {
     let config = node.config.load_full();
     let service = config
@@ -49,15 +53,17 @@
         .get(&target.service)
         .ok_or_else(|| Refusal::early(Cause::Unknown, format!("no service {}", target.service)))?;
     let bound = record::Target::Service(target.service.clone());
-    if config.binding(&caller.customer, &bound).is_none() {
+    let binding = config.binding(&caller.customer, &bound).ok_or_else(|| {
         let detail = format!("{} may not use service {}", caller.customer, target.service);
-        return Err(Refusal::early(Cause::NotBound, detail));
-    }
+        Refusal::early(Cause::NotBound, detail)
+    })?;
     let key = read_key(&service.body, &target, &request)?;
     let (head, incoming) = request.into_parts();
     let limits = &node.settings.callers;
     let body = body::read(incoming, limits.body_bytes, limits.body_timeout).await?;
-    let limit = deadline(&caller, &service.body);
+    let until = trace.started() + deadline(&caller, &service.body);
+    let need = Need { priority: binding.body.priority, until, cost: 1 };
+    pass.hold(admit::enter(&node, &node.calls, &caller, need).await?);
     let ready = Ready {
         pool: service.body.pool.clone(),
         call: Call {
@@ -66,7 +72,7 @@
             headers: forward_headers(&head.headers, id),
             body,
         },
-        until: trace.started() + limit,
+        until,
     };
     match key {
         Some(key) => {
@@ -85,15 +91,30 @@
     pub(super) until: Instant,
 }
 
-/// Sends an idempotent call.
+/// Instances of a service that one idempotent call tries while nothing was sent.
+const MOST_TRIES: usize = 3;
+
+/// Sends an idempotent call, to another instance as long as nothing was sent.
 async fn send(node: Arc<Node>, ready: Ready, trace: &mut Trace) -> Result<Response<Body>> {
-    let row = choose(&node, &ready.pool, &[])?;
-    trace.set_upstream(&row.name, 1);
-    let limit = ready.until.since(node.clock.now());
-    let _guard = row.enter();
-    match node.services.call(row.address, ready.call, Exchange::new(), limit).await {
-        Ok(answer) => Ok(respond(&answer)),
-        Err(e) => Err(Refusal::new(e.verdict(), Cause::Upstream, e.to_string())),
+    let mut series = Series::new(ready.until, MOST_TRIES);
+    loop {
+        let row = choose(&node, &ready.pool, series.tried())?;
+        series.start(&row.name, &node.retries);
+        trace.set_upstream(&row.name, series.tried().len() as u32);
+        let limit = ready.until.since(node.clock.now());
+        let call = ready.call.clone();
+        let guard = row.enter();
+        let failure = match node.services.call(row.address, call, Exchange::new(), limit).await {
+            Ok(answer) => return Ok(respond(&answer)),
+            Err(failure) => failure,
+        };
+        drop(guard);
+        let verdict = failure.verdict();
+        if let Err(no) = series.retry(node.clock.now(), verdict, &node.retries) {
+            let detail = format!("{failure}; not tried again: {no}");
+            return Err(Refusal::new(verdict, Cause::Upstream, detail));
+        }
+        node.metrics.retries.add(1, &[KeyValue::new("kind", "service")]);
     }
 }
 
@@ -126,12 +147,14 @@
 /// Returns the instance of a pool with the least work, beside those that were tried.
 pub(super) fn choose(node: &Node, pool: &str, tried: &[Upstream]) -> Result<Arc<Row>> {
     let table = node.upstreams.load();
-    let queued = |row: &&Arc<Row>| {
-        let reported = row.report.as_ref().map_or(0, |(_, report)| report.queued());
-        reported + row.in_progress()
+    let rows: SmallVec<[&Arc<Row>; 8]> = table.iter_services(pool).collect();
+    let snapshot = node.peers.snapshot();
+    let load = |index: usize| {
+        let row = rows[index];
+        (!tried.contains(&row.name)).then(|| row.load(&snapshot).now())
     };
-    let untried = |row: &&Arc<Row>| !tried.contains(&row.name);
-    table.iter_services(pool).filter(untried).min_by_key(queued).cloned().ok_or_else(|| {
+    let chosen = node.with_rng(|rng| Choice::default().choose(rows.len(), load, rng));
+    chosen.map(|index| rows[index].clone()).ok_or_else(|| {
         Refusal::early(Cause::NoUpstream, format!("no live instance in pool {pool}"))
             .retry_after(node.settings.platform.list_interval)
     })
--- a/crates/goldcrestvale_entry/src/gate.rs
+++ b/crates/goldcrestvale_entry/src/gate.rs
@@ -5,6 +5,8 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use crate::admission::Slot;
+
 /// Counts the requests in progress and refuses those beyond a bound.
 ///
 /// # Examples
@@ -28,6 +30,7 @@
 #[derive(Debug)]
 pub struct Pass {
     inside: Arc<AtomicUsize>,
+    slot: Option<Slot>,
 }
 
 impl Gate {
@@ -40,7 +43,7 @@
     pub fn try_enter(&self) -> Option<Pass> {
         let room = |inside: usize| (inside < self.most).then_some(inside + 1);
         self.inside.fetch_update(Ordering::AcqRel, Ordering::Acquire, room).ok()?;
-        Some(Pass { inside: self.inside.clone() })
+        Some(Pass { inside: self.inside.clone(), slot: None })
     }
 
     /// Returns the number of requests in progress.
@@ -49,6 +52,13 @@
     }
 }
 
+impl Pass {
+    /// Keeps an admission slot as long as the request is in progress.
+    pub fn hold(&mut self, slot: Slot) {
+        self.slot = Some(slot);
+    }
+}
+
 impl Drop for Pass {
     fn drop(&mut self) {
         self.inside.fetch_sub(1, Ordering::AcqRel);
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -1,7 +1,7 @@
 //! What every part of an entry instance shares.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex, PoisonError,
     atomic::{AtomicU64, Ordering},
 };
 
@@ -9,9 +9,10 @@
 use goldcrestvale_base::id::{Incarnation, RecordId};
 use goldcrestvale_config::snapshot::Snapshot;
 use goldcrestvale_platform::log::Log;
-use goldcrestvale_route::admission;
+use goldcrestvale_route::{admission, retry::Budget};
 use goldcrestvale_upstream::{engine::Engine, pool, service::Service};
 
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -19,6 +20,12 @@
     metrics::Metrics, peers::Peers, phase::Life, plans::Plans, settings::Settings, table::Table,
 };
 
+/// Thousandths of a retry that each first try earns.
+const RETRY_SHARE: u32 = 100;
+
+/// Retries that a full budget holds.
+const RETRY_BURST: u32 = 50;
+
 /// The shared state of an entry instance.
 ///
 /// The request path reads the snapshots and counts by atomics; tasks publish new snapshots.
@@ -48,6 +55,8 @@
     pub drafts: Admission,
     /// Admission of calls of plain services.
     pub calls: Admission,
+    /// Budget of retries of idempotent calls.
+    pub retries: Budget,
     /// Metrics.
     pub metrics: Metrics,
     /// Client of the engines.
@@ -63,6 +72,7 @@
     /// Cancelled when a planned stop is asked for.
     pub drain: CancellationToken,
     sequence: AtomicU64,
+    rng: Mutex<StdRng>,
 }
 
 impl Node {
@@ -76,7 +86,7 @@
         let clock = Clock::start();
         let slots = &settings.admission;
         let bounds = |slots| admission::Settings::new(slots).waiting(settings.admission.waiting);
-        let [draft_seed, call_seed] = seeds(incarnation);
+        let [draft_seed, call_seed, choice_seed] = seeds(incarnation);
         Arc::new(Self {
             drafts: Admission::new(bounds(slots.draft_slots), clock, draft_seed),
             calls: Admission::new(bounds(slots.service_slots), clock, call_seed),
@@ -97,10 +107,17 @@
             peers: Peers::default(),
             drain: CancellationToken::new(),
             sequence: AtomicU64::new(0),
+            retries: Budget::new(RETRY_SHARE, RETRY_BURST),
+            rng: Mutex::new(StdRng::seed_from_u64(choice_seed)),
             settings,
         })
     }
 
+    /// Draws random numbers, for example to break ties, under a short lock.
+    pub fn with_rng<T>(&self, draw: impl FnOnce(&mut StdRng) -> T) -> T {
+        draw(&mut self.rng.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns an identity for a log record, unique in this life of the process.
     pub fn next_record_id(&self) -> RecordId {
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel);
@@ -109,6 +126,7 @@
 }
 
 /// Derives seeds of generators from the random bits of an incarnation.
-fn seeds(incarnation: Incarnation) -> [u64; 2] {
-    [incarnation.0 as u64, (incarnation.0 >> 64) as u64]
+fn seeds(incarnation: Incarnation) -> [u64; 3] {
+    let mut rng = StdRng::seed_from_u64(incarnation.0 as u64);
+    [rng.random(), rng.random(), rng.random()]
 }
--- a/crates/goldcrestvale_entry/src/table.rs
+++ b/crates/goldcrestvale_entry/src/table.rs
@@ -14,8 +14,10 @@
     id::{Domain, Upstream},
     time::Instant,
 };
+use goldcrestvale_peer::snapshot::Snapshot;
 use goldcrestvale_platform::message::Role;
-use goldcrestvale_upstream::message::{Load, ServiceLoad};
+use goldcrestvale_route::balance::Load;
+use goldcrestvale_upstream::message::{self, ServiceLoad};
 use serde::Serialize;
 
 /// The newest load report of an upstream.
@@ -23,7 +25,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Report {
     /// Of an engine.
-    Engine(Load),
+    Engine(message::Load),
     /// Of an instance of a plain service.
     Service(ServiceLoad),
 }
@@ -73,6 +75,8 @@
     pub report: Option<(Instant, Report)>,
     /// Time of the link, there and back, as the fetches of load reports take it.
     pub link: Option<Duration>,
+    /// Requests and steps that this instance had in progress there when the report was fetched.
+    pub own_then: u32,
     /// Requests and steps that this instance has in progress there.
     #[serde(skip)]
     pub in_progress: Arc<AtomicU32>,
@@ -90,8 +94,23 @@
         self.in_progress.load(Ordering::Acquire)
     }
 
+    /// Returns what is known of the load, from the report and from what was sent since.
+    pub fn load(&self, peers: &Snapshot) -> Load {
+        let (at, reported) = match &self.report {
+            Some((at, report)) => (*at, report.queued()),
+            None => (Instant::default(), 0),
+        };
+        let others = peers.sent_by_others(&self.name, at);
+        Load {
+            reported,
+            own_then: self.own_then,
+            own_now: self.in_progress(),
+            others_since: i32::try_from(others).unwrap_or(i32::MAX),
+        }
+    }
+
     /// Returns the load report of an engine.
-    pub fn engine(&self) -> Option<&Load> {
+    pub fn engine(&self) -> Option<&message::Load> {
         match &self.report {
             Some((_, Report::Engine(load))) => Some(load),
             _ => None,
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -114,6 +114,7 @@
         leaving: listed.state == State::Leaving,
         report: None,
         link: None,
+        own_then: 0,
         in_progress: Arc::default(),
     })
 }
@@ -180,5 +181,5 @@
     let link = row
         .link
         .map_or(fetched.took, |link| (link * LINK_MEMORY + fetched.took) / (LINK_MEMORY + 1));
-    Arc::new(Row { report, link: Some(link), ..Row::clone(row) })
+    Arc::new(Row { report, link: Some(link), own_then: row.in_progress(), ..Row::clone(row) })
 }
