--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,6 +7,7 @@
     admission::Queued,
     callers, claims,
     daemon::{Builder, Daemon},
+    health::Judge,
     limits::Demand,
     metrics::{self, Metrics},
     node::Node,
@@ -103,6 +104,7 @@
             .with(Identity)
             .with(tail)
             .with(Watch)
+            .with(Judge)
             .with(peers)
             .with(claims::Attend)
             .with(Demand)
@@ -117,7 +119,7 @@
             incarnation:% = incarnation,
             callers:% = callers.address,
             operators:% = operators.address,
-            peers:? = node.peers.address();
+            peers = node.peers.address().map_or_else(|| "none".to_owned(), |peers| peers.to_string());
             "listening"
         );
         Ok(Self { daemon, callers, operators })
--- a/src/settings/fault.rs
+++ b/src/settings/fault.rs
@@ -33,7 +33,8 @@
 
 /// States what is wrong with a value, without repeating a secret.
 pub(super) fn wrong(key: &str, value: &str, detail: &str) -> String {
-    if key.contains("secret") || key.contains("token") {
+    let secret = key.contains("secret") || key.contains("token");
+    if secret && !value.is_empty() {
         return format!("the value {detail}");
     }
     format!("{value:?} {detail}")
