Keep the configuration of an instance by the decisions of its package

Cause: the daemon folded the log only. A change whose append was refused or lost was not repeated until its outcome was known, an instance that the log's retention had left behind stopped, and nothing came from other instances. Every change copied the whole fold for the operators' interface.

Change: the module configuration with the tail, the checkpoints, the exchange between instances and the operators' changes; config.checkpoint_interval_ms. A repeat of a change by its id is POST /config/changes/ID?issued=MS, and GET /config/status?version=N tells whether N is in force at every instance that can be reached.

--- /dev/null
+++ b/crates/goldcrestvale_entry/src/configuration.rs
@@ -0,0 +1,215 @@
+//! The configuration of an instance: read from the log, from checkpoints and from other
+//! instances; changed by operators.
+//!
+//! All of it is decided by [`goldcrestvale_config`]; the tasks here feed it and carry out what it
+//! answers. Requests read the snapshot in the [`Node`], not the state behind the lock.
+
+mod changes;
+mod checkpoint;
+mod exchange;
+mod tail;
+
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use goldcrestvale_base::{
+    id::{Incarnation, Offset, RecordId},
+    time::Instant,
+};
+use goldcrestvale_config::{
+    desk::{Answer, Desk},
+    fold::Fold,
+    sync::{Offer, Sync},
+    writer::{Setting, Writer},
+};
+use rand::{SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use tokio::sync::{oneshot, watch};
+
+pub(crate) use self::checkpoint::schema;
+use self::exchange::Exchange;
+use crate::{
+    daemon::{Builder, Part},
+    node::Node,
+    phase::Phase,
+};
+
+/// How long a checkpoint that was begun may take before others write one.
+const CHECKPOINT_PATIENCE: Duration = Duration::from_secs(60);
+
+/// What the tasks of an instance know of its configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// Version and digest of the state.
+    pub offer: Offer,
+    /// Whether the last read of the log succeeded.
+    pub log_up: bool,
+    /// Whether the checkpoints in the log were read once.
+    pub checkpoints_read: bool,
+}
+
+/// The configuration of an instance.
+pub struct Keeper {
+    state: Mutex<State>,
+    seen: watch::Sender<Seen>,
+}
+
+/// What the lock guards.
+struct State {
+    fold: Fold,
+    sync: Sync,
+    desk: Desk,
+    writer: Writer,
+    rng: StdRng,
+    asked: Option<Instant>,
+    waiting: HashMap<RecordId, Vec<oneshot::Sender<Answer>>>,
+    /// Pages of the log that ended before one read earlier.
+    regressions: u64,
+    /// Why the log does not prove a state, if it does not.
+    unproven: Option<String>,
+}
+
+impl fmt::Debug for Keeper {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Keeper").field("seen", &self.seen()).finish_non_exhaustive()
+    }
+}
+
+impl Keeper {
+    /// Creates the configuration of an instance that knows none yet.
+    pub fn new(own: Incarnation, now: Instant, interval: Duration, instances: u32) -> Self {
+        let mut rng = StdRng::from_os_rng();
+        let spread = interval / 6;
+        let setting = Setting { interval, spread, patience: CHECKPOINT_PATIENCE.min(interval) };
+        let fold = Fold::new();
+        let offer = fold.offer();
+        let state = State {
+            fold,
+            sync: Sync::default(),
+            desk: Desk::default(),
+            writer: Writer::new(own, setting, now, instances, &mut rng),
+            rng,
+            asked: None,
+            waiting: HashMap::new(),
+            regressions: 0,
+            unproven: None,
+        };
+        let (seen, _) = watch::channel(Seen { offer, log_up: false, checkpoints_read: false });
+        Self { state: Mutex::new(state), seen }
+    }
+
+    /// Returns what is known now.
+    pub fn seen(&self) -> Seen {
+        *self.seen.borrow()
+    }
+
+    /// Returns a receiver of what is known.
+    pub fn subscribe(&self) -> watch::Receiver<Seen> {
+        self.seen.subscribe()
+    }
+
+    /// Reads the state of the fold.
+    pub fn read<T>(&self, read: impl FnOnce(&Fold) -> T) -> T {
+        read(&self.state().fold)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note(&self, change: impl FnOnce(&mut Seen)) {
+        self.seen.send_if_modified(|seen| {
+            let before = *seen;
+            change(seen);
+            *seen != before
+        });
+    }
+
+    /// Changes the state, then publishes a new version and answers the operators who wait for it.
+    fn edit<T>(&self, node: &Arc<Node>, edit: impl FnOnce(&mut State) -> T) -> T {
+        let (result, offer, actions) = {
+            let mut state = self.state();
+            let before = state.fold.version();
+            let result = edit(&mut state);
+            if state.fold.version() > before {
+                node.config.store(state.fold.snapshot());
+            }
+            let State { fold, desk, .. } = &mut *state;
+            (result, fold.offer(), desk.folded(fold))
+        };
+        self.note(|seen| seen.offer = offer);
+        changes::act(node, actions);
+        result
+    }
+
+    fn dump(&self) -> Value {
+        let seen = self.seen();
+        let state = self.state();
+        let held: Vec<_> = state.fold.held().map(ToString::to_string).collect();
+        json!({
+            "version": seen.offer.version,
+            "digest": seen.offer.digest,
+            "log_up": seen.log_up,
+            "alarms": state.fold.alarms(),
+            "log_regressions": state.regressions,
+            "stop": state.fold.stop().map(|stop| format!("{stop:?}")),
+            "unproven": state.unproven,
+            "waiting_for_schema": held,
+            "changes_waiting": state.waiting.len(),
+            "checkpoint": state.writer.latest().map(|latest| latest.version),
+        })
+    }
+}
+
+/// The part that keeps the configuration.
+#[derive(Debug)]
+pub struct Configuration;
+
+impl Part for Configuration {
+    fn register(self, builder: &mut Builder) {
+        let node = builder.node().clone();
+        let shown = node.clone();
+        builder.insert_dump("config", move || shown.configuration.dump());
+        insert_gauges(&node);
+        node.peers.set_store(Arc::new(Exchange::new(&node)));
+        builder.insert_task(tail::follow(node.clone(), builder.stop()));
+        builder.insert_task(checkpoint::keep(node.clone(), builder.stop()));
+        builder.insert_task(changes::tick(node, builder.stop()));
+    }
+}
+
+fn insert_gauges(node: &Arc<Node>) {
+    macro_rules! gauges {
+        ($($name:literal: |$keeper:ident| $read:expr,)+) => {$(
+            let shared = node.clone();
+            node.metrics.insert_gauge($name, move || {
+                let $keeper = &shared.configuration;
+                $read
+            });
+        )+};
+    }
+    gauges! {
+        "goldcrestvale_config_version": |keeper| keeper.seen().offer.version.0,
+        "goldcrestvale_config_log_up": |keeper| keeper.seen().log_up.into(),
+        "goldcrestvale_config_regressions": |keeper| {
+            let state = keeper.state();
+            state.fold.alarms().regressions + state.regressions
+        },
+        "goldcrestvale_config_divergences": |keeper| keeper.state().fold.alarms().divergences,
+        "goldcrestvale_config_corruptions": |keeper| keeper.state().fold.alarms().corruptions,
+        "goldcrestvale_config_checkpoint": |keeper| {
+            keeper.state().writer.latest().map_or(0, |latest| latest.version.0)
+        },
+    }
+}
+
+/// Lets an instance serve once it has a configuration.
+fn serve_from(node: &Node, version: Offset) {
+    if version > Offset(0) {
+        node.life.advance(Phase::Serving);
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
@@ -0,0 +1,162 @@
+//! Reading and writing checkpoints of the configuration, and raising its schema versions.
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestvale_base::{id::Offset, time::Instant};
+use goldcrestvale_config::{
+    change::{Data, STREAM},
+    checkpoint,
+    chunk::Chunk,
+    record::Kind,
+    schema::Table,
+    sync::{Offer, Weighed},
+    turn::Turn,
+};
+use goldcrestvale_platform::{
+    Error,
+    message::{Entry, Record},
+    reader::Reader,
+};
+use log::{error, info, warn};
+use serde::Serialize;
+use serde_json::value::to_raw_value;
+use tokio_util::sync::CancellationToken;
+
+use super::State;
+use crate::node::Node;
+
+/// How often it is looked whether something is to be written.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest random wait before a schema version is raised.
+const RAISE_SPREAD: Duration = Duration::from_secs(3);
+
+/// Reads the stream of checkpoints, and writes one when it is this instance's turn.
+pub(super) async fn keep(node: Arc<Node>, stop: CancellationToken) {
+    let mut reader = Reader::new(node.log.clone(), checkpoint::STREAM, Offset(0));
+    let mut raising = Turn::new(Duration::ZERO, RAISE_SPREAD);
+    loop {
+        let Some(read) = stop.run_until_cancelled(reader.read(Duration::ZERO)).await else {
+            return;
+        };
+        match read {
+            Ok(records) => take(&node, &records),
+            Err(Error::Trimmed { oldest, .. }) => {
+                reader.seek(oldest);
+                continue;
+            }
+            // The tail reports that the log is out.
+            Err(_) => {
+                if stop.run_until_cancelled(tokio::time::sleep(INTERVAL)).await.is_none() {
+                    return;
+                }
+                continue;
+            }
+        }
+        if reader.position() < reader.end() {
+            continue;
+        }
+        node.configuration.note(|seen| seen.checkpoints_read = true);
+        write(&node).await;
+        raise(&node, &mut raising).await;
+        if stop.run_until_cancelled(tokio::time::sleep(INTERVAL)).await.is_none() {
+            return;
+        }
+    }
+}
+
+fn take(node: &Arc<Node>, records: &[Record]) {
+    let (now, instances) = (node.clock.now(), instances(node));
+    let mut state = node.configuration.state();
+    for record in records {
+        let chunk: Chunk = match serde_json::from_str(record.data.get()) {
+            Ok(chunk) => chunk,
+            Err(e) => {
+                warn!(offset = record.offset.0, error:% = e; "record is not part of a checkpoint");
+                continue;
+            }
+        };
+        read_chunk(&mut state, now, record, chunk, instances);
+    }
+}
+
+fn read_chunk(state: &mut State, now: Instant, record: &Record, chunk: Chunk, instances: u32) {
+    let before = state.writer.latest().map(|latest| latest.version);
+    let State { fold, sync, writer, rng, .. } = state;
+    writer.read(now, record.id.incarnation, chunk, instances, rng);
+    let Some(latest) = writer.latest().filter(|latest| Some(latest.version) != before) else {
+        return;
+    };
+    info!(version = latest.version.0, bytes = latest.text.len(); "checkpoint read");
+    let offer = Offer { version: latest.version, digest: latest.digest };
+    if sync.weigh(fold, &offer) == Weighed::Diverged {
+        error!(version = latest.version.0; "a checkpoint has another state of this version");
+    }
+}
+
+async fn write(node: &Arc<Node>) {
+    let (now, instances) = (node.clock.now(), instances(node));
+    let chunks = {
+        let mut state = node.configuration.state();
+        let State { fold, writer, rng, .. } = &mut *state;
+        // Without a single record there is nothing that could expire.
+        if fold.version() == Offset(0) {
+            Vec::new()
+        } else {
+            writer.poll(now, fold, instances, rng)
+        }
+    };
+    for chunk in &chunks {
+        if let Err(e) = append(node, checkpoint::STREAM, chunk).await {
+            // The set stays incomplete, and the next turn writes another.
+            warn!(error:% = e, index = chunk.index; "checkpoint not written");
+            return;
+        }
+    }
+}
+
+async fn raise(node: &Arc<Node>, turn: &mut Turn) {
+    let (now, instances) = (node.clock.now(), instances(node));
+    let schema = u16::try_from(node.peers.snapshot().schema).unwrap_or(u16::MAX);
+    let raises = {
+        let mut state = node.configuration.state();
+        let mut read = Table::default().majors();
+        read.values_mut().for_each(|major| *major = schema.min(*major));
+        let raises = state.fold.raises(&read);
+        match raises.is_empty() {
+            true => turn.stop(),
+            false => turn.call(now, instances, &mut state.rng),
+        }
+        raises
+    };
+    if !turn.is_due(now) {
+        return;
+    }
+    turn.stop();
+    for raise in raises {
+        info!(kind:% = raise.kind, major = raise.major; "schema version raised");
+        if let Err(e) = append(node, STREAM, &Data::Raise { raise }).await {
+            warn!(error:% = e; "schema version not raised");
+        }
+    }
+}
+
+async fn append(
+    node: &Node,
+    stream: &str,
+    data: &impl Serialize,
+) -> goldcrestvale_platform::Result<()> {
+    let data = to_raw_value(data).expect("chunks and raises have only text as map keys");
+    let entry = Entry { id: node.next_record_id(), data };
+    node.log.append(stream, vec![entry]).await.map(drop)
+}
+
+/// Returns the lowest of the major versions that this software reads of the known kinds.
+pub(crate) fn schema() -> u32 {
+    let majors = Table::default().majors();
+    Kind::KNOWN.iter().filter_map(|kind| majors.get(kind)).min().copied().unwrap_or(0).into()
+}
+
+fn instances(node: &Node) -> u32 {
+    node.peers.snapshot().instances.max(1)
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/configuration/exchange.rs
@@ -0,0 +1,144 @@
+//! Passing the configuration between instances.
+
+use std::{
+    sync::{Arc, Weak},
+    time::Duration,
+};
+
+use goldcrestvale_base::id::{Digest, Instance, Offset};
+use goldcrestvale_config::sync::{Answer, Ask, Frame, Weighed};
+use goldcrestvale_peer::events::Configuration;
+use log::{error, info, warn};
+
+use super::{State, serve_from};
+use crate::{node::Node, peers::Store};
+
+/// Time after an ask within which no other offer is followed.
+const ASK_PAUSE: Duration = Duration::from_secs(2);
+
+/// Serves the configuration to other instances and takes theirs.
+pub(super) struct Exchange {
+    node: Weak<Node>,
+}
+
+impl Exchange {
+    pub(super) fn new(node: &Arc<Node>) -> Self {
+        Self { node: Arc::downgrade(node) }
+    }
+
+    /// Runs work on the state outside the peer tasks, which must not wait for it.
+    fn spawn(&self, work: impl FnOnce(&Arc<Node>) + Send + 'static) {
+        if let Some(node) = self.node.upgrade() {
+            tokio::task::spawn_blocking(move || work(&node));
+        }
+    }
+}
+
+impl Store for Exchange {
+    fn offered(&self, from: &Instance, version: Offset, brief: u64) {
+        let from = from.clone();
+        self.spawn(move |node| offered(node, from, version, brief));
+    }
+
+    fn asked(&self, from: &Instance, version: Offset) {
+        // Asked for is the lowest version that helps, the one after the asker's.
+        let ask = Ask { version: Offset(version.0.saturating_sub(1)), chunk: None };
+        let from = from.clone();
+        self.spawn(move |node| answer(node, from, &ask));
+    }
+
+    fn received(&self, from: &Instance, configuration: Configuration) {
+        let from = from.clone();
+        self.spawn(move |node| received(node, from, &configuration));
+    }
+}
+
+fn offered(node: &Arc<Node>, from: Instance, version: Offset, brief: u64) {
+    let now = node.clock.now();
+    let weighed = {
+        let mut state = node.configuration.state();
+        let State { fold, sync, asked, .. } = &mut *state;
+        let busy = asked.is_some_and(|at| now.since(at) < ASK_PAUSE);
+        if busy && version > fold.version() {
+            return;
+        }
+        let weighed = sync.weigh_brief(fold, version, brief);
+        if matches!(weighed, Weighed::Ask(_)) {
+            *asked = Some(now);
+        }
+        weighed
+    };
+    match weighed {
+        Weighed::Ask(ask) => send_ask(node, from, ask),
+        Weighed::Diverged => {
+            error!(instance:% = from, version = version.0; "another instance has another state");
+        }
+        Weighed::Same | Weighed::Older => {}
+    }
+}
+
+fn answer(node: &Arc<Node>, to: Instance, ask: &Ask) {
+    let answer = {
+        let mut state = node.configuration.state();
+        let State { fold, sync, .. } = &mut *state;
+        sync.answer(fold, ask)
+    };
+    if answer != Answer::Nothing {
+        send(node, to, &Frame::Answer(answer));
+    }
+}
+
+fn received(node: &Arc<Node>, from: Instance, configuration: &Configuration) {
+    if Digest::of(&configuration.bytes) != configuration.digest {
+        warn!(instance:% = from; "a configuration does not match its digest");
+        return;
+    }
+    match serde_json::from_slice(&configuration.bytes) {
+        Ok(Frame::Ask(ask)) => answer(node, from, &ask),
+        Ok(Frame::Answer(answer)) => take(node, from, answer),
+        Err(e) => warn!(instance:% = from, error:% = e; "a configuration is malformed"),
+    }
+}
+
+fn take(node: &Arc<Node>, from: Instance, answer: Answer) {
+    let now = node.clock.now();
+    let before = node.configuration.seen().offer.version;
+    let (ask, version) = node.configuration.edit(node, |state| {
+        let State { fold, sync, asked, .. } = state;
+        let ask = sync.take(fold, answer);
+        *asked = ask.map(|_| now);
+        (ask, fold.version())
+    });
+    if version > before {
+        info!(instance:% = from, version = version.0; "configuration taken from a peer");
+        serve_from(node, version);
+    }
+    if let Some(ask) = ask {
+        send_ask(node, from, ask);
+    }
+}
+
+fn send_ask(node: &Arc<Node>, to: Instance, ask: Ask) {
+    if ask.chunk.is_some() {
+        send(node, to, &Frame::Ask(ask));
+        return;
+    }
+    let Some(handle) = node.peers.handle().cloned() else { return };
+    tokio::runtime::Handle::current().spawn(async move {
+        if let Err(e) = handle.ask_config(to, ask.version.next()).await {
+            warn!(error:% = e; "configuration not asked for");
+        }
+    });
+}
+
+fn send(node: &Arc<Node>, to: Instance, frame: &Frame) {
+    let Some(handle) = node.peers.handle().cloned() else { return };
+    let bytes = serde_json::to_vec(frame).expect("a frame has only text as map keys");
+    let version = node.configuration.seen().offer.version;
+    let configuration = Configuration { version, digest: Digest::of(&bytes), bytes: bytes.into() };
+    tokio::runtime::Handle::current().spawn(async move {
+        if let Err(e) = handle.send_config(to, configuration).await {
+            warn!(error:% = e; "configuration not sent");
+        }
+    });
+}
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/configuration/tail.rs
@@ -0,0 +1,117 @@
+//! Following the configuration in the platform log.
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestvale_base::id::Offset;
+use goldcrestvale_config::change::STREAM;
+use goldcrestvale_platform::{Error, message::Record, reader::Reader};
+use log::{error, info, warn};
+use opentelemetry::KeyValue;
+use tokio_util::sync::CancellationToken;
+
+use super::State;
+use crate::{node::Node, phase::Phase};
+
+/// Pause after a failed read of the log.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads the configuration stream and folds it, from the newest checkpoint on.
+pub(super) async fn follow(node: Arc<Node>, stop: CancellationToken) {
+    let mut seen = node.configuration.subscribe();
+    let read = seen.wait_for(|seen| seen.checkpoints_read);
+    if stop.run_until_cancelled(read).await.is_none() {
+        return;
+    }
+    resume(&node, Offset(0));
+    let mut reader = Reader::new(node.log.clone(), STREAM, Offset(0));
+    let mut wait = Duration::ZERO;
+    loop {
+        // The state may have come from another instance, or a record may not be read.
+        let next = node.configuration.seen().offer.version;
+        if next != reader.position() {
+            reader.seek(next);
+        }
+        let Some(read) = stop.run_until_cancelled(reader.read(wait)).await else { return };
+        wait = Duration::ZERO;
+        let moves = match read {
+            Ok(records) => {
+                let folded = take(&node, &reader, &records);
+                if folded && reader.position() >= reader.end() {
+                    wait = node.settings.platform.poll;
+                }
+                folded
+            }
+            Err(e) => fail(&node, &e),
+        };
+        if !moves && stop.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Folds a page; returns whether all of it could be folded.
+fn take(node: &Arc<Node>, reader: &Reader, records: &[Record]) -> bool {
+    let keeper = &node.configuration;
+    let version = keeper.edit(node, |state| {
+        for record in records {
+            fold_record(state, record);
+        }
+        state.regressions = reader.regressions();
+        state.unproven = None;
+        state.fold.version()
+    });
+    keeper.note(|seen| seen.log_up = true);
+    let folded = version >= reader.position();
+    if folded && version >= reader.end() {
+        node.life.advance(Phase::Serving);
+    }
+    folded
+}
+
+fn fold_record(state: &mut State, record: &Record) {
+    let stopped = state.fold.stop().cloned();
+    let outcome = state.fold.apply(record.offset, record.id, record.data.get());
+    match state.fold.stop() {
+        Some(stop) if stopped.as_ref() != Some(stop) => {
+            error!(offset = record.offset.0, stop:? = stop; "the configuration goes no further");
+        }
+        Some(_) => {}
+        None => info!(
+            offset = record.offset.0,
+            id:% = record.id,
+            outcome:? = outcome;
+            "configuration record read"
+        ),
+    }
+}
+
+/// Notes a failed read; returns whether another one can be tried at once.
+fn fail(node: &Arc<Node>, e: &Error) -> bool {
+    let keeper = &node.configuration;
+    if let Error::Trimmed { oldest, .. } = e {
+        keeper.note(|seen| seen.log_up = true);
+        return resume(node, *oldest);
+    }
+    node.metrics.platform_failures.add(1, &[KeyValue::new("call", "read-config")]);
+    if keeper.seen().log_up {
+        warn!(error:% = e; "the platform log cannot be read");
+        keeper.note(|seen| seen.log_up = false);
+    }
+    false
+}
+
+/// Goes on at a checkpoint where the log needs it; returns whether the log proves the state.
+fn resume(node: &Arc<Node>, oldest: Offset) -> bool {
+    node.configuration.edit(node, |state| {
+        let checkpoint = state.writer.latest().cloned();
+        let resumed = state.fold.try_resume(oldest, checkpoint.as_ref());
+        let unproven = resumed.err().map(|e| e.to_string());
+        if let Some(text) = &unproven
+            && state.unproven.as_ref() != Some(text)
+        {
+            error!(cause:% = text; "the configuration cannot be proved");
+        }
+        state.unproven = unproven;
+        state.unproven.is_none()
+    })
+}
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod callers;
 pub mod clock;
+pub mod configuration;
 pub mod daemon;
 pub mod gate;
 pub mod header;
@@ -21,7 +22,6 @@
 pub mod server;
 pub mod settings;
 pub mod table;
-pub mod tail;
 pub mod watch;
 
 /// Re-exports the types that most users of this package name.
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -15,8 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, clock::Clock, gate::Gate, limits::Limits, metrics::Metrics, peers::Peers,
-    phase::Life, settings::Settings, table::Table,
+    admission::Admission, clock::Clock, configuration::Keeper, gate::Gate, limits::Limits,
+    metrics::Metrics, peers::Peers, phase::Life, settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -34,6 +34,8 @@
     pub life: Life,
     /// Configuration in force.
     pub config: ArcSwap<Snapshot>,
+    /// The state that the configuration in force comes from.
+    pub configuration: Keeper,
     /// Known upstreams.
     pub upstreams: ArcSwap<Table>,
     /// Bound on the requests in progress.
@@ -79,6 +81,12 @@
             clock,
             life: Life::default(),
             config: ArcSwap::default(),
+            configuration: Keeper::new(
+                incarnation,
+                clock.now(),
+                settings.config.checkpoint_interval,
+                settings.peer.instances,
+            ),
             upstreams: ArcSwap::default(),
             gate: Gate::new(settings.callers.streams),
             metrics,
--- a/crates/goldcrestvale_entry/src/operators/config.rs
+++ b/crates/goldcrestvale_entry/src/operators/config.rs
@@ -2,116 +2,149 @@
 
 use std::{sync::Arc, time::Duration};
 
-use goldcrestvale_base::{id::RecordId, verdict::Verdict};
-use goldcrestvale_config::{change::Change, outcome::Outcome, record::Kind};
-use goldcrestvale_platform::message::Entry;
-use http::{Method, Request, Response, StatusCode};
+use goldcrestvale_base::{
+    id::{Offset, RecordId},
+    time::Wall,
+    verdict::Verdict,
+};
+use goldcrestvale_config::{
+    change::Change,
+    desk::{Answer, Origin},
+    outcome::Outcome,
+    record::Kind,
+};
+use goldcrestvale_member::view::State;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use serde_json::{Value, json, value::to_raw_value};
-use tokio::sync::watch;
+use serde_json::{Value, json};
 
 use super::{BODY_BYTES, json};
 use crate::{
     body::{self, Body},
     node::Node,
     refusal::{Cause, Refusal, Result},
-    tail,
 };
 
-/// How long an operator's change may take to be read back from the log.
-const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// How often an append is sent again, with the same record id, after a lost answer.
-const APPEND_ATTEMPTS: u32 = 3;
-
 pub(super) async fn serve(
     node: &Arc<Node>,
-    tail: watch::Receiver<tail::State>,
     path: &[String],
     request: Request<Incoming>,
 ) -> Result<Response<Body>> {
     let path: Vec<&str> = path.iter().map(String::as_str).collect();
     match (request.method(), path.as_slice()) {
-        (&Method::POST, ["changes"]) => put(node, tail, request).await,
-        (&Method::GET, ["changes", id]) => ask(&tail, id),
-        (&Method::GET, ["status"]) => Ok(status(&tail)),
+        (&Method::POST, ["changes"]) => {
+            let id = node.next_record_id();
+            change(node, id, Origin::New, node.clock.wall(), request).await
+        }
+        (&Method::POST, ["changes", id]) => {
+            let issued = issued(&request)?;
+            let age = node.clock.wall().since(issued);
+            change(node, record_id(id)?, Origin::Repeat { age }, issued, request).await
+        }
+        (&Method::GET, ["changes", id]) => Ok(ask(node, record_id(id)?)),
+        (&Method::GET, ["status"]) => status(node, asked_version(&request)?).await,
         (&Method::GET, [kind]) => Ok(list(node, kind)),
-        (&Method::GET, [kind, name]) => get(&tail, kind, name),
+        (&Method::GET, [kind, name]) => get(node, kind, name),
         _ => Err(Refusal::early(Cause::Unknown, "no such configuration path")),
     }
 }
 
-async fn put(
+async fn change(
     node: &Arc<Node>,
-    tail: watch::Receiver<tail::State>,
+    id: RecordId,
+    origin: Origin,
+    issued: Wall,
     request: Request<Incoming>,
 ) -> Result<Response<Body>> {
     let limit = node.settings.callers.body_timeout;
     let text = body::read(request.into_body(), BODY_BYTES, limit).await?;
     let malformed = |e| Refusal::early(Cause::Malformed, format!("the change: {e}"));
     let change: Change = serde_json::from_slice(&text).map_err(malformed)?;
-    let data = to_raw_value(&change).map_err(malformed)?;
-    let id = node.next_record_id();
-    append(node, Entry { id, data }).await?;
-    match wait_outcome(tail, id).await {
-        Some(outcome) => Ok(answer(id, &outcome)),
-        None => Ok(unknown(id)),
-    }
+    let answer = node.configuration.change(node, id, &change, origin).await;
+    Ok(answer_of(id, Some(issued), answer, node.settings.platform.timeout))
 }
 
-async fn append(node: &Node, entry: Entry) -> Result<()> {
-    let mut may_stand = false;
-    let mut last = String::new();
-    for _ in 0..APPEND_ATTEMPTS {
-        match node.log.append(tail::STREAM, vec![entry.clone()]).await {
-            Ok(_) => return Ok(()),
-            Err(e) => {
-                may_stand |= e.may_have_appended();
-                last = e.to_string();
-            }
-        }
-    }
-    if may_stand {
-        // The outcome is found by reading, or reported as unknown.
-        return Ok(());
+fn answer_of(
+    id: RecordId,
+    issued: Option<Wall>,
+    answer: Answer,
+    again: Duration,
+) -> Response<Body> {
+    let (status, verdict) = match &answer {
+        Answer::Accepted { .. } => (StatusCode::OK, None),
+        Answer::Rejected { .. } => (StatusCode::UNPROCESSABLE_ENTITY, None),
+        Answer::Conflict { .. } => (StatusCode::CONFLICT, None),
+        Answer::Unknown { .. } => (StatusCode::ACCEPTED, Some(Verdict::MayHaveRun.as_str())),
+        Answer::NotTaken { .. } => (StatusCode::SERVICE_UNAVAILABLE, Some("not-run")),
+    };
+    let outcome = match &answer {
+        Answer::Unknown { .. } => json!("unknown"),
+        other => json!(other),
+    };
+    let body = json!({ "id": id, "issued": issued, "outcome": outcome, "verdict": verdict });
+    let mut response = json(status, &body);
+    if let Answer::NotTaken { .. } = answer {
+        let seconds = HeaderValue::from(again.as_secs().max(1));
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
-    Err(Refusal::early(Cause::LogOut, last).retry_after(node.settings.platform.timeout))
+    response
 }
 
-async fn wait_outcome(mut tail: watch::Receiver<tail::State>, id: RecordId) -> Option<Outcome> {
-    let known = tail.wait_for(|state| state.outcome(&id).is_some());
-    let state = tokio::time::timeout(CHANGE_TIMEOUT, known).await.ok()?.ok()?;
-    state.outcome(&id).cloned()
+fn ask(node: &Node, id: RecordId) -> Response<Body> {
+    let outcome = node.configuration.read(|fold| fold.outcome(&id).cloned());
+    let answer = outcome.map_or(Answer::Unknown { id }, |outcome: Outcome| outcome.into());
+    answer_of(id, None, answer, Duration::ZERO)
 }
 
-fn answer(id: RecordId, outcome: &Outcome) -> Response<Body> {
-    let status = match outcome {
-        Outcome::Accepted { .. } => StatusCode::OK,
-        Outcome::Rejected { .. } => StatusCode::UNPROCESSABLE_ENTITY,
-        Outcome::Conflict { .. } => StatusCode::CONFLICT,
-    };
-    json(status, &json!({ "id": id, "outcome": outcome }))
+fn record_id(text: &str) -> Result<RecordId> {
+    text.parse().map_err(|e| Refusal::early(Cause::Malformed, format!("{e}")))
 }
 
-fn unknown(id: RecordId) -> Response<Body> {
-    let body = json!({ "id": id, "outcome": "unknown", "verdict": Verdict::MayHaveRun });
-    json(StatusCode::ACCEPTED, &body)
+/// Reads the time at which the id of a repeated change was issued.
+fn issued(request: &Request<Incoming>) -> Result<Wall> {
+    number(request, "issued")?.map(Wall).ok_or_else(|| {
+        Refusal::early(Cause::Malformed, "?issued=MS of the first answer is missing")
+    })
 }
 
-fn ask(tail: &watch::Receiver<tail::State>, id: &str) -> Result<Response<Body>> {
-    let id: RecordId = id.parse().map_err(|e| Refusal::early(Cause::Malformed, format!("{e}")))?;
-    let state = tail.borrow();
-    Ok(state.outcome(&id).map_or_else(|| unknown(id), |outcome| answer(id, outcome)))
+fn asked_version(request: &Request<Incoming>) -> Result<Option<Offset>> {
+    Ok(number(request, "version")?.map(Offset))
 }
 
-fn status(tail: &watch::Receiver<tail::State>) -> Response<Body> {
-    let state = tail.borrow();
+fn number(request: &Request<Incoming>, name: &str) -> Result<Option<u64>> {
+    let query = request.uri().query().unwrap_or_default();
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let Some((_, value)) = pairs.find(|(key, _)| *key == name) else { return Ok(None) };
+    let malformed = |e| Refusal::early(Cause::Malformed, format!("{name}={value}: {e}"));
+    value.parse().map(Some).map_err(malformed)
+}
+
+/// Shows which version this instance has, which ones the others said they have, and whether a
+/// change is in force at all that can be reached.
+async fn status(node: &Node, asked: Option<Offset>) -> Result<Response<Body>> {
+    let seen = node.configuration.seen();
+    let mut others = Vec::new();
+    let mut everywhere = asked.is_none_or(|asked| asked < seen.offer.version);
+    if let Some(handle) = node.peers.handle() {
+        let dump =
+            handle.dump().await.map_err(|e| Refusal::early(Cause::Internal, e.to_string()))?;
+        for peer in dump.member.view().peers() {
+            let version = peer.status.config.map(|config| config.version);
+            others.push(json!({
+                "instance": peer.seed.instance, "version": version, "state": peer.state,
+            }));
+            let behind = asked.is_some_and(|asked| version.is_none_or(|version| version <= asked));
+            everywhere &= peer.state != State::Live || !behind;
+        }
+    }
     let body = json!({
-        "version": state.fold.version(),
-        "digest": state.fold.digest(),
-        "log_up": state.log_up,
+        "version": seen.offer.version,
+        "digest": seen.offer.digest,
+        "log_up": seen.log_up,
+        "instances": others,
+        "in_force": asked.map(|_| everywhere),
     });
-    json(StatusCode::OK, &body)
+    Ok(json(StatusCode::OK, &body))
 }
 
 fn list(node: &Node, kind: &str) -> Response<Body> {
@@ -133,16 +166,13 @@
     keys.map(ToString::to_string).collect()
 }
 
-fn get(tail: &watch::Receiver<tail::State>, kind: &str, name: &str) -> Result<Response<Body>> {
+fn get(node: &Node, kind: &str, name: &str) -> Result<Response<Body>> {
     let kind = Kind::from(kind.to_owned());
-    let state = tail.borrow();
-    let unknown = || Refusal::early(Cause::Unknown, format!("no {kind} {name}"));
-    let text = state.fold.text(&kind, name).ok_or_else(unknown)?;
+    let (text, version) =
+        node.configuration.read(|fold| (fold.text(&kind, name), fold.head(&kind, name)));
+    let text = text.ok_or_else(|| Refusal::early(Cause::Unknown, format!("no {kind} {name}")))?;
     let body: Value = serde_json::from_str(&text)
         .map_err(|e| Refusal::early(Cause::Internal, format!("{kind} {name}: {e}")))?;
-    let version = state.fold.head(&kind, name);
-    Ok(json(
-        StatusCode::OK,
-        &json!({ "kind": kind, "name": name, "version": version, "body": body }),
-    ))
+    let found = json!({ "kind": kind, "name": name, "version": version, "body": body });
+    Ok(json(StatusCode::OK, &found))
 }
--- a/crates/goldcrestvale_entry/src/operators/mod.rs
+++ b/crates/goldcrestvale_entry/src/operators/mod.rs
@@ -11,7 +11,6 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
-use tokio::sync::watch;
 use uuid::Uuid;
 
 use crate::{
@@ -19,7 +18,6 @@
     daemon::Dump,
     node::Node,
     refusal::{Cause, Refusal, Result},
-    tail,
 };
 
 /// Largest accepted body, in bytes.
@@ -30,7 +28,6 @@
 pub struct Desk {
     node: Arc<Node>,
     dump: Arc<Dump>,
-    tail: watch::Receiver<tail::State>,
 }
 
 impl fmt::Debug for Desk {
@@ -41,8 +38,8 @@
 
 impl Desk {
     /// Creates the interface of an instance.
-    pub fn new(node: Arc<Node>, dump: Arc<Dump>, tail: watch::Receiver<tail::State>) -> Self {
-        Self { node, dump, tail }
+    pub fn new(node: Arc<Node>, dump: Arc<Dump>) -> Self {
+        Self { node, dump }
     }
 
     /// Serves one request.
@@ -71,7 +68,7 @@
             }
             (_, ["config", rest @ ..]) => {
                 let rest: Vec<String> = rest.iter().map(|&s| s.to_owned()).collect();
-                config::serve(&self.node, self.tail.clone(), &rest, request).await
+                config::serve(&self.node, &rest, request).await
             }
             _ => Err(Refusal::early(Cause::Unknown, format!("no such path: {path}"))),
         }
--- a/crates/goldcrestvale_entry/src/peers.rs
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -62,8 +62,8 @@
 
 /// Serves configurations to other instances and takes theirs.
 pub trait Store: Send + Sync {
-    /// Takes the news that a peer has a newer configuration, or a different one.
-    fn offered(&self, from: &Instance, version: Offset);
+    /// Takes the news of which configuration a peer has, with the first 8 bytes of its digest.
+    fn offered(&self, from: &Instance, version: Offset, brief: u64);
 
     /// Takes a request for the configuration.
     fn asked(&self, from: &Instance, version: Offset);
--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Weak};
 
 use goldcrestvale_base::id::{Digest, Instance, Offset};
+use goldcrestvale_config::sync::brief_of;
 use goldcrestvale_member::action::Notice;
 use goldcrestvale_peer::{
     events::{AnswerState, Ask, Configuration, Events, Reply, Stored},
@@ -25,11 +26,11 @@
         Self { node }
     }
 
-    fn offered(&self, from: &Instance, version: Offset) {
+    fn offered(&self, from: &Instance, version: Offset, brief: u64) {
         if let Some(node) = self.node.upgrade()
             && let Some(store) = node.peers.store.get()
         {
-            store.offered(from, version);
+            store.offered(from, version, brief);
         }
     }
 }
@@ -56,12 +57,14 @@
             Notice::Leaving(mark) => {
                 info!(upstream:% = mark.upstream, source:? = mark.source; "upstream is leaving");
             }
-            Notice::Config { instance, config } => self.offered(&instance, config.version),
+            Notice::Config { instance, config } => {
+                self.offered(&instance, config.version, config.digest);
+            }
         }
     }
 
-    fn config_offered(&self, from: &Instance, version: Offset, _: Digest) {
-        self.offered(from, version);
+    fn config_offered(&self, from: &Instance, version: Offset, digest: Digest) {
+        self.offered(from, version, brief_of(&digest));
     }
 
     fn config_asked(&self, from: &Instance, version: Offset) {
--- a/crates/goldcrestvale_entry/src/peers/tasks.rs
+++ b/crates/goldcrestvale_entry/src/peers/tasks.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
+use goldcrestvale_config::sync::{Offer, brief_of};
 use goldcrestvale_member::{
     event::Event,
     message::{Config, Status},
@@ -12,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    configuration,
     daemon::{Builder, Part},
     node::Node,
     phase::Phase,
@@ -20,9 +22,6 @@
 /// How often the status is told to the membership, and its state is read for the dump.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Newest major schema version that this program reads.
-const SCHEMA: u32 = 1;
-
 /// Attends to the peer tasks.
 #[derive(Debug)]
 pub struct Attend {
@@ -69,10 +68,10 @@
 }
 
 fn status(node: &Node) -> Status {
-    let version = node.config.load().version;
-    let config = (version.0 > 0).then_some(Config { version, digest: 0 });
+    let Offer { version, digest } = node.configuration.seen().offer;
+    let config = (version.0 > 0).then(|| Config { version, digest: brief_of(&digest) });
     let draining = node.life.phase() >= Phase::Leaving;
-    Status { config, draining, schema: SCHEMA }
+    Status { config, draining, schema: configuration::schema() }
 }
 
 fn insert_gauges(node: &Arc<Node>, handle: &Handle) {
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub operators: Operators,
     /// Section `platform`.
     pub platform: Platform,
+    /// Section `config`.
+    pub config: Config,
     /// Section `peer`.
     pub peer: Peer,
     /// Section `upstream`.
@@ -131,6 +133,19 @@
     }
 }
 
+/// The configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Time between checkpoints; at most a third of the time that the log keeps records.
+    pub checkpoint_interval: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { checkpoint_interval: Duration::from_secs(1_200) }
+    }
+}
+
 /// The other entry instances.
 #[derive(Debug, Clone)]
 pub struct Peer {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,6 +6,7 @@
 use goldcrestvale_entry::{
     admission::Queued,
     callers,
+    configuration::Configuration,
     daemon::{Builder, Daemon},
     limits::Demand,
     metrics::{self, Metrics},
@@ -14,7 +15,6 @@
     phase::Phase,
     server::{Bounds, Server},
     settings::Settings,
-    tail::Tail,
     watch::Watch,
 };
 use log::{info, warn};
@@ -98,10 +98,9 @@
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
         let peers = node.peers.start(&node).await.context(PeersSnafu)?;
-        let (tail, state) = Tail::new();
         let daemon = Builder::new(node.clone())
             .with(Identity)
-            .with(tail)
+            .with(Configuration)
             .with(Watch)
             .with(peers)
             .with(Demand)
@@ -109,7 +108,7 @@
             .with(Queued { name: "calls", admission: node.calls.clone() })
             .start();
         let callers = listen_callers(&node).await?;
-        let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
+        let operators = Desk::new(node.clone(), daemon.dump().clone());
         let operators = listen_operators(&node, operators).await?;
         info!(
             instance:% = node.settings.instance.name,
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -87,6 +87,13 @@
     field!("platform", "timeout_ms", MILLIS, entry.platform.timeout, parse::millis),
     field!("platform", "poll_ms", MILLIS, entry.platform.poll, parse::millis),
     field!("platform", "list_interval_ms", MILLIS, entry.platform.list_interval, parse::millis),
+    field!(
+        "config",
+        "checkpoint_interval_ms",
+        MILLIS,
+        entry.config.checkpoint_interval,
+        parse::millis
+    ),
     field!("peer", "address", ADDRESS, entry.peer.address, parse::from_str),
     field!("peer", "secret", SECRET, entry.peer.secret, secret),
     field!("peer", "accepted_secret", SECRET, entry.peer.accepted_secret, secret),
