--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -15,8 +15,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, clock::Clock, configuration::Keeper, gate::Gate, limits::Limits,
-    metrics::Metrics, peers::Peers, phase::Life, settings::Settings, table::Table,
+    admission::Admission, claims::Claims, clock::Clock, configuration::Keeper, gate::Gate,
+    health::Health, limits::Limits, metrics::Metrics, peers::Peers, phase::Life, plans::Plans,
+    settings::Settings, table::Table,
 };
 
 /// The shared state of an entry instance.
@@ -38,6 +39,10 @@
     pub configuration: Keeper,
     /// Known upstreams.
     pub upstreams: ArcSwap<Table>,
+    /// Health of the upstreams.
+    pub health: Health,
+    /// Planners for the snapshots above.
+    pub plans: ArcSwap<Plans>,
     /// Bound on the requests in progress.
     pub gate: Gate,
     /// The customers' rate limits.
@@ -54,6 +59,8 @@
     pub services: Service,
     /// Client of the platform log.
     pub log: Log,
+    /// Calls with an idempotency key.
+    pub claims: Claims,
     /// The other entry instances.
     pub peers: Peers,
     /// Cancelled when a planned stop is asked for.
@@ -88,11 +95,14 @@
                 settings.peer.instances,
             ),
             upstreams: ArcSwap::default(),
+            health: Health::default(),
+            plans: ArcSwap::default(),
             gate: Gate::new(settings.callers.streams),
             metrics,
             engines: Engine::new(limits),
             services: Service::new(limits),
             log: Log::new(settings.platform.address, settings.platform.timeout),
+            claims: Claims::new(&settings.claims),
             peers: Peers::default(),
             drain: CancellationToken::new(),
             sequence: AtomicU64::new(0),
--- a/crates/goldcrestvale_route/src/chain/spread.rs
+++ b/crates/goldcrestvale_route/src/chain/spread.rs
@@ -3,13 +3,18 @@
 use std::time::Duration;
 
 use goldcrestvale_base::{engine::Layers, id::Upstream};
+use rand::{SeedableRng, rngs::StdRng};
 use smallvec::SmallVec;
 
 use super::{Candidate, Chain, Plan, Planner, Result, Stage};
+use crate::balance::Choice;
 
 /// Most engines among which a stage is spread.
 const PEERS: usize = 32;
 
+/// Engines that are compared for a stage.
+const SAMPLE: usize = 2;
+
 /// Plans with a planner, and then moves each stage to the less loaded of two engines that hold
 /// the same layers behind a link of the same cost.
 ///
@@ -49,11 +54,11 @@
         if peers.len() < 2 {
             return stage;
         }
-        let bits = self.seed.rotate_left(index as u32 * 11);
-        let first = bits as usize % peers.len();
-        let second = (first + 1 + (bits >> 32) as usize % (peers.len() - 1)) % peers.len();
-        let chosen = [peers[first], peers[second]].into_iter().min_by_key(|peer| self.cost(peer));
-        chosen.map_or_else(|| stage.clone(), |peer| peer.stage(stage.layers, stage.link))
+        let mut rng = StdRng::seed_from_u64(self.seed.wrapping_add(index as u64));
+        let cost = |index: usize| peers.get(index).map(|peer| self.cost(peer));
+        let chosen = Choice::new(SAMPLE).choose(peers.len(), cost, &mut rng);
+        let chosen = chosen.map(|index| peers[index].stage(stage.layers, stage.link));
+        chosen.unwrap_or(stage)
     }
 
     /// Returns the cost of one more step at an engine.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,9 +5,10 @@
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
     admission::Queued,
-    callers,
+    callers, claims,
     configuration::Configuration,
     daemon::{Builder, Daemon},
+    health::Judge,
     limits::Demand,
     metrics::{self, Metrics},
     node::Node,
@@ -102,7 +103,9 @@
             .with(Identity)
             .with(Configuration)
             .with(Watch)
+            .with(Judge)
             .with(peers)
+            .with(claims::Attend)
             .with(Demand)
             .with(Queued { name: "drafts", admission: node.drafts.clone() })
             .with(Queued { name: "calls", admission: node.calls.clone() })
@@ -115,7 +118,7 @@
             incarnation:% = incarnation,
             callers:% = callers.address,
             operators:% = operators.address,
-            peers:? = node.peers.address();
+            peers = node.peers.address().map_or_else(|| "none".to_owned(), |peers| peers.to_string());
             "listening"
         );
         Ok(Self { daemon, callers, operators })
