Wait for a change on the command line

Cause: the command line printed that a change was accepted, and an operator had no way to know when it held everywhere, nor to repeat a change whose answer was lost.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -17,6 +17,9 @@
 /// How long a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Pause between two questions while a condition is waited for.
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
+
 #[derive(Debug, Snafu)]
 pub(super) enum Error {
     #[snafu(display("cannot build the request: {source}"))]
@@ -52,6 +55,27 @@
     })
 }
 
+/// Asks again until an answer satisfies a condition; returns the last answer, and whether it did.
+pub(super) fn wait(at: &At, path: &str, holds: impl Fn(&Value) -> bool) -> Result<(Answer, bool)> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    runtime.block_on(async {
+        let end = tokio::time::Instant::now() + CALL_TIMEOUT;
+        loop {
+            let answer =
+                match tokio::time::timeout_at(end, exchange(at, Method::GET, path, &[])).await {
+                    Ok(answer) => answer?,
+                    Err(_) => return LateSnafu { address: at.at }.fail(),
+                };
+            let held = holds(&answer.body);
+            if held || !answer.status.is_success() || tokio::time::Instant::now() >= end {
+                return Ok((answer, held));
+            }
+            tokio::time::sleep(WAIT_PAUSE).await;
+        }
+    })
+}
+
 async fn exchange(at: &At, method: Method, path: &str, body: &[u8]) -> Result<Answer> {
     let address = at.at;
     let mut request = Request::builder()
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -39,14 +39,23 @@
         kind: String,
         /// Name of the entity.
         name: String,
+        #[command(flatten)]
+        after: After,
     },
     /// Prints the names of all entities of a kind.
     List {
         /// Kind of the entities.
         kind: String,
+        #[command(flatten)]
+        after: After,
+    },
+    /// Prints which instance has which version in force.
+    Status {
+        /// Waits until the change of this version is in force at every instance that can be
+        /// reached.
+        #[arg(long, value_name = "VERSION")]
+        wait: Option<u64>,
     },
-    /// Prints which version is in force.
-    Status,
     /// Prints what became of a change.
     Outcome {
         /// Identity of the change, from the answer to it.
@@ -54,6 +63,13 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct After {
+    /// Waits until the change of this version is in force at the instance.
+    #[arg(long, value_name = "VERSION")]
+    wait: Option<u64>,
+}
+
 #[derive(Debug, Args)]
 struct Put {
     /// Kind of the entity.
@@ -72,6 +88,15 @@
     /// Name of the operator, kept with the change.
     #[arg(long, default_value = "operator")]
     operator: String,
+    /// Waits until the change is in force at every instance that can be reached.
+    #[arg(long)]
+    wait: bool,
+    /// Repeats a change whose answer is not known, by the id in that answer.
+    #[arg(long, value_name = "ID", requires = "issued")]
+    id: Option<String>,
+    /// Time in the answer that named the id.
+    #[arg(long, value_name = "MS", requires = "id")]
+    issued: Option<u64>,
 }
 
 impl Config {
@@ -80,15 +105,55 @@
         let get = |path: String| client::finish(client::call(&self.at, Method::GET, &path, &[]));
         let exit = match &self.action {
             Action::Put(put) => put.run(&self.at),
-            Action::Get { kind, name } => get(format!("/config/{kind}/{name}")),
-            Action::List { kind } => get(format!("/config/{kind}")),
-            Action::Status => get("/config/status".to_owned()),
+            Action::Get { kind, name, after } => {
+                after.then(&self.at, || get(format!("/config/{kind}/{name}")))
+            }
+            Action::List { kind, after } => after.then(&self.at, || get(format!("/config/{kind}"))),
+            Action::Status { wait: None } => get("/config/status".to_owned()),
+            Action::Status { wait: Some(version) } => wait_in_force(&self.at, *version),
             Action::Outcome { id } => get(format!("/config/changes/{id}")),
         };
         exit.into()
     }
 }
 
+impl After {
+    fn then(&self, at: &At, read: impl FnOnce() -> Exit) -> Exit {
+        let Some(version) = self.wait else { return read() };
+        let reached = |body: &Value| body["version"].as_u64().is_some_and(|end| end > version);
+        match client::wait(at, "/config/status", reached) {
+            Ok((_, true)) => read(),
+            Ok((answer, false)) => late(&answer.body, version),
+            Err(e) => {
+                complain(&e.to_string());
+                Exit::Failed
+            }
+        }
+    }
+}
+
+/// Waits until a change is in force at every instance that can be reached, and prints who has it.
+fn wait_in_force(at: &At, version: u64) -> Exit {
+    let path = format!("/config/status?version={version}");
+    match client::wait(at, &path, |body| body["in_force"] == true) {
+        Ok((answer, true)) => {
+            client::print(&answer.body);
+            Exit::Done
+        }
+        Ok((answer, false)) => late(&answer.body, version),
+        Err(e) => {
+            complain(&e.to_string());
+            Exit::Failed
+        }
+    }
+}
+
+fn late(status: &Value, version: u64) -> Exit {
+    client::print(status);
+    complain(&format!("version {version} was not seen in force in time"));
+    Exit::Failed
+}
+
 impl Put {
     fn run(&self, at: &At) -> Exit {
         let body = match self.body.as_deref().map(read_body).transpose() {
@@ -109,10 +174,27 @@
                 }
             },
         };
-        change(at, &self.kind, &self.name, base, body, &self.operator)
+        let path = match (&self.id, self.issued) {
+            (Some(id), Some(issued)) => format!("/config/changes/{id}?issued={issued}"),
+            _ => CHANGES.to_owned(),
+        };
+        let change = build(&self.kind, &self.name, base, body, &self.operator);
+        let answer = client::call(at, Method::POST, &path, &change);
+        let accepted = answer
+            .as_ref()
+            .ok()
+            .and_then(|answer| answer.body["outcome"]["accepted"]["version"].as_u64());
+        let exit = client::finish(answer);
+        match accepted.filter(|_| self.wait) {
+            Some(version) => wait_in_force(at, version),
+            None => exit,
+        }
     }
 }
 
+/// Path that takes new changes.
+const CHANGES: &str = "/config/changes";
+
 fn read_body(path: &Path) -> Result<Map<String, Value>, String> {
     let mut text = String::new();
     let read = if path == Path::new("-") {
@@ -142,6 +224,17 @@
     body: Option<Map<String, Value>>,
     operator: &str,
 ) -> Exit {
+    let change = build(kind, name, base, body, operator);
+    client::finish(client::call(at, Method::POST, CHANGES, &change))
+}
+
+fn build(
+    kind: &str,
+    name: &str,
+    base: Option<Offset>,
+    body: Option<Map<String, Value>>,
+    operator: &str,
+) -> Vec<u8> {
     let change = Change {
         schema: Schema::CURRENT,
         kind: Kind::from(kind.to_owned()),
@@ -150,6 +243,5 @@
         body,
         operator: operator.to_owned(),
     };
-    let text = serde_json::to_vec(&change).unwrap_or_default();
-    client::finish(client::call(at, Method::POST, "/config/changes", &text))
+    serde_json::to_vec(&change).expect("a change has only text as map keys")
 }
