--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod claims;
 pub mod clock;
+pub mod configuration;
 pub mod daemon;
 pub mod gate;
 pub mod header;
@@ -24,7 +25,6 @@
 pub mod server;
 pub mod settings;
 pub mod table;
-pub mod tail;
 pub mod watch;
 
 /// Re-exports the types that most users of this package name.
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -16,8 +16,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, claims::Claims, clock::Clock, gate::Gate, health::Health, limits::Limits,
-    metrics::Metrics, peers::Peers, phase::Life, plans::Plans, settings::Settings, table::Table,
+    admission::Admission, claims::Claims, clock::Clock, configuration::Keeper, gate::Gate,
+    health::Health, limits::Limits, metrics::Metrics, peers::Peers, phase::Life, plans::Plans,
+    settings::Settings, table::Table,
 };
 
 /// Thousandths of a retry that each first try earns.
@@ -41,6 +42,8 @@
     pub life: Life,
     /// Configuration in force.
     pub config: ArcSwap<Snapshot>,
+    /// The state that the configuration in force comes from.
+    pub configuration: Keeper,
     /// Known upstreams.
     pub upstreams: ArcSwap<Table>,
     /// Health of the upstreams.
@@ -95,6 +98,12 @@
             clock,
             life: Life::default(),
             config: ArcSwap::default(),
+            configuration: Keeper::new(
+                incarnation,
+                clock.now(),
+                settings.config.checkpoint_interval,
+                settings.peer.instances,
+            ),
             upstreams: ArcSwap::default(),
             health: Health::default(),
             plans: ArcSwap::default(),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,6 +6,7 @@
 use goldcrestvale_entry::{
     admission::Queued,
     callers, claims,
+    configuration::Configuration,
     daemon::{Builder, Daemon},
     health::Judge,
     limits::Demand,
@@ -15,7 +16,6 @@
     phase::Phase,
     server::{Bounds, Server},
     settings::Settings,
-    tail::Tail,
     watch::Watch,
 };
 use log::{info, warn};
@@ -99,10 +99,9 @@
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
         let peers = node.peers.start(&node).await.context(PeersSnafu)?;
-        let (tail, state) = Tail::new();
         let daemon = Builder::new(node.clone())
             .with(Identity)
-            .with(tail)
+            .with(Configuration)
             .with(Watch)
             .with(Judge)
             .with(peers)
@@ -112,7 +111,7 @@
             .with(Queued { name: "calls", admission: node.calls.clone() })
             .start();
         let callers = listen_callers(&node).await?;
-        let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
+        let operators = Desk::new(node.clone(), daemon.dump().clone());
         let operators = listen_operators(&node, operators).await?;
         info!(
             instance:% = node.settings.instance.name,
