Serve only once the upstreams and a peer are known

Cause: in a rolling restart a new instance was ready as soon as it had the configuration, and refused requests because it knew no upstream yet: 7 requests failed. Ruled out: a longer notice of the stopping instance, which is not the one that refused. Change: the phase moves to serving once the configuration is read, the list is read, a round of load reports is read, and a peer has told which upstreams leave (bounded to 1 s). Conclusion: readiness covers what a request needs.

--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -71,7 +71,10 @@
 fn check_phase(node: &Node) -> Result<()> {
     match node.life.phase() {
         Phase::Starting => {
-            let refusal = Refusal::early(Cause::Starting, "no configuration is known yet");
+            let refusal = Refusal::early(
+                Cause::Starting,
+                "the configuration or the upstreams are not known yet",
+            );
             Err(refusal.retry_after(node.settings.platform.timeout))
         }
         Phase::Serving | Phase::Leaving | Phase::Draining => Ok(()),
--- a/crates/goldcrestvale_entry/src/peers.rs
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -9,6 +9,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, OnceLock},
+    time::Duration,
 };
 
 use goldcrestvale_base::{
@@ -146,6 +147,19 @@
         let _ = self.store.set(store);
     }
 
+    /// Waits until another instance has told what it knows, if there is one.
+    pub async fn wait_link(&self, limit: Duration) {
+        let Some(handle) = self.handle() else { return };
+        let linked = async {
+            while !handle.snapshot().has_heard {
+                tokio::time::sleep(LINK_POLL).await;
+            }
+        };
+        if tokio::time::timeout(limit, linked).await.is_err() {
+            log::warn!("no other instance was reached before serving");
+        }
+    }
+
     /// Passes the platform's list on.
     pub async fn list(&self, known: &Table, listing: &Listing) {
         let Some(Started { handle, address }) = self.started.get() else { return };
@@ -249,5 +263,8 @@
         .ask_timeout(peer.ask_timeout)
 }
 
+/// How often the wait for a first peer looks.
+const LINK_POLL: Duration = Duration::from_millis(10);
+
 /// Most messages that wait for one peer.
 const QUEUE_MESSAGES: usize = 256;
--- a/crates/goldcrestvale_entry/src/phase.rs
+++ b/crates/goldcrestvale_entry/src/phase.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
-    /// No configuration is known yet.
+    /// The configuration or the upstreams are not known yet.
     Starting,
     /// Requests are served.
     Serving,
@@ -20,9 +20,23 @@
 
 const PHASES: [Phase; 4] = [Phase::Starting, Phase::Serving, Phase::Leaving, Phase::Draining];
 
+/// What an instance must know before it serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// The configuration, up to the end of the log.
+    Config = 1,
+    /// The upstreams of the platform's list, and their load where they report it.
+    Upstreams = 2,
+}
+
+const ALL_KNOWN: u8 = Known::Config as u8 | Known::Upstreams as u8;
+
 /// The present phase, which only moves forward.
 #[derive(Debug, Default)]
-pub struct Life(AtomicU8);
+pub struct Life {
+    phase: AtomicU8,
+    known: AtomicU8,
+}
 
 impl Life {
     /// Returns the present phase.
@@ -38,12 +52,32 @@
     /// assert_eq!(life.phase(), Phase::Leaving);
     /// ```
     pub fn phase(&self) -> Phase {
-        PHASES[usize::from(self.0.load(Ordering::Acquire))]
+        PHASES[usize::from(self.phase.load(Ordering::Acquire))]
     }
 
     /// Moves to a later phase; an earlier one changes nothing.
     pub fn advance(&self, phase: Phase) {
-        self.0.fetch_max(phase as u8, Ordering::AcqRel);
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Notes that something is known; with all of it, the instance serves.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_entry::phase::{Known, Life, Phase};
+    ///
+    /// let life = Life::default();
+    /// life.learn(Known::Config);
+    /// assert_eq!(life.phase(), Phase::Starting);
+    /// life.learn(Known::Upstreams);
+    /// assert_eq!(life.phase(), Phase::Serving);
+    /// ```
+    pub fn learn(&self, known: Known) {
+        let before = self.known.fetch_or(known as u8, Ordering::AcqRel);
+        if before | known as u8 == ALL_KNOWN {
+            self.advance(Phase::Serving);
+        }
     }
 
     /// Returns whether the balancer may send requests.
--- a/crates/goldcrestvale_entry/src/tail.rs
+++ b/crates/goldcrestvale_entry/src/tail.rs
@@ -14,7 +14,7 @@
 use crate::{
     daemon::{Builder, Part},
     node::Node,
-    phase::Phase,
+    phase::Known,
 };
 
 /// Name of the stream that holds the configuration.
@@ -128,7 +128,7 @@
         sender.send_replace(State { fold: Arc::new(fold.clone()), next, log_up: true });
     }
     if caught_up {
-        node.life.advance(Phase::Serving);
+        node.life.learn(Known::Config);
     }
 }
 
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -10,17 +10,22 @@
 };
 use log::{debug, info, warn};
 use opentelemetry::KeyValue;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     daemon::{Builder, Part},
     node::Node,
+    phase::Known,
     table::{Report, Row, Table},
 };
 
 /// Load reports fetched at the same time.
 const CONCURRENT_REPORTS: usize = 64;
 
+/// Longest wait for a first peer, which may know of upstreams that an operator lets leave.
+const PEER_WAIT: Duration = Duration::from_secs(1);
+
 /// Keeps the table of upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct Watch;
@@ -44,22 +49,25 @@
             known.map(|(name, queued)| (name, u64::from(queued))).collect()
         });
         let stop = builder.stop();
-        builder.insert_task(watch_list(node.clone(), stop.clone()));
-        builder.insert_task(watch_loads(node, stop));
+        let (listed, known) = watch::channel(false);
+        builder.insert_task(watch_list(node.clone(), listed, stop.clone()));
+        builder.insert_task(watch_loads(node, known, stop));
     }
 }
 
-async fn watch_list(node: Arc<Node>, stop: CancellationToken) {
+async fn watch_list(node: Arc<Node>, listed: watch::Sender<bool>, stop: CancellationToken) {
     let list = List::new(node.settings.platform.address, node.settings.platform.timeout);
     let interval = node.settings.platform.list_interval;
     let mut up = true;
-    while sleep(&stop, if up { interval } else { interval * 2 }).await {
+    let mut pause = Duration::ZERO;
+    while sleep(&stop, pause).await {
         match list.fetch().await {
             Ok(listing) => {
                 up = true;
                 let known = node.upstreams.load_full();
                 node.upstreams.rcu(|table| Arc::new(merge(table, &listing)));
                 node.peers.list(&known, &listing).await;
+                listed.send_replace(true);
             }
             Err(e) => {
                 node.metrics.platform_failures.add(1, &[KeyValue::new("call", "list")]);
@@ -69,6 +77,7 @@
                 up = false;
             }
         }
+        pause = if up { interval } else { interval * 2 };
     }
 }
 
@@ -114,32 +123,46 @@
     })
 }
 
-async fn watch_loads(node: Arc<Node>, stop: CancellationToken) {
-    while sleep(&stop, node.settings.upstream.load_interval).await {
-        let table = node.upstreams.load_full();
-        let rows: Vec<Arc<Row>> = table.rows.values().cloned().collect();
-        let fetches = rows.into_iter().map(|row| fetch(node.clone(), row));
-        let reports: Vec<(Upstream, Report)> = stream::iter(fetches)
-            .buffer_unordered(CONCURRENT_REPORTS)
-            .filter_map(std::future::ready)
-            .collect()
-            .await;
-        for (name, report) in &reports {
-            node.peers.report(&node, name, report).await;
+async fn watch_loads(node: Arc<Node>, mut listed: watch::Receiver<bool>, stop: CancellationToken) {
+    if stop.run_until_cancelled(listed.wait_for(|&listed| listed)).await.is_none() {
+        return;
+    }
+    let mut pause = Duration::ZERO;
+    while sleep(&stop, pause).await {
+        read_loads(&node).await;
+        if pause.is_zero() {
+            node.peers.wait_link(PEER_WAIT).await;
+            node.life.learn(Known::Upstreams);
         }
-        let now = node.clock.now();
-        node.upstreams.rcu(|table| {
-            let mut table = Table::clone(table);
-            for (name, report) in &reports {
-                if let Some(row) = table.rows.get_mut(name) {
-                    *row = with_report(row, now, report);
-                }
-            }
-            Arc::new(table)
-        });
+        pause = node.settings.upstream.load_interval;
     }
 }
 
+/// Reads the load of all upstreams once.
+async fn read_loads(node: &Arc<Node>) {
+    let table = node.upstreams.load_full();
+    let rows: Vec<Arc<Row>> = table.rows.values().cloned().collect();
+    let fetches = rows.into_iter().map(|row| fetch(node.clone(), row));
+    let reports: Vec<(Upstream, Report)> = stream::iter(fetches)
+        .buffer_unordered(CONCURRENT_REPORTS)
+        .filter_map(std::future::ready)
+        .collect()
+        .await;
+    for (name, report) in &reports {
+        node.peers.report(node, name, report).await;
+    }
+    let now = node.clock.now();
+    node.upstreams.rcu(|table| {
+        let mut table = Table::clone(table);
+        for (name, report) in &reports {
+            if let Some(row) = table.rows.get_mut(name) {
+                *row = with_report(row, now, report);
+            }
+        }
+        Arc::new(table)
+    });
+}
+
 async fn fetch(node: Arc<Node>, row: Arc<Row>) -> Option<(Upstream, Report)> {
     let limit = node.settings.upstream.load_timeout;
     let report = match row.role {
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -162,11 +162,11 @@
         self.sharing.reset(&who.instance);
         let heartbeat = self.heartbeat();
         let known = self.view.peers().filter_map(Peer::identity).count();
+        self.tell_leaving(&who.instance, actions);
         send(actions, &who.instance, heartbeat);
         if known > 1 {
             self.duties.gossip_soon();
         }
-        self.tell_leaving(&who.instance, actions);
     }
 
     fn hear(&mut self, now: Instant, from: &Instance, message: Message, actions: &mut Actions) {
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -107,6 +107,12 @@
         self.ended.contains(&incarnation)
     }
 
+    /// Returns whether a peer was heard from, or none is known that could be running.
+    pub fn has_heard(&self) -> bool {
+        let heard = self.peers().any(|peer| peer.spoke);
+        heard || !self.peers().any(|peer| peer.listed && peer.state != State::Gone)
+    }
+
     /// Returns whether a connection to an instance is wanted.
     pub fn is_target(&self, instance: &Instance) -> bool {
         self.targets.contains(instance)
@@ -192,6 +198,7 @@
             return notices;
         };
         peer.hear(now);
+        peer.spoke = true;
         peer.status = status;
         if peer.enter(State::Live) {
             self.stale = true;
--- a/crates/goldcrestvale_member/src/view/peer.rs
+++ b/crates/goldcrestvale_member/src/view/peer.rs
@@ -42,6 +42,8 @@
     pub listed: bool,
     /// Whether there is a connection.
     pub linked: bool,
+    /// Whether it has sent a heartbeat, which comes after the upstreams that it knows to leave.
+    pub spoke: bool,
     /// What it last said about itself.
     pub status: Status,
     /// When this instance last heard from it.
@@ -60,6 +62,7 @@
             state: State::Named,
             listed: false,
             linked: false,
+            spoke: false,
             status: Status::default(),
             direct: None,
             heard: None,
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -401,6 +401,7 @@
             shares: self.member.shares(now),
             others: self.member.others().clone(),
             instances: self.member.view().instances(configured),
+            has_heard: self.member.view().has_heard(),
             schema: self.member.schema(),
         });
         self.snapshot.store(Arc::clone(&snapshot));
