Give orders to engines under a lease of their failure domain

Cause: placements were configured and nothing brought the engines to them. Ruled out: one lease for all domains, since a domain that is cut off from the others could not change its engines; the load report as the state that is read back, since it lags. Change: _entry::orders keeps the lease of the domain, reads each engine before and after an order, sends one order at a time an engine and looks at the lease again just before sending; a bound on engines that load at the same time; the lease is given back on a planned stop. A pause between the last look at the lease and the write is covered only by engines that honour the number; the delay bound of the new holder covers the rest.

--- a/crates/goldcrestvale_entry/src/claims/log.rs
+++ b/crates/goldcrestvale_entry/src/claims/log.rs
@@ -32,7 +32,7 @@
 }
 
 /// Reads a page; a trimmed start is a page without records.
-pub(super) async fn read(
+pub(crate) async fn read(
     node: Arc<Node>,
     stream: String,
     from: Offset,
@@ -45,7 +45,7 @@
 }
 
 /// Returns the records of a page as the ledger sees them.
-pub(super) fn views(records: &[Record]) -> Vec<record::View<'_>> {
+pub(crate) fn views(records: &[Record]) -> Vec<record::View<'_>> {
     records.iter().map(view).collect()
 }
 
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod phase;
 pub mod plans;
--- /dev/null
+++ b/crates/goldcrestvale_entry/src/orders/lease.rs
@@ -0,0 +1,169 @@
+use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+
+use goldcrestvale_base::id::Instance;
+use goldcrestvale_ledger::{
+    lease::{Duty, Event, Held, Keeper, Lease},
+    prefix::Prefix,
+    record::{self, Draft, Sequence},
+};
+use goldcrestvale_platform::{
+    Result,
+    message::{Entry, Page},
+};
+use log::debug;
+use serde_json::value::RawValue;
+use tokio::task::JoinSet;
+
+use crate::{claims::log as stream, node::Node};
+
+/// Name of the stream of leases.
+pub(super) const STREAM: &str = "leases";
+
+/// Number of the range of record identities of the stream of leases.
+const SEQUENCE: u16 = u16::MAX;
+
+/// Pause after a failed read of the log.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads between two checks that the last record is still in its place.
+const CHECK_EVERY: u32 = 64;
+
+/// What an event changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Change {
+    /// Nothing.
+    Same,
+    /// The lease is held from now on.
+    Held,
+    /// The lease is not held any more.
+    Lost,
+}
+
+type Read = Pin<Box<dyn Future<Output = Result<Page>> + Send>>;
+
+/// Keeps the lease of the orders of one failure domain.
+pub(super) struct Tenure {
+    node: Arc<Node>,
+    keeper: Keeper,
+    name: String,
+    read: Read,
+    appends: JoinSet<bool>,
+    reads: u32,
+    was_held: bool,
+}
+
+impl Tenure {
+    pub(super) fn start(node: Arc<Node>) -> Self {
+        let settings = &node.settings;
+        let name = format!("orders-{}", settings.instance.domain);
+        let duty = Duty {
+            name: name.clone(),
+            instance: settings.instance.name.clone(),
+            length: settings.orders.lease,
+            order_delay: settings.orders.delay,
+        };
+        let sequence = Sequence::new(node.incarnation, SEQUENCE);
+        let keeper = Keeper::new(duty, Prefix::whole(), sequence);
+        let read = read(&node, &keeper, true, Duration::ZERO);
+        let appends = JoinSet::new();
+        Self { node, keeper, name, read, appends, reads: 0, was_held: false }
+    }
+
+    /// Waits for the next page or append and takes it.
+    pub(super) async fn next(&mut self) -> Change {
+        tokio::select! {
+            page = &mut self.read => self.take_page(page),
+            Some(appended) = self.appends.join_next() => {
+                let appended = appended.unwrap_or(false);
+                self.handle(if appended { Event::Appended } else { Event::AppendLost });
+            }
+        }
+        self.take_change()
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(&mut self) {
+        self.handle(Event::Tick);
+    }
+
+    /// Gives the lease back.
+    pub(super) fn release(&mut self) {
+        self.handle(Event::Release);
+    }
+
+    pub(super) fn is_released(&self) -> bool {
+        self.keeper.is_released()
+    }
+
+    /// Returns the lease while it is held and has not lapsed.
+    pub(super) fn held(&self) -> Option<&Lease<Held>> {
+        let now = self.node.clock.now();
+        self.keeper.held().filter(|lease| lease.lasts(now, Duration::ZERO))
+    }
+
+    /// Returns the instance that holds the lease, as far as the log was read.
+    pub(super) fn holder(&self) -> Option<&Instance> {
+        self.keeper.fold().get(&self.name).map(|current| &current.instance)
+    }
+
+    fn take_change(&mut self) -> Change {
+        let held = self.keeper.held().is_some();
+        match (std::mem::replace(&mut self.was_held, held), held) {
+            (false, true) => Change::Held,
+            (true, false) => Change::Lost,
+            _ => Change::Same,
+        }
+    }
+
+    fn take_page(&mut self, page: Result<Page>) {
+        let failed = page.is_err();
+        match page {
+            Ok(page) => {
+                let records = stream::views(&page.records);
+                let page = record::Page { oldest: page.oldest, end: page.end, records: &records };
+                self.handle(Event::Read(page));
+            }
+            Err(e) => debug!(error:% = e; "leases cannot be read"),
+        }
+        self.reads = if failed { 0 } else { (self.reads + 1) % CHECK_EVERY };
+        let pause = if failed { RETRY_PAUSE } else { Duration::ZERO };
+        self.read = read(&self.node, &self.keeper, self.reads == 0, pause);
+    }
+
+    fn handle(&mut self, event: Event<'_>) {
+        let now = self.node.clock.now();
+        if let Some(draft) = self.keeper.handle(event, now) {
+            self.appends.spawn(append(self.node.clone(), draft));
+        }
+    }
+}
+
+/// Starts to read on, or to read the last record again to see that it is still in its place.
+fn read(node: &Arc<Node>, keeper: &Keeper, check: bool, pause: Duration) -> Read {
+    let prefix = keeper.fold().prefix();
+    let (from, wait) = if check {
+        (prefix.read_from(), Duration::ZERO)
+    } else {
+        (prefix.next(), node.settings.platform.poll)
+    };
+    let node = node.clone();
+    Box::pin(async move {
+        tokio::time::sleep(pause).await;
+        stream::read(node, STREAM.to_owned(), from, wait).await
+    })
+}
+
+/// Appends a record; returns whether the log acknowledged it.
+async fn append(node: Arc<Node>, draft: Draft) -> bool {
+    let Ok(data) = RawValue::from_string(draft.data) else {
+        return false;
+    };
+    match node.log.append(STREAM, vec![Entry { id: draft.id, data }]).await {
+        Ok(_) => true,
+        Err(e) => {
+            debug!(error:% = e; "lease record not appended");
+            tokio::time::sleep(RETRY_PAUSE).await;
+            false
+        }
+    }
+}
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -38,6 +38,8 @@
     pub admission: Admission,
     /// Section `claims`.
     pub claims: Claims,
+    /// Section `orders`.
+    pub orders: Orders,
     /// Section `stop`.
     pub stop: Stop,
 }
@@ -279,6 +281,31 @@
     }
 }
 
+/// Orders to engines.
+#[derive(Debug, Clone)]
+pub struct Orders {
+    /// Token that engines which check the sender expect.
+    pub token: String,
+    /// Time that the lease of the orders lasts without renewal.
+    pub lease: Duration,
+    /// Longest time between the sending of an order and its effect.
+    pub delay: Duration,
+    /// Engines of the failure domain that load at the same time, since they share the rate of the
+    /// store of weights.
+    pub loads: usize,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            token: String::new(),
+            lease: Duration::from_secs(10),
+            delay: Duration::from_secs(2),
+            loads: 4,
+        }
+    }
+}
+
 /// Planned stops.
 #[derive(Debug, Clone)]
 pub struct Stop {
--- a/crates/goldcrestvale_ledger/src/lease/order.rs
+++ b/crates/goldcrestvale_ledger/src/lease/order.rs
@@ -84,6 +84,15 @@
         }
     }
 
+    /// Forgets an engine to which no order is on its way, and returns whether it could.
+    pub fn remove(&mut self, engine: &Upstream, now: Instant) -> bool {
+        let busy = self.engines.get(engine).is_some_and(|engine| engine.is_busy(now));
+        if !busy {
+            self.engines.remove(engine);
+        }
+        !busy
+    }
+
     /// Returns what to do now; without time left on the lease no order is among it.
     pub fn poll(&mut self, lease: &Lease<Held>, now: Instant) -> Vec<Action<D>> {
         let lasts = lease.lasts(now, self.order_delay);
@@ -144,11 +153,7 @@
 
     /// Returns whether no order can still be on its way, so that the lease may be released.
     pub fn is_quiet(&self, now: Instant) -> bool {
-        self.engines.values().all(|engine| match engine.phase {
-            Phase::Sent => false,
-            Phase::Quiet { until } => until <= now,
-            _ => true,
-        })
+        !self.engines.values().any(|engine| engine.is_busy(now))
     }
 
     fn leave(&mut self, engine: &Upstream, from: Phase, to: Phase) {
@@ -161,6 +166,15 @@
 }
 
 impl<D> Engine<D> {
+    /// Returns whether an order may still be on its way.
+    fn is_busy(&self, now: Instant) -> bool {
+        match self.phase {
+            Phase::Sent => true,
+            Phase::Quiet { until } => until > now,
+            _ => false,
+        }
+    }
+
     fn wake(&mut self, now: Instant) {
         if matches!(self.phase, Phase::Quiet { until } if until <= now) {
             self.phase = Phase::Unread;
--- a/crates/goldcrestvale_upstream/src/engine.rs
+++ b/crates/goldcrestvale_upstream/src/engine.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     error::{Error, RefusedSnafu, Result},
-    message::{CacheEvents, Cancel, Kv, Load, Order, RefusalBody, Step, StepAnswer},
+    message::{CacheEvents, Cancel, Kv, Load, Order, Orders, RefusalBody, Step, StepAnswer},
     pool::{Limits, Pool, Protocol, decode, json_request},
 };
 
@@ -132,6 +132,15 @@
         Ok(())
     }
 
+    /// Fetches what an engine holds and is loading, which does not lag.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the transport's failure.
+    pub async fn orders(&self, address: SocketAddr, limit: Duration) -> Result<Orders> {
+        self.get(address, "/v1/orders", limit).await
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,6 +13,7 @@
     metrics::{self, Metrics},
     node::Node,
     operators::Desk,
+    orders::Orders,
     phase::Phase,
     server::{Bounds, Server},
     settings::Settings,
@@ -107,6 +108,7 @@
             .with(peers)
             .with(claims::Attend)
             .with(Demand)
+            .with(Orders)
             .with(Queued { name: "drafts", admission: node.drafts.clone() })
             .with(Queued { name: "calls", admission: node.calls.clone() })
             .start();
