Fix the number of claim streams, and retry keyed calls within the budget

Cause: an instance with another [claims] streams than the others would look for a key's claims in another stream and could run it twice; no check could find that in time. Keyed calls tried other instances without the budget of retries.

Ruled out: a mark of the layout in the first stream (an instance that started long ago is only stopped, not healed); more streams as a default (the log's appends a second are shared by all streams).

Conclusion: more streams need the count in the accepted configuration.

--- a/crates/goldcrestvale_entry/src/callers/keyed.rs
+++ b/crates/goldcrestvale_entry/src/callers/keyed.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_base::{
+    exchange::{Exchange, Unsent},
     id::{Customer, Digest, Key, Service, Upstream},
     verdict::Verdict,
 };
@@ -11,11 +12,13 @@
     desk,
 };
 use goldcrestvale_peer::events::{AnswerState, Stored};
+use goldcrestvale_route::retry::Series;
 use goldcrestvale_upstream::service::{Answer, Call};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use opentelemetry::KeyValue;
 
 use super::{
-    service::{Ready, choose, respond, verdict_of},
+    service::{MOST_TRIES, Ready, choose, respond, verdict_of},
     trace::Trace,
 };
 use crate::{
@@ -24,10 +27,9 @@
     gate::Pass,
     node::Node,
     refusal::{Cause, Refusal, Result},
+    table::Row,
 };
 
-/// Instances of a service that one call tries while nothing was sent.
-const MOST_TRIES: usize = 3;
 /// Pause between two asks of an owner whose call is under way.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -109,56 +111,55 @@
 
 /// Sends a call, to another instance as long as nothing was sent.
 async fn send(node: Arc<Node>, claim: Claim<Won>, end: End, ready: Ready) -> Sent {
-    let mut tried: Vec<Upstream> = Vec::new();
+    let mut series = Series::new(ready.until, MOST_TRIES);
     let mut claim = claim;
-    let mut last = None;
-    while tried.len() < MOST_TRIES {
-        let row = match choose(&node, &ready.pool, &tried) {
+    let refusal = loop {
+        let row = match choose(&node, &ready.pool, series.tried()) {
             Ok(row) => row,
-            Err(refusal) => {
-                last.get_or_insert(refusal);
-                break;
-            }
+            Err(refusal) => break refusal,
         };
-        tried.push(row.name.clone());
-        let limit = ready.until.since(node.clock.now());
+        series.start(&row.name, &node.retries);
         let (lent, exchange) = claim.lend();
-        let guard = row.enter();
-        let result = node.services.call(row.address, ready.call.clone(), exchange, limit).await;
-        drop(guard);
-        match result {
-            Ok(answer) => return ended(tried, finish(&node, lent.dispatched(), end, answer)),
-            Err(e) => match e.verdict() {
-                Verdict::NotRun(unsent) => {
-                    last = Some(Refusal::new(e.verdict(), Cause::Upstream, e.to_string()));
-                    claim = lent.recover(unsent);
-                }
-                verdict => {
-                    end.lose(lent.dispatched().lose());
-                    let refusal = Refusal::new(verdict, Cause::Upstream, e.to_string());
-                    return ended(tried, Err(refusal));
-                }
-            },
+        let failure = match try_at(&node, &row, &ready, exchange).await {
+            Ok(answer) => return ended(&series, Ok(finish(&node, lent.dispatched(), end, answer))),
+            Err(failure) => failure,
+        };
+        let verdict = failure.verdict();
+        let Verdict::NotRun(unsent) = verdict else {
+            end.lose(lent.dispatched().lose());
+            let refusal = Refusal::new(verdict, Cause::Upstream, failure.to_string());
+            return ended(&series, Err(refusal));
+        };
+        claim = lent.recover(unsent);
+        if let Err(no) = series.retry(node.clock.now(), verdict, &node.retries) {
+            let detail = format!("{failure}; not tried again: {no}");
+            break Refusal::new(verdict, Cause::Upstream, detail)
+                .retry_after(node.settings.platform.list_interval);
         }
-    }
+        node.metrics.retries.add(1, &[KeyValue::new("kind", "service")]);
+    };
     end.give_back(claim);
-    let none = || Refusal::early(Cause::NoUpstream, "no instance of the service is left to try");
-    let refusal = last.unwrap_or_else(none);
-    ended(tried, Err(refusal.retry_after(node.settings.platform.list_interval)))
+    ended(&series, Err(refusal))
 }
 
-fn ended(tried: Vec<Upstream>, result: Result<Arc<Answer>>) -> Sent {
-    let tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-    Sent { upstream: tried.into_iter().next_back(), tries, result }
+async fn try_at(
+    node: &Node,
+    row: &Row,
+    ready: &Ready,
+    exchange: Exchange<Unsent>,
+) -> goldcrestvale_upstream::Result<Answer> {
+    let limit = ready.until.since(node.clock.now());
+    let _guard = row.enter();
+    node.services.call(row.address, ready.call.clone(), exchange, limit).await
+}
+
+fn ended(series: &Series, result: Result<Arc<Answer>>) -> Sent {
+    let tries = series.tried();
+    Sent { upstream: tries.last().cloned(), tries: tries.len() as u32, result }
 }
 
 /// Keeps a whole answer for repeated calls and ends the claim.
-fn finish(
-    node: &Node,
-    claim: Claim<claim::Dispatched>,
-    end: End,
-    answer: Answer,
-) -> Result<Arc<Answer>> {
+fn finish(node: &Node, claim: Claim<claim::Dispatched>, end: End, answer: Answer) -> Arc<Answer> {
     let answer = Arc::new(answer);
     if verdict_of(&answer) == Verdict::Ran {
         node.claims.answers().insert(claim.key(), answer.clone(), node.clock.now());
@@ -166,7 +167,7 @@
     } else {
         end.lose(claim.lose());
     }
-    Ok(answer)
+    answer
 }
 
 /// Answers with what another call of the key at this instance came to.
@@ -244,6 +245,11 @@
 /// Returns the refusal that the desk decided.
 fn refusal(refused: &desk::Refused) -> Refusal {
     let (cause, detail) = describe(refused.cause);
+    let only_this = refused.scope == desk::Scope::Call && refused.verdict.is_not_run();
+    let detail = match only_this {
+        true => format!("{detail}; this does not tell what became of an earlier call of the key"),
+        false => detail.to_owned(),
+    };
     let refusal = Refusal::new(refused.verdict, cause, detail);
     match refused.retry_after {
         Some(after) => refusal.retry_after(after),
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -91,8 +91,8 @@
     pub(super) until: Instant,
 }
 
-/// Instances of a service that one idempotent call tries while nothing was sent.
-const MOST_TRIES: usize = 3;
+/// Instances of a service that one call tries while nothing was sent.
+pub(super) const MOST_TRIES: usize = 3;
 
 /// Sends an idempotent call, to another instance as long as nothing was sent.
 async fn send(node: Arc<Node>, ready: Ready, trace: &mut Trace) -> Result<Response<Body>> {
--- a/crates/goldcrestvale_entry/src/claims.rs
+++ b/crates/goldcrestvale_entry/src/claims.rs
@@ -38,6 +38,10 @@
     settings,
 };
 
+/// Number of claim streams; no setting, since instances that differed in it would look for the
+/// claims of a key in different streams and run it twice.
+const STREAMS: NonZeroU16 = NonZeroU16::MIN;
+
 /// What the desk says about a call.
 #[derive(Debug)]
 pub enum Reply {
@@ -97,9 +101,8 @@
 impl Claims {
     /// Makes the way to tasks that are not started yet.
     pub fn new(settings: &settings::Claims) -> Self {
-        let streams = NonZeroU16::new(settings.streams).unwrap_or(NonZeroU16::MIN);
         Self {
-            layout: Layout::new(streams),
+            layout: Layout::new(STREAMS),
             desks: OnceLock::new(),
             answers: Answers::new(settings.answer_bytes, settings.window),
             published: Mutex::default(),
@@ -164,6 +167,13 @@
     }
 }
 
+/// Gauges, each with the field of the streams' descriptions that it adds up.
+const GAUGES: [(&str, &str); 3] = [
+    ("goldcrestvale_claims_live", "live_claims"),
+    ("goldcrestvale_claims_in_progress", "calls_in_progress"),
+    ("goldcrestvale_claims_alarms", "alarms"),
+];
+
 /// Runs the tasks of the claim streams.
 #[derive(Debug, Clone, Copy)]
 pub struct Attend;
@@ -180,6 +190,10 @@
         // A second start keeps the first tasks.
         let _ = node.claims.desks.set(desks.clone());
         node.peers.set_owner(Arc::new(owner::Stored::new(&node)));
+        for (name, field) in GAUGES {
+            let gauged = node.clone();
+            node.metrics.insert_gauge(name, move || gauged.claims.sum(field));
+        }
         let dumped = node.clone();
         builder.insert_dump("claims", move || dumped.claims.dump());
         builder.insert_farewell(move || drain(node, desks));
@@ -192,6 +206,11 @@
         json!({ "streams": *self.published(), "answers": answers, "answer_bytes": bytes })
     }
 
+    /// Adds up one field of the descriptions of all claim streams.
+    fn sum(&self, field: &str) -> u64 {
+        self.published().values().filter_map(|state| state[field].as_u64()).sum()
+    }
+
     /// Replaces the description of a claim stream.
     fn publish(&self, stream: &str, state: Value) {
         self.published().insert(stream.to_owned(), state);
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -255,8 +255,6 @@
 /// Calls with an idempotency key.
 #[derive(Debug, Clone)]
 pub struct Claims {
-    /// Number of claim streams; the same at every instance.
-    pub streams: u16,
     /// Longest age of an idempotency key.
     pub window: Duration,
     /// Most calls of one stream that wait for the log or for their service.
@@ -270,7 +268,6 @@
 impl Default for Claims {
     fn default() -> Self {
         Self {
-            streams: 1,
             window: Duration::from_secs(600),
             calls: 4_096,
             appends_per_second: 300,
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -115,7 +115,6 @@
     field!("admission", "draft_slots", COUNT, entry.admission.draft_slots, count),
     field!("admission", "service_slots", COUNT, entry.admission.service_slots, count),
     field!("admission", "waiting", COUNT, entry.admission.waiting, count),
-    field!("claims", "streams", COUNT, entry.claims.streams, count),
     field!("claims", "window_ms", MILLIS, entry.claims.window, parse::millis),
     field!("claims", "calls", COUNT, entry.claims.calls, count),
     field!("claims", "appends_per_second", COUNT, entry.claims.appends_per_second, count),
--- a/tests/claim_process.rs
+++ b/tests/claim_process.rs
@@ -1,34 +1,25 @@
 //! One key through two entry instances as processes, while its owner is killed or paused.
 
+mod peers;
+
 use std::io;
 
 use goldcrestvale_standin::{
     caller::{Answer, Caller},
     fleet::{Builder, Fleet, Programs, SERVICE},
-    process::{Signal, value_of},
+    process::Signal,
 };
 use serde_json::{Value, json};
 
-const SECRET: &str = "6b7d1f4a0c9e8b2d5f3a1c7e9d0b4f68a2c5e7d9b1f3a5c7e9d0b2f4a6c8e0d1";
-
 /// Starts two entry instances that know each other and one instance of the service.
 async fn pair() -> io::Result<Fleet> {
-    let settings = |seeds: &str| {
-        format!(
-            "[platform]\ntimeout_ms = 500\npoll_ms = 200\n\
-             [peer]\naddress = 127.0.0.1:0\nsecret = {SECRET}\nheartbeat_ms = 100\n{seeds}\n"
-        )
-    };
-    let mut fleet = Builder::new(Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale")))
-        .service("booking-1")
-        .entry("entry-1", &settings(""))
-        .start()
-        .await?;
-    let line = fleet.entries[0].process.wait_line("event=\"listening\"").await?;
-    let address = value_of(&line, "peers").unwrap_or_default();
-    let address = address.trim_matches('"').trim_start_matches("Some(").trim_end_matches(')');
-    fleet.start_entry("entry-2", &settings(&format!("seeds = {address}"))).await?;
-    fleet.wait_ready().await?;
+    let platform = "[platform]\ntimeout_ms = 500\npoll_ms = 200\nlist_interval_ms = 50\n";
+    let builder = Builder::new(Programs::beside(peers::ROUTER)).service("booking-1");
+    let builder = ["entry-1", "entry-2"]
+        .iter()
+        .fold(builder, |builder, name| builder.entry(name, &peers::settings(platform)));
+    let mut fleet = builder.start().await?;
+    peers::connect(&mut fleet).await?;
     Ok(fleet)
 }
 
@@ -181,3 +172,24 @@
     assert_eq!(effects(&fleet, &key).await?, 1);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn start_on_a_trimmed_stream() -> io::Result<()> {
+    let mut fleet = pair().await?;
+    let key = new_key();
+    assert_eq!(verdict(&book(&fleet, 0, &key).await?), "ran");
+    let trim = "/streams/claims-0/trim";
+    Caller::default().post(fleet.platform.address, trim, &json!({})).await?;
+    for entry in &fleet.entries {
+        entry.process.signal(Signal::SIGKILL)?;
+    }
+    fleet.entries.clear();
+    fleet.start_entry("entry-3", &peers::settings("")).await?;
+    fleet.wait_ready().await?;
+    let again = book(&fleet, 0, &key).await?;
+    assert_eq!(verdict(&again), "not-run", "{}", again.json());
+    assert_eq!(again.json()["cause"], "starting");
+    assert!(!again.header("retry-after").is_empty());
+    assert_eq!(effects(&fleet, &key).await?, 1);
+    Ok(())
+}
