--- a/crates/goldcrestvale_entry/src/configuration.rs
+++ b/crates/goldcrestvale_entry/src/configuration.rs
@@ -35,7 +35,7 @@
 use crate::{
     daemon::{Builder, Part},
     node::Node,
-    phase::Phase,
+    phase::Known,
 };
 
 /// How long a checkpoint that was begun may take before others write one.
@@ -210,6 +210,6 @@
 /// Lets an instance serve once it has a configuration.
 fn serve_from(node: &Node, version: Offset) {
     if version > Offset(0) {
-        node.life.advance(Phase::Serving);
+        node.life.learn(Known::Config);
     }
 }
--- a/crates/goldcrestvale_entry/src/configuration/tail.rs
+++ b/crates/goldcrestvale_entry/src/configuration/tail.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::State;
-use crate::{node::Node, phase::Phase};
+use crate::{node::Node, phase::Known};
 
 /// Pause after a failed read of the log.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -63,7 +63,7 @@
     keeper.note(|seen| seen.log_up = true);
     let folded = version >= reader.position();
     if folded && version >= reader.end() {
-        node.life.advance(Phase::Serving);
+        node.life.learn(Known::Config);
     }
     folded
 }
