Prove the configuration over real processes

Change: tests/config_process.rs: changes in force at four instances within 3 s of acceptance, two operators on one record while the log loses answers or appends, an instance that starts while the log is out and takes the state from a peer, a new instance after the log was trimmed, with and without a checkpoint.

--- /dev/null
+++ b/tests/config_process.rs
@@ -0,0 +1,222 @@
+//! The configuration over several entry instances, while the log is out, loses answers or
+//! forgets.
+
+mod peers;
+
+use std::{io, path::Path, time::Duration};
+
+use goldcrestvale_standin::{
+    caller::Caller,
+    fleet::{Fleet, Standin, TOKEN},
+    process::Process,
+};
+use http::StatusCode;
+use peers::{ROUTER, builder, connect, settings};
+use serde_json::{Value, json};
+
+/// Time from the acceptance of a change until it is in force at every instance.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// Longest time that a test waits for an instance.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn operator() -> Caller {
+    Caller::default().with("authorization", &format!("Bearer {TOKEN}"))
+}
+
+fn service(timeout_ms: u64) -> Value {
+    json!({ "pool": "booking", "timeout_ms": timeout_ms })
+}
+
+fn change(name: &str, base: Option<u64>, body: &Value) -> Value {
+    json!({
+        "schema": { "major": 1, "minor": 0 }, "kind": "service", "name": name, "base": base,
+        "body": body, "operator": "test",
+    })
+}
+
+async fn put(fleet: &Fleet, entry: usize, change: &Value) -> io::Result<(StatusCode, Value)> {
+    let at = fleet.entries[entry].operators;
+    let answer = operator().post(at, "/config/changes", change).await?;
+    Ok((answer.status, answer.json()))
+}
+
+fn version_of(answer: &Value) -> u64 {
+    answer["outcome"]["accepted"]["version"].as_u64().expect("an accepted change")
+}
+
+async fn until(
+    fleet: &Fleet,
+    entry: usize,
+    limit: Duration,
+    what: &str,
+    holds: impl Fn(&Value) -> bool,
+) -> io::Result<Value> {
+    match tokio::time::timeout(limit, fleet.wait_dump(entry, &holds)).await {
+        Ok(dump) => dump,
+        Err(_) => {
+            Err(io::Error::other(format!("{what}: {:#}", fleet.dump(entry).await?["config"])))
+        }
+    }
+}
+
+fn has(dump: &Value, version: u64) -> bool {
+    dump["config"]["version"].as_u64().is_some_and(|end| end > version)
+}
+
+async fn run(arguments: &str) -> io::Result<(Option<i32>, String)> {
+    let arguments: Vec<String> = arguments.split_whitespace().map(str::to_owned).collect();
+    let mut process = Process::spawn(Path::new(ROUTER), &arguments)?;
+    let code = process.wait().await?;
+    Ok((code, process.output().await))
+}
+
+async fn trim(platform: &Standin, stream: &str, below: u64) -> io::Result<()> {
+    let path = format!("/streams/{stream}/trim?below={below}");
+    let answer = Caller::default().post(platform.address, &path, &json!({})).await?;
+    assert_eq!(answer.status, StatusCode::OK);
+    Ok(())
+}
+
+async fn digest(fleet: &Fleet, entry: usize) -> io::Result<Value> {
+    Ok(fleet.dump(entry).await?["config"]["digest"].clone())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn in_force_at_all_instances_in_time() -> io::Result<()> {
+    let mut fleet = builder(4).start().await?;
+    connect(&mut fleet).await?;
+    for round in 0..5_usize {
+        let name = format!("s{round}");
+        let (status, answer) = put(&fleet, round % 4, &change(&name, None, &service(9))).await?;
+        assert_eq!(status, StatusCode::OK, "{answer}");
+        let version = version_of(&answer);
+        let all = async {
+            for entry in 0..4 {
+                fleet.wait_dump(entry, |dump| has(dump, version)).await?;
+            }
+            Ok::<_, io::Error>(())
+        };
+        tokio::time::timeout(IN_FORCE, all).await.expect("in force in time")?;
+    }
+    let at = fleet.entries[2].operators;
+    let on = format!("--at {at} --token {TOKEN}");
+    let (code, output) = run(&format!("config {on} put service s0 --wait")).await?;
+    assert_eq!(code, Some(0), "{output}");
+    assert!(output.contains("\"in_force\": true"), "{output}");
+    for entry in 0..4 {
+        let found = operator().get(fleet.entries[entry].operators, "/config/service/s0").await?;
+        assert_eq!(found.status, StatusCode::NOT_FOUND);
+        assert_eq!(digest(&fleet, entry).await?, digest(&fleet, 0).await?);
+    }
+    let (code, output) = run(&format!("config {on} get service s1 --wait 0")).await?;
+    assert_eq!(code, Some(0), "{output}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_operators_and_lost_answers() -> io::Result<()> {
+    let fleet = builder(2).start().await?;
+    for round in 0..6 {
+        let name = format!("s{round}");
+        let faults = [json!({}), json!({ "lose_answers": 2 }), json!({ "lose_appends": 1 })];
+        fleet.platform.fault(&faults[round % 3]).await?;
+        let changes = [1, 2].map(|timeout| change(&name, None, &service(timeout)));
+        let (first, second) =
+            tokio::join!(put(&fleet, 0, &changes[0]), put(&fleet, 1, &changes[1]));
+        let mut answers = [first?, second?];
+        answers.sort_by_key(|(status, _)| *status);
+        let statuses = answers.clone().map(|(status, _)| status);
+        assert_eq!(statuses, [StatusCode::OK, StatusCode::CONFLICT], "{name}: {answers:?}");
+        let now = &answers[1].1["outcome"]["conflict"]["now"];
+        assert_eq!(now.as_u64(), Some(version_of(&answers[0].1)), "{name}");
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_the_log_is_out() -> io::Result<()> {
+    let mut fleet = builder(2).start().await?;
+    connect(&mut fleet).await?;
+    let seed = fleet.dump(0).await?["peers"]["member"]["view"]["own"]["address"].clone();
+    let seed = seed.as_str().expect("an address for peers").to_owned();
+    fleet.platform.fault(&json!({ "down": true })).await?;
+    let later = change("later", None, &service(3));
+    let (status, answer) = put(&fleet, 0, &later).await?;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+    assert_eq!(answer["verdict"], "not-run");
+    // What was refused may be sent again by its id, and an instance gets the state from a peer.
+    fleet.start_entry("entry-3", &settings(&format!("seeds = {seed}\n"))).await?;
+    until(&fleet, 2, PATIENCE, "no state from a peer", |dump| {
+        dump["instance"]["phase"] == "serving"
+    })
+    .await?;
+    assert_eq!(digest(&fleet, 2).await?, digest(&fleet, 0).await?);
+    let found = operator().get(fleet.entries[2].operators, "/config/customer/tester").await?;
+    assert_eq!(found.status, StatusCode::OK, "{}", found.json());
+
+    fleet.platform.fault(&json!({})).await?;
+    let id = answer["id"].as_str().expect("an id");
+    let issued = answer["issued"].as_u64().expect("a time");
+    let path = format!("/config/changes/{id}?issued={issued}");
+    let repeated = operator().post(fleet.entries[1].operators, &path, &later).await?;
+    assert_eq!(repeated.status, StatusCode::OK, "{}", repeated.json());
+    let version = version_of(&repeated.json());
+    for entry in 0..3 {
+        until(&fleet, entry, PATIENCE, "not in force", |dump| has(dump, version)).await?;
+        assert_eq!(digest(&fleet, entry).await?, digest(&fleet, 0).await?);
+    }
+    let old = format!("/config/changes/{id}?issued=1");
+    let asked = operator().post(fleet.entries[1].operators, &old, &later).await?;
+    assert_eq!(asked.json()["outcome"], repeated.json()["outcome"]);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn after_records_are_trimmed() -> io::Result<()> {
+    let short = "[config]\ncheckpoint_interval_ms = 1000\n";
+    let alone = goldcrestvale_standin::fleet::Builder::new(
+        goldcrestvale_standin::fleet::Programs::beside(ROUTER),
+    );
+    let mut fleet = alone.entry("entry-1", short).entry("entry-2", short).start().await?;
+    let version = fleet.dump(0).await?["config"]["version"].as_u64().expect("a version");
+    until(&fleet, 0, PATIENCE, "no checkpoint", |dump| {
+        dump["config"]["checkpoint"].as_u64() == Some(version)
+    })
+    .await?;
+    trim(&fleet.platform, "config", version).await?;
+    let (status, answer) = put(&fleet, 0, &change("after", None, &service(4))).await?;
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    // A new instance without peers starts at the checkpoint.
+    fleet.start_entry("entry-3", "").await?;
+    let after = version_of(&answer);
+    until(&fleet, 2, PATIENCE, "no start", |dump| has(dump, after)).await?;
+    assert_eq!(digest(&fleet, 2).await?, digest(&fleet, 0).await?);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_checkpoint_it_is_not_ready_and_says_so() -> io::Result<()> {
+    let mut fleet = builder(2).start().await?;
+    connect(&mut fleet).await?;
+    let seed = fleet.dump(0).await?["peers"]["member"]["view"]["own"]["address"].clone();
+    let seed = seed.as_str().expect("an address for peers").to_owned();
+    trim(&fleet.platform, "config", u64::MAX).await?;
+    fleet.start_entry("entry-3", "").await?;
+    let dump = until(&fleet, 2, PATIENCE, "proves what it cannot", |dump| {
+        dump["config"]["unproven"].is_string()
+    })
+    .await?;
+    assert_eq!(dump["instance"]["phase"], "starting");
+    assert_eq!(dump["config"]["version"], 0);
+    // With a peer, the state is there.
+    fleet.start_entry("entry-4", &settings(&format!("seeds = {seed}\n"))).await?;
+    until(&fleet, 3, PATIENCE, "no state from a peer", |dump| {
+        dump["instance"]["phase"] == "serving"
+    })
+    .await?;
+    assert_eq!(digest(&fleet, 3).await?, digest(&fleet, 0).await?);
+    let (status, answer) = put(&fleet, 3, &change("new", None, &service(5))).await?;
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    Ok(())
+}
