--- a/crates/goldcrestvale_peer/src/convert.rs
+++ b/crates/goldcrestvale_peer/src/convert.rs
@@ -36,7 +36,7 @@
 }
 
 /// Writes a message of the membership.
-pub(crate) fn put(message: &Message) -> wire::Message {
+pub fn put(message: &Message) -> wire::Message {
     match message {
         Message::Heartbeat(heartbeat) => put_heartbeat(heartbeat).into(),
         Message::Goodbye(incarnation) => {
@@ -54,7 +54,11 @@
 }
 
 /// Reads a message of the membership; `None` for the other messages of the protocol.
-pub(crate) fn message(message: &wire::Message) -> Result<Option<Message>> {
+///
+/// # Errors
+///
+/// Fails if a field is malformed.
+pub fn message(message: &wire::Message) -> Result<Option<Message>> {
     Ok(Some(match message {
         wire::Message::Heartbeat(told) => Message::Heartbeat(heartbeat(told)),
         wire::Message::Goodbye(told) => Message::Goodbye(field::incarnation(&told.incarnation)?),
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -1,18 +1,20 @@
 //! The task that holds the membership and the connections.
 
+mod ask;
 mod assembly;
+mod config;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
-use goldcrestvale_base::id::{Digest, Incarnation, Instance, Offset};
+use goldcrestvale_base::id::{Digest, Instance, Offset};
 use goldcrestvale_member::{
     action::{Action, Notice},
     event::Event,
     member::{Actions, Member},
     message::Message,
 };
-use goldcrestvale_wire::{field, handshake::Role, message as wire};
+use goldcrestvale_wire::{handshake::Role, message as wire};
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::{
     sync::{mpsc, oneshot},
@@ -21,11 +23,11 @@
 
 use self::assembly::Assembly;
 use crate::{
-    answer::{self, Asks, Question},
+    answer::{Asks, Question},
     connection::{self, Shared},
     convert,
     dump::Dump,
-    events::{Ask, Configuration, Events, Reply},
+    events::{Configuration, Events},
     link::{Link, Links, Taken},
     queue::{Pushed, Queue},
     snapshot::Snapshot,
@@ -34,9 +36,6 @@
 /// Time without an ask after which a connection that was opened for one is closed.
 const IDLE: Duration = Duration::from_secs(30);
 
-/// Most bytes of one part of a configuration.
-const MAX_PART_BYTES: usize = 64 << 10;
-
 /// What reaches the task.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -166,13 +165,7 @@
                 let _ = done.send(());
             }
             Command::Ask(question) => self.ask(question),
-            Command::OfferConfig { version, digest } => {
-                let digest = field::put_digest(digest);
-                for link in self.links.iter() {
-                    let offer = wire::ConfigOffer { version: version.0, digest: digest.clone() };
-                    self.push(&link.queue, offer.into());
-                }
-            }
+            Command::OfferConfig { version, digest } => self.offer_config(version, digest),
             Command::AskConfig { to, version } => {
                 self.send(&to, wire::ConfigAsk { version: version.0 }.into());
             }
@@ -229,7 +222,7 @@
         self.shared.counts.unanswered.add_many(lost as u64);
     }
 
-    fn sender(&self, link: u64) -> Option<Instance> {
+    pub(super) fn sender(&self, link: u64) -> Option<Instance> {
         let link = self.links.iter().find(|candidate| candidate.id == link)?;
         Some(link.who.instance.clone())
     }
@@ -274,7 +267,7 @@
         }
     }
 
-    fn push(&self, queue: &Queue, message: wire::Message) -> Pushed {
+    pub(super) fn push(&self, queue: &Queue, message: wire::Message) -> Pushed {
         let pushed = queue.push(message);
         match pushed {
             Pushed::Queued | Pushed::Closed => {}
@@ -284,57 +277,6 @@
         pushed
     }
 
-    fn ask(&mut self, question: Question) {
-        let now = self.shared.clock.now();
-        let owner = question.owner;
-        if let Err(error) = self.check_ask(owner) {
-            let _ = question.reply.send(Err(error));
-            return;
-        }
-        self.shared.counts.asks.add();
-        let ask = self.asks.add(question, now + self.shared.settings.ask_timeout);
-        match self.links.need(now, owner).map(|link| link.id) {
-            Some(link) => self.send_ask(ask, link, owner),
-            None => {
-                let peer = self.member.view().peers().find(|peer| peer.incarnation == Some(owner));
-                if let Some(address) = peer.map(|peer| peer.seed.address) {
-                    self.connect(address);
-                }
-            }
-        }
-    }
-
-    fn check_ask(&self, owner: Incarnation) -> answer::Result<()> {
-        let view = self.member.view();
-        if self.asks.len() >= self.shared.settings.max_asks {
-            Err(answer::Error::Crowded)
-        } else if view.has_ended(owner) {
-            Err(answer::Error::Gone)
-        } else if !view.peers().any(|peer| peer.incarnation == Some(owner)) {
-            Err(answer::Error::Unknown)
-        } else {
-            Ok(())
-        }
-    }
-
-    fn send_ask(&mut self, ask: u64, link: u64, owner: Incarnation) {
-        let now = self.shared.clock.now();
-        let queue = self.links.need(now, owner).map(|link| Arc::clone(&link.queue));
-        if let (Some(queue), Some(message)) = (queue, self.asks.send(ask, link)) {
-            self.push(&queue, message.into());
-        }
-    }
-
-    fn send_config(&self, to: &Instance, configuration: &Configuration) {
-        let Some(link) = self.links.get(to) else { return };
-        for part in assembly::split(configuration, MAX_PART_BYTES) {
-            if self.push(&link.queue, part.into()) == Pushed::Full {
-                log::warn!("{to} is too slow for a configuration");
-                return;
-            }
-        }
-    }
-
     fn other(&mut self, link: u64, message: wire::Message) {
         if !self.links.holds(link) && !matches!(message, wire::Message::Answer(_)) {
             return;
@@ -361,38 +303,6 @@
         }
     }
 
-    fn asked(&self, link: u64, ask: &wire::AnswerAsk) -> field::Result<()> {
-        let Some(link) = self.links.iter().find(|candidate| candidate.id == link) else {
-            return Ok(());
-        };
-        let reply = Reply {
-            ask: ask.ask,
-            queue: Arc::clone(&link.queue),
-            counts: Arc::clone(&self.shared.counts),
-            max_body: self.shared.settings.max_body(),
-        };
-        let from = link.who.instance.clone();
-        let ask = Ask { from, key: field::key(&ask.key)?, digest: field::digest(&ask.digest)? };
-        self.events.asked(ask, reply);
-        Ok(())
-    }
-
-    fn config_offered(&self, link: u64, offer: &wire::ConfigOffer) -> field::Result<()> {
-        let digest = field::digest(&offer.digest)?;
-        if let Some(from) = self.sender(link) {
-            self.events.config_offered(&from, Offset(offer.version), digest);
-        }
-        Ok(())
-    }
-
-    fn config_part(&mut self, link: u64, part: wire::ConfigState) -> field::Result<()> {
-        let Some(from) = self.sender(link) else { return Ok(()) };
-        if let Some(configuration) = self.assembly.add(&from, part)? {
-            self.events.config_received(&from, configuration);
-        }
-        Ok(())
-    }
-
     pub(crate) fn publish(&self) {
         let now = self.shared.clock.now();
         let configured = self.shared.settings.membership.instances;
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/core/ask.rs
@@ -0,0 +1,71 @@
+//! Asks for the results of idempotent calls, in both directions.
+
+use std::sync::Arc;
+
+use goldcrestvale_base::id::Incarnation;
+use goldcrestvale_wire::{field, message as wire};
+
+use super::Core;
+use crate::{
+    answer::{self, Question},
+    events::{Ask, Events, Reply},
+};
+
+impl<E: Events> Core<E> {
+    pub(super) fn ask(&mut self, question: Question) {
+        let now = self.shared.clock.now();
+        let owner = question.owner;
+        if let Err(error) = self.check_ask(owner) {
+            let _ = question.reply.send(Err(error));
+            return;
+        }
+        self.shared.counts.asks.add();
+        let ask = self.asks.add(question, now + self.shared.settings.ask_timeout);
+        match self.links.need(now, owner).map(|link| link.id) {
+            Some(link) => self.send_ask(ask, link, owner),
+            None => {
+                let peer = self.member.view().peers().find(|peer| peer.incarnation == Some(owner));
+                if let Some(address) = peer.map(|peer| peer.seed.address) {
+                    self.connect(address);
+                }
+            }
+        }
+    }
+
+    fn check_ask(&self, owner: Incarnation) -> answer::Result<()> {
+        let view = self.member.view();
+        if self.asks.len() >= self.shared.settings.max_asks {
+            Err(answer::Error::Crowded)
+        } else if view.has_ended(owner) {
+            Err(answer::Error::Gone)
+        } else if !view.peers().any(|peer| peer.incarnation == Some(owner)) {
+            Err(answer::Error::Unknown)
+        } else {
+            Ok(())
+        }
+    }
+
+    pub(super) fn send_ask(&mut self, ask: u64, link: u64, owner: Incarnation) {
+        let now = self.shared.clock.now();
+        let queue = self.links.need(now, owner).map(|link| Arc::clone(&link.queue));
+        if let (Some(queue), Some(message)) = (queue, self.asks.send(ask, link)) {
+            self.push(&queue, message.into());
+        }
+    }
+
+    pub(super) fn asked(&self, link: u64, ask: &wire::AnswerAsk) -> field::Result<()> {
+        let Some(link) = self.links.iter().find(|candidate| candidate.id == link) else {
+            return Ok(());
+        };
+        let reply = Reply {
+            ask: ask.ask,
+            queue: Arc::clone(&link.queue),
+            counts: Arc::clone(&self.shared.counts),
+            max_body: self.shared.settings.max_body(),
+        };
+        let from = link.who.instance.clone();
+        let ask = Ask { from, key: field::key(&ask.key)?, digest: field::digest(&ask.digest)? };
+        self.events.asked(ask, reply);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_peer/src/core/config.rs
@@ -0,0 +1,49 @@
+//! Configurations, passed on between instances.
+
+use goldcrestvale_base::id::{Digest, Instance, Offset};
+use goldcrestvale_wire::{field, message as wire};
+
+use super::{Core, assembly};
+use crate::{
+    events::{Configuration, Events},
+    queue::Pushed,
+};
+
+/// Most bytes of one part of a configuration.
+const MAX_PART_BYTES: usize = 64 << 10;
+
+impl<E: Events> Core<E> {
+    pub(super) fn offer_config(&self, version: Offset, digest: Digest) {
+        let digest = field::put_digest(digest);
+        for link in self.links.iter() {
+            let offer = wire::ConfigOffer { version: version.0, digest: digest.clone() };
+            self.push(&link.queue, offer.into());
+        }
+    }
+
+    pub(super) fn send_config(&self, to: &Instance, configuration: &Configuration) {
+        let Some(link) = self.links.get(to) else { return };
+        for part in assembly::split(configuration, MAX_PART_BYTES) {
+            if self.push(&link.queue, part.into()) == Pushed::Full {
+                log::warn!("{to} is too slow for a configuration");
+                return;
+            }
+        }
+    }
+
+    pub(super) fn config_offered(&self, link: u64, offer: &wire::ConfigOffer) -> field::Result<()> {
+        let digest = field::digest(&offer.digest)?;
+        if let Some(from) = self.sender(link) {
+            self.events.config_offered(&from, Offset(offer.version), digest);
+        }
+        Ok(())
+    }
+
+    pub(super) fn config_part(&mut self, link: u64, part: wire::ConfigState) -> field::Result<()> {
+        let Some(from) = self.sender(link) else { return Ok(()) };
+        if let Some(configuration) = self.assembly.add(&from, part)? {
+            self.events.config_received(&from, configuration);
+        }
+        Ok(())
+    }
+}
--- a/crates/goldcrestvale_peer/src/lib.rs
+++ b/crates/goldcrestvale_peer/src/lib.rs
@@ -7,11 +7,11 @@
 
 mod clock;
 mod connection;
-mod convert;
 mod core;
 mod link;
 
 pub mod answer;
+pub mod convert;
 pub mod count;
 pub mod dump;
 pub mod events;
--- a/crates/goldcrestvale_peer/tests/mesh/mod.rs
+++ b/crates/goldcrestvale_peer/tests/mesh/mod.rs
@@ -120,8 +120,11 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
 
+/// Time between heartbeats in tests.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+
 pub fn membership(identity: &Identity) -> Membership {
-    Membership::new(identity.clone()).heartbeat(Duration::from_millis(200)).instances(2)
+    Membership::new(identity.clone()).heartbeat(HEARTBEAT).instances(2)
 }
 
 /// Starts a peer that knows the seeds.
@@ -147,10 +150,19 @@
 
 /// Starts peers that know the first one, and waits until all see each other.
 pub async fn mesh(count: usize) -> Vec<Peer> {
+    mesh_with(count, HEARTBEAT).await
+}
+
+/// Starts peers with a time between heartbeats, and waits until all see each other.
+pub async fn mesh_with(count: usize, heartbeat: Duration) -> Vec<Peer> {
     let mut peers: Vec<Peer> = Vec::new();
     for place in 0..count {
         let seeds: Vec<SocketAddr> = peers.iter().map(|peer| peer.identity.address).collect();
-        peers.push(start(place, &seeds).await);
+        let configure = |settings: Settings| {
+            let membership = settings.membership.clone().heartbeat(heartbeat);
+            Settings { membership, ..settings }
+        };
+        peers.push(start_with(place, &seeds, Daemon::default(), configure).await);
     }
     for peer in &peers {
         for other in peers.iter().filter(|other| other.identity != peer.identity) {
