--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod baseline;
 pub mod cpu;
+pub mod experiment;
 pub mod load;
 pub mod overhead;
 pub mod policy;
--- a/crates/goldcrestvale_bench/src/main.rs
+++ b/crates/goldcrestvale_bench/src/main.rs
@@ -6,7 +6,7 @@
 };
 
 use clap::Parser;
-use goldcrestvale_bench::{baseline::Proxy, overhead};
+use goldcrestvale_bench::{baseline::Proxy, experiment, overhead};
 
 /// Measures the router and compares policies.
 #[derive(Debug, Parser)]
@@ -14,6 +14,8 @@
 enum Command {
     /// Measures what an entry instance adds to a call, with real processes on loopback.
     Overhead(overhead::Settings),
+    /// Compares choices of an engine on virtual time.
+    Policies(experiment::Settings),
     /// Runs the bare pass-through, which `overhead` compares with.
     Proxy {
         /// Address to pass requests on to.
@@ -33,6 +35,7 @@
             }
             write!(out, "{table}")
         }
+        Command::Policies(settings) => experiment::run(&settings),
         Command::Proxy { target } => {
             let proxy = Proxy::bind(target).await?;
             writeln!(out, "listening on {}", proxy.address()?)?;
--- a/crates/goldcrestvale_bench/src/policy/random.rs
+++ b/crates/goldcrestvale_bench/src/policy/random.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{Engine, Policy};
+use crate::sim::{ANSWER_MEAN, PROMPT_MEAN};
 
 /// Any engine, evenly or by capacity.
 #[derive(Debug)]
@@ -29,10 +30,11 @@
         if !self.weighted {
             return rng.random_range(0..engines.len());
         }
-        let total: f64 = engines.iter().map(Engine::capacity).sum();
+        let capacity = |engine: &Engine| engine.capacity(PROMPT_MEAN, ANSWER_MEAN);
+        let total: f64 = engines.iter().map(capacity).sum();
         let mut left = rng.random_range(0.0..total);
         for (engine, index) in engines.iter().zip(0..) {
-            left -= engine.capacity();
+            left -= capacity(engine);
             if left < 0.0 {
                 return index;
             }
--- a/crates/goldcrestvale_bench/src/sim.rs
+++ b/crates/goldcrestvale_bench/src/sim.rs
@@ -12,4 +12,5 @@
 
 pub use outcome::Outcome;
 pub use settings::{Fleet, Settings};
+pub use workload::{ANSWER_MEAN, PROMPT_MEAN};
 pub use world::World;
--- a/crates/goldcrestvale_bench/src/sim/outcome.rs
+++ b/crates/goldcrestvale_bench/src/sim/outcome.rs
@@ -16,12 +16,11 @@
 pub struct Outcome {
     first: Histogram<u64>,
     gap: Histogram<u64>,
+    offered: u64,
     complete: u64,
     within: u64,
-    /// Tokens written a second, after the first fifth of the run.
+    /// Tokens written a second, over the whole run.
     pub tokens_per_second: f64,
-    /// Share of the offered requests that were complete at the end.
-    pub finished: f64,
 }
 
 impl Default for Outcome {
@@ -30,15 +29,20 @@
         Self {
             first: histogram(),
             gap: histogram(),
+            offered: 0,
             complete: 0,
             within: 0,
             tokens_per_second: 0.0,
-            finished: 0.0,
         }
     }
 }
 
 impl Outcome {
+    /// Adds a request that arrived.
+    pub(super) fn offer(&mut self) {
+        self.offered += 1;
+    }
+
     /// Adds a complete request: its time to the first token, and its mean time between tokens.
     pub(super) fn add(&mut self, first: Duration, gap: Duration) {
         self.first.saturating_record(micros(first));
@@ -57,14 +61,20 @@
         self.gap.value_at_percentile(percentile) as f64 / 1e3
     }
 
+    /// Returns the number of requests that arrived and are counted.
+    pub fn offered(&self) -> u64 {
+        self.offered
+    }
+
     /// Returns the number of complete requests.
     pub fn complete(&self) -> u64 {
         self.complete
     }
 
-    /// Returns the share of complete requests whose first token and mean gap were within target.
+    /// Returns the share of the requests whose first token and mean gap were within target;
+    /// requests that were not complete at the end are not.
     pub fn within(&self) -> f64 {
-        self.within as f64 / (self.complete.max(1)) as f64
+        self.within as f64 / self.offered.max(1) as f64
     }
 }
 
--- a/crates/goldcrestvale_bench/src/sim/settings.rs
+++ b/crates/goldcrestvale_bench/src/sim/settings.rs
@@ -34,6 +34,8 @@
     pub fleet: Fleet,
     /// Number of routers.
     pub routers: usize,
+    /// Share of the requests that the first router gets; the others get equal shares.
+    pub skew: Option<f64>,
     /// Offered load as a share of the capacity.
     pub load: f64,
     /// Interval between two load reports of an engine.
@@ -42,7 +44,7 @@
     pub share_interval: Duration,
     /// Factor by which one in ten engines is slower than its kind, from the middle on.
     pub slowdown: f64,
-    /// Length of the run; the first fifth is not counted.
+    /// Length of the run; requests that arrive in its first and last fifth are not counted.
     pub length: Duration,
     /// Seed of arrivals, lengths and choices.
     pub seed: u64,
@@ -53,6 +55,7 @@
         Self {
             fleet: Fleet { large: 16, medium: 14, small: 10 },
             routers: 4,
+            skew: None,
             load: 0.8,
             report_interval: Duration::from_secs(1),
             share_interval: Duration::from_millis(250),
@@ -71,6 +74,13 @@
         self
     }
 
+    /// Sets the share of the requests that the first router gets.
+    #[must_use]
+    pub fn with_skew(mut self, skew: f64) -> Self {
+        self.skew = Some(skew);
+        self
+    }
+
     /// Sets the offered load.
     #[must_use]
     pub fn with_load(mut self, load: f64) -> Self {
@@ -85,6 +95,13 @@
         self
     }
 
+    /// Sets the interval at which routers tell each other what they sent.
+    #[must_use]
+    pub fn with_share_interval(mut self, share_interval: Duration) -> Self {
+        self.share_interval = share_interval;
+        self
+    }
+
     /// Sets the factor by which one in ten engines becomes slower.
     #[must_use]
     pub fn with_slowdown(mut self, slowdown: f64) -> Self {
--- a/crates/goldcrestvale_bench/src/sim/workload.rs
+++ b/crates/goldcrestvale_bench/src/sim/workload.rs
@@ -6,9 +6,9 @@
 use rand_chacha::ChaCha8Rng;
 
 /// Mean number of tokens of a prompt.
-const PROMPT_MEAN: f64 = 200.0;
+pub const PROMPT_MEAN: f64 = 200.0;
 /// Mean number of tokens of an answer.
-const ANSWER_MEAN: f64 = 100.0;
+pub const ANSWER_MEAN: f64 = 100.0;
 /// Longest prompt, in tokens.
 const PROMPT_MAX: f64 = 1_000.0;
 /// Longest answer, in tokens.
@@ -30,9 +30,9 @@
 }
 
 impl Workload {
-    /// Creates a workload that offers a number of generated tokens a second.
-    pub(super) fn new(tokens_per_second: f64) -> Self {
-        Self { rate: tokens_per_second / ANSWER_MEAN }
+    /// Creates a workload of a number of requests a second.
+    pub(super) fn new(rate: f64) -> Self {
+        Self { rate }
     }
 
     /// Draws the time until the next arrival.
