--- a/crates/goldcrestvale_entry/src/callers/draft.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod call;
 mod relay;
 
 use std::sync::Arc;
@@ -10,7 +11,12 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
-use super::{auth::Caller, sse, trace::Trace};
+use super::{
+    admit::{self, Need},
+    auth::Caller,
+    sse,
+    trace::Trace,
+};
 use crate::{
     body::{self, Body},
     gate::Pass,
@@ -19,7 +25,7 @@
 };
 use answer::{Answer, End};
 use ask::Ask;
-use relay::Relay;
+use relay::{Next, Relay};
 
 pub(super) async fn serve(
     node: Arc<Node>,
@@ -27,14 +33,18 @@
     caller: Caller,
     request: Request<Incoming>,
     trace: &mut Trace,
-    pass: Pass,
+    mut pass: Pass,
 ) -> Result<Response<Body>> {
     let limits = &node.settings.callers;
     let body = body::read(request.into_body(), limits.body_bytes, limits.body_timeout).await?;
     let ask = Ask::parse(&body, &caller, &node)?;
     let until = trace.started() + ask.deadline;
+    let need = Need { priority: ask.priority, until, cost: ask.cost() };
+    pass.hold(admit::enter(&node, &node.drafts, &caller, need).await?);
     let relay = Relay::plan(node.clone(), id, ask, until)?;
-    trace.set_upstream(relay.first_upstream(), 1);
+    if let Some(first) = relay.first_upstream() {
+        trace.set_upstream(first, 1);
+    }
     if relay.ask().stream {
         return Ok(stream(relay, trace.hand_over(), pass));
     }
@@ -42,8 +52,12 @@
 }
 
 async fn whole(mut relay: Relay) -> Result<Response<Body>> {
-    while relay.advance().await?.is_some() {}
-    let answer = Answer::new(&relay);
+    let whole = loop {
+        if let Next::End(whole) = relay.advance().await? {
+            break whole;
+        }
+    };
+    let answer = Answer::new(&relay, whole);
     let body = serde_json::to_vec(&answer).unwrap_or_default();
     let mut response = Response::new(body::full(body));
     let json = HeaderValue::from_static("application/json");
@@ -56,14 +70,19 @@
     tokio::spawn(async move {
         let _pass = pass;
         let last = loop {
-            match relay.advance().await {
-                Ok(Some(piece)) => {
+            let next = tokio::select! {
+                next = relay.advance() => next,
+                // Dropping the relay cancels the draft on every stage.
+                () = sender.closed() => return,
+            };
+            match next {
+                Ok(Next::Piece(piece)) => {
                     let event = sse::event("token", Some(piece.position), &piece);
                     if sender.send(event).await.is_err() {
                         return;
                     }
                 }
-                Ok(None) => break sse::event("end", None, &End::new(&relay)),
+                Ok(Next::End(whole)) => break sse::event("end", None, &End::new(&relay, whole)),
                 Err(refusal) => {
                     trace.refuse(&refusal);
                     break sse::event("error", None, &refusal.problem(relay.id()));
--- a/crates/goldcrestvale_entry/src/callers/draft/ask.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/ask.rs
@@ -38,6 +38,8 @@
 pub(super) struct Ask {
     pub(super) model: Model,
     pub(super) layers: u32,
+    /// Version of the weights that is in force.
+    pub(super) version: String,
     pub(super) prompt: Vec<u32>,
     /// Tokens that the caller already holds from an earlier answer to the same prompt.
     pub(super) resume: Vec<u32>,
@@ -70,6 +72,7 @@
         let deadline = caller.deadline_ms.map(Duration::from_millis);
         Ok(Self {
             layers: model.body.layers,
+            version: model.body.version.clone(),
             model: body.model,
             prompt,
             resume: body.resume,
@@ -81,6 +84,18 @@
     }
 }
 
+/// Positions of a prompt that take as long as one token of an answer.
+const PROMPT_PER_TOKEN: usize = 32;
+
+impl Ask {
+    /// Returns the expected work, in tokens of an answer.
+    pub(super) fn cost(&self) -> u32 {
+        let prompt = self.prompt.len().div_ceil(PROMPT_PER_TOKEN) as u32;
+        let resumed = self.resume.len() as u32;
+        prompt + self.max_tokens.saturating_sub(resumed)
+    }
+}
+
 fn check_size(
     prompt: usize,
     resumed: usize,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,8 +5,10 @@
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
     admission::Queued,
-    callers,
+    callers, claims,
+    configuration::Configuration,
     daemon::{Builder, Daemon},
+    health::Judge,
     limits::Demand,
     metrics::{self, Metrics},
     node::Node,
@@ -14,7 +16,6 @@
     phase::Phase,
     server::{Bounds, Server},
     settings::Settings,
-    tail::Tail,
     watch::Watch,
 };
 use log::{info, warn};
@@ -98,18 +99,19 @@
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
         let peers = node.peers.start(&node).await.context(PeersSnafu)?;
-        let (tail, state) = Tail::new();
         let daemon = Builder::new(node.clone())
             .with(Identity)
-            .with(tail)
+            .with(Configuration)
             .with(Watch)
+            .with(Judge)
             .with(peers)
+            .with(claims::Attend)
             .with(Demand)
             .with(Queued { name: "drafts", admission: node.drafts.clone() })
             .with(Queued { name: "calls", admission: node.calls.clone() })
             .start();
         let callers = listen_callers(&node).await?;
-        let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
+        let operators = Desk::new(node.clone(), daemon.dump().clone());
         let operators = listen_operators(&node, operators).await?;
         info!(
             instance:% = node.settings.instance.name,
