--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub operators: Operators,
     /// Section `platform`.
     pub platform: Platform,
+    /// Section `config`.
+    pub config: Config,
     /// Section `peer`.
     pub peer: Peer,
     /// Section `upstream`.
@@ -34,6 +36,10 @@
     pub draft: Draft,
     /// Section `admission`.
     pub admission: Admission,
+    /// Section `claims`.
+    pub claims: Claims,
+    /// Section `orders`.
+    pub orders: Orders,
     /// Section `stop`.
     pub stop: Stop,
 }
@@ -131,6 +137,19 @@
     }
 }
 
+/// The configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Time between checkpoints; at most a third of the time that the log keeps records.
+    pub checkpoint_interval: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { checkpoint_interval: Duration::from_secs(1_200) }
+    }
+}
+
 /// The other entry instances.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -235,6 +254,55 @@
     }
 }
 
+/// Calls with an idempotency key.
+#[derive(Debug, Clone)]
+pub struct Claims {
+    /// Longest age of an idempotency key.
+    pub window: Duration,
+    /// Most calls of one stream that wait for the log or for their service.
+    pub calls: usize,
+    /// Appends a second that the platform's log takes from all instances.
+    pub appends_per_second: u32,
+    /// Most bytes of answers kept for repeated calls.
+    pub answer_bytes: usize,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(600),
+            calls: 4_096,
+            appends_per_second: 300,
+            answer_bytes: 8 << 20,
+        }
+    }
+}
+
+/// Orders to engines.
+#[derive(Debug, Clone)]
+pub struct Orders {
+    /// Token that engines which check the sender expect.
+    pub token: String,
+    /// Time that the lease of the orders lasts without renewal.
+    pub lease: Duration,
+    /// Longest time between the sending of an order and its effect.
+    pub delay: Duration,
+    /// Engines of the failure domain that load at the same time, since they share the rate of the
+    /// store of weights.
+    pub loads: usize,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            token: String::new(),
+            lease: Duration::from_secs(10),
+            delay: Duration::from_secs(2),
+            loads: 4,
+        }
+    }
+}
+
 /// Planned stops.
 #[derive(Debug, Clone)]
 pub struct Stop {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,17 +5,18 @@
 use goldcrestvale_base::id::Incarnation;
 use goldcrestvale_entry::{
     admission::Queued,
-    callers,
+    callers, claims,
+    configuration::Configuration,
     daemon::{Builder, Daemon},
     health::Judge,
     limits::Demand,
     metrics::{self, Metrics},
     node::Node,
     operators::Desk,
+    orders::Orders,
     phase::Phase,
     server::{Bounds, Server},
     settings::Settings,
-    tail::Tail,
     watch::Watch,
 };
 use log::{info, warn};
@@ -99,26 +100,27 @@
         let incarnation = Incarnation::random(&mut StdRng::from_os_rng());
         let node = Node::new(settings, incarnation, metrics);
         let peers = node.peers.start(&node).await.context(PeersSnafu)?;
-        let (tail, state) = Tail::new();
         let daemon = Builder::new(node.clone())
             .with(Identity)
-            .with(tail)
+            .with(Configuration)
             .with(Watch)
             .with(Judge)
             .with(peers)
+            .with(claims::Attend)
             .with(Demand)
+            .with(Orders)
             .with(Queued { name: "drafts", admission: node.drafts.clone() })
             .with(Queued { name: "calls", admission: node.calls.clone() })
             .start();
         let callers = listen_callers(&node).await?;
-        let operators = Desk::new(node.clone(), daemon.dump().clone(), state);
+        let operators = Desk::new(node.clone(), daemon.dump().clone());
         let operators = listen_operators(&node, operators).await?;
         info!(
             instance:% = node.settings.instance.name,
             incarnation:% = incarnation,
             callers:% = callers.address,
             operators:% = operators.address,
-            peers:? = node.peers.address();
+            peers = node.peers.address().map_or_else(|| "none".to_owned(), |peers| peers.to_string());
             "listening"
         );
         Ok(Self { daemon, callers, operators })
