Judge small fleets, and keep an ejected engine where no other is

Cause: an ejection share of a fifth allowed no ejection below five engines, so a slow engine of a small fleet was never left; and an ejected engine that alone holds layers made every draft fail for 5 s.

Ruled out: a share that grows for small fleets; the monitor does not know layers, so the planners put ejected engines back where they must.

Change: one upstream may always be ejected; times are compared with at least 5 ms, below which they are noise; plans fall back on ejected engines. Rows for a slow engine and a test of the fallback in tests/draft_recovery.rs.

Conclusion: a slow engine is left also in a fleet of four.

--- a/crates/goldcrestvale_route/src/health.rs
+++ b/crates/goldcrestvale_route/src/health.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Monitor`] keeps one record an upstream. Failures in a row, or step times far above the
 //! expected ones, eject an upstream for a time that doubles with each ejection; never more than
-//! a share of the fleet is ejected at once. Where most upstreams of a failure domain are slow
+//! a share of the fleet is ejected at once. An ejection is a suspicion: whoever plans goes on with
+//! ejected upstreams where no other holds the layers. Where most upstreams of a failure domain are slow
 //! together, the link to the domain is suspected, and its upstreams become costly instead of
 //! being ejected. Joiners and upstreams that return start slowly. Leaving is final for an
 //! incarnation.
--- a/crates/goldcrestvale_route/src/health/monitor.rs
+++ b/crates/goldcrestvale_route/src/health/monitor.rs
@@ -132,6 +132,11 @@
         self.records.get(upstream).is_some_and(|record| record.is_ejected(now))
     }
 
+    /// Returns whether an upstream is leaving.
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        self.records.get(upstream).is_some_and(|record| record.leaving)
+    }
+
     /// Returns the upstreams that may get no new work.
     pub fn iter_unusable(&self, now: Instant) -> impl Iterator<Item = &Upstream> {
         self.records.keys().filter(move |upstream| !self.is_usable(now, upstream))
@@ -179,6 +184,12 @@
         Some(if suspected { Change::LinkSlow { domain } } else { Change::LinkRestored { domain } })
     }
 
+    /// Returns the most upstreams that may be ejected at once.
+    fn most_ejected(&self) -> usize {
+        let most = self.records.len() as f64 * self.settings.ejected_share;
+        if most > 0.0 { (most as usize).max(1) } else { 0 }
+    }
+
     /// Ejects an upstream that failed or is slow, unless too many are ejected already.
     fn judge(&mut self, now: Instant, upstream: &Upstream) -> Option<Change> {
         let record = self.records.get(upstream)?;
@@ -187,8 +198,7 @@
             return None;
         }
         let ejected = self.records.values().filter(|record| record.is_ejected(now)).count();
-        let most = self.records.len() as f64 * self.settings.ejected_share;
-        if (ejected + 1) as f64 > most {
+        if ejected >= self.most_ejected() {
             return None;
         }
         let record = self.records.get_mut(upstream)?;
--- a/crates/goldcrestvale_route/src/health/record.rs
+++ b/crates/goldcrestvale_route/src/health/record.rs
@@ -75,7 +75,8 @@
     ) {
         self.failures = 0;
         self.answers = self.answers.saturating_add(1);
-        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
+        let expected = expected.max(settings.expected_floor).as_secs_f64().max(f64::EPSILON);
+        let ratio = took.as_secs_f64() / expected;
         self.ratio += settings.smoothing * (ratio - self.ratio);
         self.slow = self.answers >= settings.samples && self.ratio > settings.slow;
         if now.since(self.since) > settings.ejection_ceiling {
--- a/crates/goldcrestvale_route/src/health/settings.rs
+++ b/crates/goldcrestvale_route/src/health/settings.rs
@@ -13,9 +13,11 @@
         pub smoothing: f64,
         /// Multiple of the expected time above which an upstream counts as slow.
         pub slow: f64,
+        /// Least expected time that an answer is compared with; below it, times are mostly noise.
+        pub expected_floor: Duration,
         /// Answers in an incarnation before an upstream can count as slow.
         pub samples: u32,
-        /// Largest share of the fleet that is ejected at once.
+        /// Largest share of the fleet that is ejected at once; above 0, one always may be.
         pub ejected_share: f64,
         /// Share of a domain's upstreams that must be slow for its link to be suspected.
         pub link_share: f64,
@@ -36,6 +38,7 @@
             failures: 3,
             smoothing: 0.3,
             slow: 8.0,
+            expected_floor: Duration::from_millis(5),
             samples: 5,
             ejected_share: 0.2,
             link_share: 0.5,
--- a/crates/goldcrestvale_route/tests/engine_health.rs
+++ b/crates/goldcrestvale_route/tests/engine_health.rs
@@ -77,6 +77,31 @@
     }
 }
 
+#[test]
+fn one_of_a_small_fleet_may_be_ejected() {
+    let rows = [(1, 0.2, 1), (4, 0.2, 1), (9, 0.2, 1), (10, 0.2, 2), (4, 0.0, 0)];
+    for (engines, ejected_share, most) in rows {
+        let mut monitor = Monitor::new(Settings { ejected_share, ..Settings::default() });
+        for index in 0..engines {
+            monitor.join(at(0), &name(index), &"bole".parse().unwrap(), Incarnation(1));
+        }
+        for index in (0..engines).flat_map(|index| [index; 3]) {
+            monitor.observe(at(1), &name(index), Outcome::Failed(Fault::Lost));
+        }
+        assert_eq!(monitor.iter_unusable(at(1)).count(), most, "{engines}, {ejected_share}");
+    }
+}
+
+#[test]
+fn short_steps_are_not_judged_by_their_noise() {
+    let mut monitor = fleet(Settings { ejected_share: 1.0, ..Settings::default() });
+    let expected = Duration::from_micros(100);
+    for _ in 0..20 {
+        let outcome = Outcome::Answered { took: expected * 100, expected };
+        assert!(monitor.observe(at(1), &name(1), outcome).is_empty());
+    }
+}
+
 #[test]
 fn ejections_grow_and_are_forgotten() {
     let settings = Settings::default();
--- a/tests/draft_recovery.rs
+++ b/tests/draft_recovery.rs
@@ -118,6 +118,8 @@
         (Trouble::Fault("hang_after", 0), true),
         (Trouble::Fault("refuse", 0), true),
         (Trouble::Fault("busy", 0), true),
+        // A hundred milliseconds a step, below every timeout.
+        (Trouble::Fault("slow", 60), true),
         (Trouble::Fault("lose_answers", 1), false),
         (Trouble::Fault("cross", 1), false),
     ];
@@ -127,9 +129,12 @@
             let mut events = start(&fleet, &[]).await?;
             let mut tokens = read(&mut events, 5).await?;
             befall(used(&mut fleet, stage).await?, trouble).await?;
+            let befallen = Instant::now();
             let (events, longest) = rest(events).await?;
             tokens.extend(events.iter().filter_map(token));
             assert_eq!(tokens, expected(), "{trouble:?} at {stage}");
+            // Over a slow stage, the rest would take longer than twice this.
+            assert!(befallen.elapsed() < TARGET * 3, "{trouble:?}: {:?}", befallen.elapsed());
             let end = events.last().expect("a last event");
             assert_eq!((end.name.as_str(), &end.data["count"]), ("end", &json!(COUNT)));
             let digest = reference_digest(&tokens);
@@ -225,3 +230,25 @@
     fleet.wait_dump(0, |dump| dump["instance"]["requests_in_progress"] == 0).await?;
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ejected_engine_is_used_for_want_of_another() -> io::Result<()> {
+    let fleet = fleet(&[("a1", 0, 6), ("b1", 6, 12)]).await?;
+    let entry = fleet.entries[0].callers;
+    let plain = json!({ "model": MODEL, "prompt": PROMPT, "max_tokens": 4 });
+    fleet.engines[1].fault(&json!({ "refuse": true })).await?;
+    while fleet.dump(0).await?["health"]["unusable"] != json!(["b1"]) {
+        let answer = fleet.customer().post(entry, "/v1/completions", &plain).await?;
+        assert_eq!(answer.status.as_u16(), 503, "{}", answer.json());
+    }
+    fleet.engines[1].fault(&json!({})).await?;
+    // The listener is bound again a moment later; the ejection lasts 5 s.
+    let cleared = Instant::now();
+    loop {
+        let answer = fleet.customer().post(entry, "/v1/completions", &plain).await?;
+        if answer.status.as_u16() == 200 {
+            return Ok(());
+        }
+        assert!(cleared.elapsed() < TARGET, "{}", answer.json());
+    }
+}
