Follow one offer at a time, by the package's decision

Cause: how many asks an instance has open was decided in the daemon, where no test on virtual time reaches it.

Change: Sync takes the time and answers Wait while an ask is open; checkpoints are compared by Fold::compare.

--- a/crates/goldcrestvale_config/src/sync.rs
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -4,11 +4,12 @@
 //! the records behind its version, or a checkpoint in chunks where the peer no longer has them.
 //! State is applied only upwards.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_base::{
     domain,
     id::{Digest, Offset},
+    time::Instant,
 };
 
 use crate::{
@@ -24,6 +25,9 @@
 /// Size of the records after which an answer takes no more, in bytes of their data.
 pub const RECORDS_BYTES: usize = 65_536;
 
+/// Time after an ask within which no other offer is followed, unless the answer comes.
+pub const ASK_PAUSE: Duration = Duration::from_secs(2);
+
 domain! {
     copy
     /// What state an instance has.
@@ -76,6 +80,8 @@
         Same,
         /// The offered state is newer: ask for it.
         Ask(Ask),
+        /// The offered state is newer, and another ask waits for its answer.
+        Wait,
         /// The offered state is older: ignore it, and offer the own one.
         Older,
         /// The versions are equal and the digests are not: an alarm, which was counted.
@@ -90,6 +96,22 @@
     u64::from_be_bytes(brief)
 }
 
+domain! {
+    copy
+    /// How an offered state compares with the own one.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Compared {
+        /// It is the own state.
+        Same,
+        /// It is newer.
+        Newer,
+        /// It is older.
+        Older,
+        /// The own state of that version had another digest: an alarm, which was counted.
+        Diverged,
+    }
+}
+
 domain! {
     record
     /// What instances send each other.
@@ -107,15 +129,17 @@
 /// # Examples
 ///
 /// ```
+/// use goldcrestvale_base::time::Instant;
 /// use goldcrestvale_config::{fold::Fold, sync::{Sync, Weighed}};
 ///
 /// let (mut sync, mut fold) = (Sync::default(), Fold::new());
 /// let offer = fold.offer();
-/// assert_eq!(sync.weigh(&mut fold, &offer), Weighed::Same);
+/// assert_eq!(sync.weigh(Instant(0), &mut fold, &offer), Weighed::Same);
 /// ```
 #[derive(Debug, Default)]
 pub struct Sync {
     gather: Gather,
+    asked: Option<Instant>,
     given: Option<(Set, Arc<[Chunk]>)>,
 }
 
@@ -125,6 +149,21 @@
         Offer { version: self.version(), digest: self.digest() }
     }
 
+    /// Compares an offered state with the own one of that version, by digest.
+    pub fn compare(&mut self, version: Offset, agrees: impl FnOnce(Digest) -> bool) -> Compared {
+        if version > self.version() {
+            return Compared::Newer;
+        }
+        match self.digest_at(version) {
+            Some(digest) if !agrees(digest) => {
+                self.alarms.divergences += 1;
+                Compared::Diverged
+            }
+            _ if version == self.version() => Compared::Same,
+            _ => Compared::Older,
+        }
+    }
+
     /// Replaces the state by that of a checkpoint, if that is newer.
     ///
     /// Returns whether it was. Alarms are kept.
@@ -156,31 +195,35 @@
 
 impl Sync {
     /// Weighs the offer of another instance.
-    pub fn weigh(&mut self, fold: &mut Fold, offer: &Offer) -> Weighed {
-        self.judge(fold, offer.version, |digest| digest == offer.digest)
+    pub fn weigh(&mut self, now: Instant, fold: &mut Fold, offer: &Offer) -> Weighed {
+        let compared = fold.compare(offer.version, |digest| digest == offer.digest);
+        self.follow(now, fold, compared)
     }
 
     /// Weighs an offer of which only the first bytes of the digest are told.
-    pub fn weigh_brief(&mut self, fold: &mut Fold, version: Offset, brief: u64) -> Weighed {
-        self.judge(fold, version, |digest| brief_of(&digest) == brief)
-    }
-
-    fn judge(
+    pub fn weigh_brief(
         &mut self,
+        now: Instant,
         fold: &mut Fold,
         version: Offset,
-        agrees: impl FnOnce(Digest) -> bool,
+        brief: u64,
     ) -> Weighed {
-        if version > fold.version() {
-            return Weighed::Ask(self.ask(fold));
-        }
-        match fold.digest_at(version) {
-            Some(digest) if !agrees(digest) => {
-                fold.alarms.divergences += 1;
-                Weighed::Diverged
+        let compared = fold.compare(version, |digest| brief_of(&digest) == brief);
+        self.follow(now, fold, compared)
+    }
+
+    fn follow(&mut self, now: Instant, fold: &Fold, compared: Compared) -> Weighed {
+        match compared {
+            Compared::Same => Weighed::Same,
+            Compared::Older => Weighed::Older,
+            Compared::Diverged => Weighed::Diverged,
+            Compared::Newer if self.asked.is_some_and(|at| now.since(at) < ASK_PAUSE) => {
+                Weighed::Wait
+            }
+            Compared::Newer => {
+                self.asked = Some(now);
+                Weighed::Ask(self.ask(fold))
             }
-            _ if version == fold.version() => Weighed::Same,
-            _ => Weighed::Older,
         }
     }
 
@@ -206,12 +249,14 @@
     }
 
     /// Takes another instance's answer, and returns what to ask it next, if anything.
-    pub fn take(&mut self, fold: &mut Fold, answer: Answer) -> Option<Ask> {
-        match answer {
+    pub fn take(&mut self, now: Instant, fold: &mut Fold, answer: Answer) -> Option<Ask> {
+        let next = match answer {
             Answer::Nothing => None,
             Answer::Records { base, records } => self.take_records(fold, base, records),
             Answer::Chunk(chunk) => self.take_chunk(fold, chunk),
-        }
+        };
+        self.asked = next.map(|_| now);
+        next
     }
 
     fn ask(&self, fold: &Fold) -> Ask {
--- a/crates/goldcrestvale_config/tests/checkpoint_turn.rs
+++ b/crates/goldcrestvale_config/tests/checkpoint_turn.rs
@@ -13,7 +13,7 @@
     prelude::*,
     schema::Table,
     start,
-    sync::Weighed,
+    sync::Compared,
     writer::Setting,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -166,10 +166,9 @@
     assert!(!fold.try_advance(&forged).expect("is ignored"));
     assert_eq!((fold.digest(), fold.alarms().divergences), (digest, 1));
     // A complete checkpoint is weighed like a peer's offer.
-    let mut node = Node::new(fold);
-    let offer = goldcrestvale_config::sync::Offer { version: old.version, digest: forged.digest };
-    assert_eq!(node.sync.weigh(&mut node.fold, &offer), Weighed::Diverged);
-    assert_eq!(node.fold.alarms().divergences, 2);
+    let compared = fold.compare(old.version, |digest| digest == forged.digest);
+    assert_eq!(compared, Compared::Diverged);
+    assert_eq!(fold.alarms().divergences, 2);
 }
 
 proptest! {
--- a/crates/goldcrestvale_config/tests/support/mod.rs
+++ b/crates/goldcrestvale_config/tests/support/mod.rs
@@ -4,13 +4,16 @@
 pub mod office;
 pub mod scribes;
 
-use goldcrestvale_base::id::{Incarnation, Offset, RecordId};
+use goldcrestvale_base::{
+    id::{Incarnation, Offset, RecordId},
+    time::Instant,
+};
 use goldcrestvale_config::{
     change::{Change, Data, Raise, Schema},
     fold::Fold,
     record::Kind,
     start,
-    sync::{Sync, Weighed},
+    sync::{ASK_PAUSE, Answer, Ask, Offer, Sync, Weighed},
     writer::Writer,
 };
 use serde_json::{Value, json};
@@ -50,6 +53,7 @@
 
 /// One instance.
 pub struct Node {
+    pub now: Instant,
     pub fold: Fold,
     pub sync: Sync,
     pub highest: Offset,
@@ -57,7 +61,7 @@
 
 impl Node {
     pub fn new(fold: Fold) -> Self {
-        Self { highest: fold.version(), fold, sync: Sync::default() }
+        Self { now: Instant(0), highest: fold.version(), fold, sync: Sync::default() }
     }
 
     /// Reads a log from where it is, or from a checkpoint where the log is trimmed.
@@ -68,6 +72,16 @@
         Ok(())
     }
 
+    /// Weighs an offer, after earlier asks have run out.
+    pub fn weigh(&mut self, offer: &Offer) -> Weighed {
+        self.now = self.now + ASK_PAUSE;
+        self.sync.weigh(self.now, &mut self.fold, offer)
+    }
+
+    pub fn take(&mut self, answer: Answer) -> Option<Ask> {
+        self.sync.take(self.now, &mut self.fold, answer)
+    }
+
     /// Panics if the state went back to an older one.
     pub fn check_upwards(&mut self) {
         assert!(self.fold.version() >= self.highest, "the state reverts");
@@ -79,10 +93,10 @@
 /// of answers that it took.
 pub fn gossip(from: &mut Node, to: &mut Node) -> usize {
     let offer = from.fold.offer();
-    let Weighed::Ask(mut ask) = to.sync.weigh(&mut to.fold, &offer) else { return 0 };
+    let Weighed::Ask(mut ask) = to.weigh(&offer) else { return 0 };
     for answers in 1.. {
         let answer = from.sync.answer(&from.fold, &ask);
-        match to.sync.take(&mut to.fold, answer) {
+        match to.take(answer) {
             Some(next) => ask = next,
             None => return answers,
         }
--- a/crates/goldcrestvale_entry/src/configuration.rs
+++ b/crates/goldcrestvale_entry/src/configuration.rs
@@ -65,7 +65,6 @@
     desk: Desk,
     writer: Writer,
     rng: StdRng,
-    asked: Option<Instant>,
     waiting: HashMap<RecordId, Vec<oneshot::Sender<Answer>>>,
     /// Pages of the log that ended before one read earlier.
     regressions: u64,
@@ -93,7 +92,6 @@
             desk: Desk::default(),
             writer: Writer::new(own, setting, now, instances, &mut rng),
             rng,
-            asked: None,
             waiting: HashMap::new(),
             regressions: 0,
             unproven: None,
--- a/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
+++ b/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
@@ -9,7 +9,7 @@
     chunk::Chunk,
     record::Kind,
     schema::Table,
-    sync::{Offer, Weighed},
+    sync::Compared,
     turn::Turn,
 };
 use goldcrestvale_platform::{
@@ -82,14 +82,13 @@
 
 fn read_chunk(state: &mut State, now: Instant, record: &Record, chunk: Chunk, instances: u32) {
     let before = state.writer.latest().map(|latest| latest.version);
-    let State { fold, sync, writer, rng, .. } = state;
+    let State { fold, writer, rng, .. } = state;
     writer.read(now, record.id.incarnation, chunk, instances, rng);
     let Some(latest) = writer.latest().filter(|latest| Some(latest.version) != before) else {
         return;
     };
     info!(version = latest.version.0, bytes = latest.text.len(); "checkpoint read");
-    let offer = Offer { version: latest.version, digest: latest.digest };
-    if sync.weigh(fold, &offer) == Weighed::Diverged {
+    if fold.compare(latest.version, |digest| digest == latest.digest) == Compared::Diverged {
         error!(version = latest.version.0; "a checkpoint has another state of this version");
     }
 }
--- a/crates/goldcrestvale_entry/src/configuration/exchange.rs
+++ b/crates/goldcrestvale_entry/src/configuration/exchange.rs
@@ -1,9 +1,6 @@
 //! Passing the configuration between instances.
 
-use std::{
-    sync::{Arc, Weak},
-    time::Duration,
-};
+use std::sync::{Arc, Weak};
 
 use goldcrestvale_base::id::{Digest, Instance, Offset};
 use goldcrestvale_config::sync::{Answer, Ask, Frame, Weighed};
@@ -13,9 +10,6 @@
 use super::{State, serve_from};
 use crate::{node::Node, peers::Store};
 
-/// Time after an ask within which no other offer is followed.
-const ASK_PAUSE: Duration = Duration::from_secs(2);
-
 /// Serves the configuration to other instances and takes theirs.
 pub(super) struct Exchange {
     node: Weak<Node>,
@@ -57,23 +51,15 @@
     let now = node.clock.now();
     let weighed = {
         let mut state = node.configuration.state();
-        let State { fold, sync, asked, .. } = &mut *state;
-        let busy = asked.is_some_and(|at| now.since(at) < ASK_PAUSE);
-        if busy && version > fold.version() {
-            return;
-        }
-        let weighed = sync.weigh_brief(fold, version, brief);
-        if matches!(weighed, Weighed::Ask(_)) {
-            *asked = Some(now);
-        }
-        weighed
+        let State { fold, sync, .. } = &mut *state;
+        sync.weigh_brief(now, fold, version, brief)
     };
     match weighed {
         Weighed::Ask(ask) => send_ask(node, from, ask),
         Weighed::Diverged => {
             error!(instance:% = from, version = version.0; "another instance has another state");
         }
-        Weighed::Same | Weighed::Older => {}
+        Weighed::Same | Weighed::Older | Weighed::Wait => {}
     }
 }
 
@@ -104,10 +90,8 @@
     let now = node.clock.now();
     let before = node.configuration.seen().offer.version;
     let (ask, version) = node.configuration.edit(node, |state| {
-        let State { fold, sync, asked, .. } = state;
-        let ask = sync.take(fold, answer);
-        *asked = ask.map(|_| now);
-        (ask, fold.version())
+        let State { fold, sync, .. } = state;
+        (sync.take(now, fold, answer), fold.version())
     });
     if version > before {
         info!(instance:% = from, version = version.0; "configuration taken from a peer");
