--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -38,6 +38,8 @@
     pub admission: Admission,
     /// Section `claims`.
     pub claims: Claims,
+    /// Section `orders`.
+    pub orders: Orders,
     /// Section `stop`.
     pub stop: Stop,
 }
@@ -255,8 +257,6 @@
 /// Calls with an idempotency key.
 #[derive(Debug, Clone)]
 pub struct Claims {
-    /// Number of claim streams; the same at every instance.
-    pub streams: u16,
     /// Longest age of an idempotency key.
     pub window: Duration,
     /// Most calls of one stream that wait for the log or for their service.
@@ -270,7 +270,6 @@
 impl Default for Claims {
     fn default() -> Self {
         Self {
-            streams: 1,
             window: Duration::from_secs(600),
             calls: 4_096,
             appends_per_second: 300,
@@ -279,6 +278,31 @@
     }
 }
 
+/// Orders to engines.
+#[derive(Debug, Clone)]
+pub struct Orders {
+    /// Token that engines which check the sender expect.
+    pub token: String,
+    /// Time that the lease of the orders lasts without renewal.
+    pub lease: Duration,
+    /// Longest time between the sending of an order and its effect.
+    pub delay: Duration,
+    /// Engines of the failure domain that load at the same time, since they share the rate of the
+    /// store of weights.
+    pub loads: usize,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            token: String::new(),
+            lease: Duration::from_secs(10),
+            delay: Duration::from_secs(2),
+            loads: 4,
+        }
+    }
+}
+
 /// Planned stops.
 #[derive(Debug, Clone)]
 pub struct Stop {
