Serve both interfaces as tower services

Cause: the house style asks for tower, and operators' requests had no bound of their own beside connections. Ruled out: tower layers for callers' admission and retries, which need the parsed request and answer with a verdict. Change: the listener runs any tower service; the operators' interface sheds load beyond 32 requests in progress.

--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -1,6 +1,6 @@
 //! Accepting connections, with bounds and a graceful end.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, service::service_fn};
@@ -14,6 +14,7 @@
     sync::{OwnedSemaphorePermit, Semaphore},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tower::{Service, ServiceExt};
 
 use crate::{activity::Activity, body::Body};
 
@@ -33,6 +34,20 @@
     pub connections: usize,
 }
 
+/// A service that answers every request.
+pub trait Handler:
+    Service<Request<Incoming>, Response = Response<Body>, Error = Infallible> + Clone + Send + 'static
+{
+}
+
+impl<S> Handler for S where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static
+{
+}
+
 /// A bound listener that serves HTTP/1.1 and HTTP/2 on one address.
 #[derive(Debug)]
 pub struct Server {
@@ -66,14 +81,14 @@
     /// Serves until the token is cancelled, then lets the requests in progress finish.
     ///
     /// Returns whether all of them finished within `drain`; those that did not are cut off.
-    pub async fn run<H, F>(self, handler: H, stop: CancellationToken, drain: Duration) -> bool
+    pub async fn run<S>(self, service: S, stop: CancellationToken, drain: Duration) -> bool
     where
-        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<Body>> + Send + 'static,
+        S: Handler,
+        S::Future: Send,
     {
         let cut = CancellationToken::new();
         while let Some((stream, permit)) = self.accept(&stop).await {
-            let connection = serve(stream, self.bounds, handler.clone(), stop.clone());
+            let connection = serve(stream, self.bounds, service.clone(), stop.clone());
             let cut = cut.clone();
             self.open.spawn(async move {
                 cut.run_until_cancelled(connection).await;
@@ -107,10 +122,10 @@
     }
 }
 
-async fn serve<H, F>(stream: TcpStream, bounds: Bounds, handler: H, stop: CancellationToken)
+async fn serve<S>(stream: TcpStream, bounds: Bounds, service: S, stop: CancellationToken)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    S: Handler,
+    S::Future: Send,
 {
     if let Err(e) = stream.set_nodelay(true) {
         debug!(error:% = e; "TCP_NODELAY cannot be set");
@@ -119,8 +134,8 @@
     let counted = activity.clone();
     let service = service_fn(move |request| {
         let in_progress = counted.enter();
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await.map(|body| in_progress.guard(body))) }
+        let answer = service.clone().oneshot(request);
+        async move { answer.await.map(|response| response.map(|body| in_progress.guard(body))) }
     });
     let builder = builder(bounds);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,10 +1,11 @@
 //! The life cycle of an entry instance: start, serve, drain, end.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use goldcrestvale_base::id::Incarnation;
+use goldcrestvale_base::id::{Incarnation, Request as RequestId};
 use goldcrestvale_entry::{
     admission::Queued,
+    body::Body,
     callers, claims,
     configuration::Configuration,
     daemon::{Builder, Daemon},
@@ -15,10 +16,12 @@
     operators::Desk,
     orders::Orders,
     phase::Phase,
-    server::{Bounds, Server},
+    refusal::{Cause, Refusal},
+    server::{Bounds, Handler, Server},
     settings::Settings,
     watch::Watch,
 };
+use http::Response;
 use log::{info, warn};
 use rand::{SeedableRng, rngs::StdRng};
 use snafu::{ResultExt, Snafu};
@@ -27,10 +30,15 @@
     task::JoinHandle,
 };
 use tokio_util::sync::CancellationToken;
+use tower::{BoxError, ServiceBuilder, ServiceExt, service_fn};
+use uuid::Uuid;
 
 /// The result of running an instance.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Requests of operators in progress; further ones are refused.
+const OPERATOR_REQUESTS: usize = 32;
+
 /// Most connections of operators.
 const OPERATOR_CONNECTIONS: usize = 64;
 
@@ -207,7 +215,11 @@
     let server = bind(callers.address, bounds, "callers").await?;
     let shared = node.clone();
     let drain = node.settings.stop.timeout;
-    Ok(spawn(server, drain, move |request| callers::serve(shared.clone(), request)))
+    let service = service_fn(move |request| {
+        let answer = callers::serve(shared.clone(), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    Ok(spawn(server, drain, service))
 }
 
 async fn listen_operators(node: &Arc<Node>, desk: Desk) -> Result<Listening> {
@@ -220,21 +232,41 @@
     };
     let server = bind(node.settings.operators.address, bounds, "operators").await?;
     let drain = node.settings.callers.body_timeout;
-    Ok(spawn(server, drain, move |request| desk.clone().serve(request)))
+    let answer = service_fn(move |request| {
+        let answer = desk.clone().serve(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let bounded =
+        ServiceBuilder::new().load_shed().concurrency_limit(OPERATOR_REQUESTS).service(answer);
+    let service = service_fn(move |request| {
+        let answer = bounded.clone().oneshot(request);
+        async move { shed(answer.await) }
+    });
+    Ok(spawn(server, drain, service))
 }
 
 async fn bind(address: SocketAddr, bounds: Bounds, interface: &'static str) -> Result<Server> {
     Server::bind(address, bounds).await.context(ListenSnafu { address, interface })
 }
 
-fn spawn<H, F>(server: Server, drain: std::time::Duration, handler: H) -> Listening
+/// Turns an operator's request that found no room into an answer.
+fn shed(
+    answer: std::result::Result<Response<Body>, BoxError>,
+) -> std::result::Result<Response<Body>, Infallible> {
+    Ok(answer.unwrap_or_else(|_| {
+        let detail = format!("{OPERATOR_REQUESTS} requests of operators are in progress");
+        Refusal::early(Cause::Busy, detail).respond(RequestId(Uuid::now_v7()))
+    }))
+}
+
+fn spawn<S>(server: Server, drain: Duration, service: S) -> Listening
 where
-    H: Fn(http::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = http::Response<goldcrestvale_entry::body::Body>> + Send + 'static,
+    S: Handler,
+    S::Future: Send,
 {
     let stop = CancellationToken::new();
     let address = server.address().expect("a bound listener has an address");
-    let task = tokio::spawn(server.run(handler, stop.clone(), drain));
+    let task = tokio::spawn(server.run(service, stop.clone(), drain));
     Listening { address, stop, task }
 }
 
