Prove the callers' interface over HTTP/2

Cause: HTTP/2 was offered and no test used it. Ruled out: nothing; no fault was found. Change: callers of the stand-ins speak HTTP/2; whole_path over_http2 streams eight drafts over one connection, refuses a large body, calls a service.

--- a/crates/goldcrestvale_standin/src/caller.rs
+++ b/crates/goldcrestvale_standin/src/caller.rs
@@ -70,6 +70,12 @@
         Self::new(&[("goldcrestvale-customer", name), ("authorization", &bearer)])
     }
 
+    /// Returns the caller over connections of its own that speak HTTP/2.
+    pub fn over_http2(&self) -> Self {
+        let client = Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+        Self { client, headers: self.headers.clone() }
+    }
+
     /// Returns the caller with one more header.
     pub fn with(&self, name: &str, value: &str) -> Self {
         let mut with = self.clone();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -134,3 +134,21 @@
     assert_eq!(fleet.entries[0].process.wait().await?, Some(0));
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn over_http2() -> io::Result<()> {
+    let fleet = fleet().await?;
+    let entry = fleet.entries[0].callers;
+    let customer = fleet.customer().over_http2();
+    let stream = ask("a tribute", 16, true);
+    let drafts = (0..8).map(|_| customer.stream(entry, "/v1/completions", &stream));
+    for events in futures_util::future::join_all(drafts).await {
+        assert_eq!(tokens(&events?.collect().await?), expected("a tribute", 16));
+    }
+    let large = json!({ "model": MODEL, "prompt": "x".repeat(5_000), "max_tokens": 1 });
+    let refused = customer.post(entry, "/v1/completions", &large).await?;
+    assert_eq!(refused.status, StatusCode::PAYLOAD_TOO_LARGE);
+    let looked = customer.get(entry, &format!("/services/{SERVICE}/jobs")).await?;
+    assert_eq!(looked.status, StatusCode::OK, "{}", looked.json());
+    Ok(())
+}
