--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -1,7 +1,9 @@
 //! The callers' interface: drafts and calls of plain services.
 
+mod admit;
 mod auth;
 pub mod draft;
+mod keyed;
 mod path;
 pub mod service;
 mod sse;
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -4,15 +4,24 @@
 
 use goldcrestvale_base::{
     exchange::Exchange,
-    id::{Request as RequestId, Service},
+    id::{Key, Request as RequestId, Service, Upstream},
+    time::Instant,
     verdict::Verdict,
 };
 use goldcrestvale_config::record;
+use goldcrestvale_route::{balance::Choice, retry::Series};
 use goldcrestvale_upstream::service::{Answer, Call};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use opentelemetry::KeyValue;
+use smallvec::SmallVec;
 
-use super::{auth::Caller, trace::Trace};
+use super::{
+    admit::{self, Need},
+    auth::Caller,
+    keyed::{self, Keyed},
+    trace::Trace,
+};
 use crate::{
     body::{self, Body},
     gate::Pass,
@@ -36,7 +45,7 @@
     target: Target,
     request: Request<Incoming>,
     trace: &mut Trace,
-    _pass: Pass,
+    mut pass: Pass,
 ) -> Result<Response<Body>> {
     let config = node.config.load_full();
     let service = config
@@ -44,55 +53,108 @@
         .get(&target.service)
         .ok_or_else(|| Refusal::early(Cause::Unknown, format!("no service {}", target.service)))?;
     let bound = record::Target::Service(target.service.clone());
-    if config.binding(&caller.customer, &bound).is_none() {
+    let binding = config.binding(&caller.customer, &bound).ok_or_else(|| {
         let detail = format!("{} may not use service {}", caller.customer, target.service);
-        return Err(Refusal::early(Cause::NotBound, detail));
-    }
-    check_key(&service.body, &target, &request)?;
+        Refusal::early(Cause::NotBound, detail)
+    })?;
+    let key = read_key(&service.body, &target, &request)?;
     let (head, incoming) = request.into_parts();
     let limits = &node.settings.callers;
     let body = body::read(incoming, limits.body_bytes, limits.body_timeout).await?;
-    let row = choose(&node, &service.body.pool)?;
-    trace.set_upstream(&row.name, 1);
-    let call = Call {
-        method: head.method,
-        path: target.rest,
-        headers: forward_headers(&head.headers, id),
-        body,
+    let until = trace.started() + deadline(&caller, &service.body);
+    let need = Need { priority: binding.body.priority, until, cost: 1 };
+    pass.hold(admit::enter(&node, &node.calls, &caller, need).await?);
+    let ready = Ready {
+        pool: service.body.pool.clone(),
+        call: Call {
+            method: head.method,
+            path: target.rest,
+            headers: forward_headers(&head.headers, id),
+            body,
+        },
+        until,
     };
-    let limit = deadline(&caller, &service.body);
-    let _guard = row.enter();
-    match node.services.call(row.address, call, Exchange::new(), limit).await {
-        Ok(answer) => Ok(respond(answer)),
-        Err(e) => Err(Refusal::new(e.verdict(), Cause::Upstream, e.to_string())),
+    match key {
+        Some(key) => {
+            let keyed = Keyed { key, customer: caller.customer, service: target.service };
+            keyed::serve(node, keyed, ready, trace, pass).await
+        }
+        None => send(node, ready, trace).await,
     }
 }
 
-fn check_key(
+/// A call that is ready to be sent to an instance of its service.
+#[derive(Debug, Clone)]
+pub(super) struct Ready {
+    pub(super) pool: String,
+    pub(super) call: Call,
+    pub(super) until: Instant,
+}
+
+/// Instances of a service that one idempotent call tries while nothing was sent.
+const MOST_TRIES: usize = 3;
+
+/// Sends an idempotent call, to another instance as long as nothing was sent.
+async fn send(node: Arc<Node>, ready: Ready, trace: &mut Trace) -> Result<Response<Body>> {
+    let mut series = Series::new(ready.until, MOST_TRIES);
+    loop {
+        let row = choose(&node, &ready.pool, series.tried())?;
+        series.start(&row.name, &node.retries);
+        trace.set_upstream(&row.name, series.tried().len() as u32);
+        let limit = ready.until.since(node.clock.now());
+        let call = ready.call.clone();
+        let guard = row.enter();
+        let failure = match node.services.call(row.address, call, Exchange::new(), limit).await {
+            Ok(answer) => return Ok(respond(&answer)),
+            Err(failure) => failure,
+        };
+        drop(guard);
+        let verdict = failure.verdict();
+        if let Err(no) = series.retry(node.clock.now(), verdict, &node.retries) {
+            let detail = format!("{failure}; not tried again: {no}");
+            return Err(Refusal::new(verdict, Cause::Upstream, detail));
+        }
+        node.metrics.retries.add(1, &[KeyValue::new("kind", "service")]);
+    }
+}
+
+/// Returns the idempotency key of a call that is not idempotent, which needs one.
+fn read_key(
     service: &record::Service,
     target: &Target,
     request: &Request<Incoming>,
-) -> Result<()> {
+) -> Result<Option<Key>> {
     let method = request.method().as_str();
     let listed = service
         .methods
         .iter()
         .find(|m| m.method == method && target.rest.starts_with(m.path.as_str()));
-    let idempotent = listed.is_some_and(|m| m.idempotent);
-    if idempotent || request.headers().contains_key(names::IDEMPOTENCY_KEY) {
-        return Ok(());
+    if listed.is_some_and(|m| m.idempotent) {
+        return Ok(None);
+    }
+    if let Some(text) = request.headers().get(names::IDEMPOTENCY_KEY) {
+        let key = text.to_str().ok().and_then(|text| text.parse::<Key>().ok());
+        let detail = "Idempotency-Key is not a version 7 UUID";
+        return match key.filter(|key| key.issued().is_some()) {
+            Some(key) => Ok(Some(key)),
+            None => Err(Refusal::early(Cause::KeyInvalid, detail)),
+        };
     }
     let detail = format!("{method} {} is not idempotent and needs Idempotency-Key", target.rest);
     Err(Refusal::early(Cause::KeyMissing, detail))
 }
 
-fn choose(node: &Node, pool: &str) -> Result<Arc<Row>> {
+/// Returns the instance of a pool with the least work, beside those that were tried.
+pub(super) fn choose(node: &Node, pool: &str, tried: &[Upstream]) -> Result<Arc<Row>> {
     let table = node.upstreams.load();
-    let queued = |row: &&Arc<Row>| {
-        let reported = row.report.as_ref().map_or(0, |(_, report)| report.queued());
-        reported + row.in_progress()
+    let rows: SmallVec<[&Arc<Row>; 8]> = table.iter_services(pool).collect();
+    let snapshot = node.peers.snapshot();
+    let load = |index: usize| {
+        let row = rows[index];
+        (!tried.contains(&row.name)).then(|| row.load(&snapshot).now())
     };
-    table.iter_services(pool).min_by_key(queued).cloned().ok_or_else(|| {
+    let chosen = node.with_rng(|rng| Choice::default().choose(rows.len(), load, rng));
+    chosen.map(|index| rows[index].clone()).ok_or_else(|| {
         Refusal::early(Cause::NoUpstream, format!("no live instance in pool {pool}"))
             .retry_after(node.settings.platform.list_interval)
     })
@@ -131,11 +193,20 @@
     kept
 }
 
-fn respond(answer: Answer) -> Response<Body> {
-    let mut response = Response::new(body::full(answer.body));
+/// Passes an answer on; one of status 503 may come from before the call ran.
+pub(super) fn respond(answer: &Answer) -> Response<Body> {
+    let mut response = Response::new(body::full(answer.body.clone()));
     *response.status_mut() = answer.status;
     *response.headers_mut() = without_hop_headers(&answer.headers);
-    let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
+    let verdict = HeaderValue::from_static(verdict_of(answer).as_str());
     response.headers_mut().insert(names::VERDICT, verdict);
     response
 }
+
+/// Returns what a whole answer says about its call.
+pub(super) fn verdict_of(answer: &Answer) -> Verdict {
+    match answer.status {
+        StatusCode::SERVICE_UNAVAILABLE => Verdict::MayHaveRun,
+        _ => Verdict::Ran,
+    }
+}
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -7,21 +7,24 @@
 pub mod admission;
 pub mod body;
 pub mod callers;
+pub mod claims;
 pub mod clock;
+pub mod configuration;
 pub mod daemon;
 pub mod gate;
 pub mod header;
+pub mod health;
 pub mod limits;
 pub mod metrics;
 pub mod node;
 pub mod operators;
 pub mod peers;
 pub mod phase;
+pub mod plans;
 pub mod refusal;
 pub mod server;
 pub mod settings;
 pub mod table;
-pub mod tail;
 pub mod watch;
 
 /// Re-exports the types that most users of this package name.
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -26,6 +26,9 @@
 /// Longest wait for a first peer, which may know of upstreams that an operator lets leave.
 const PEER_WAIT: Duration = Duration::from_secs(1);
 
+/// Weight of the time of a link so far against that of one more fetch.
+const LINK_MEMORY: u32 = 3;
+
 /// Keeps the table of upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct Watch;
@@ -119,6 +122,8 @@
         domain: listed.domain.clone(),
         leaving: listed.state == State::Leaving,
         report: None,
+        link: None,
+        own_then: 0,
         in_progress: Arc::default(),
     })
 }
@@ -143,27 +148,35 @@
     let table = node.upstreams.load_full();
     let rows: Vec<Arc<Row>> = table.rows.values().cloned().collect();
     let fetches = rows.into_iter().map(|row| fetch(node.clone(), row));
-    let reports: Vec<(Upstream, Report)> = stream::iter(fetches)
+    let reports: Vec<Fetched> = stream::iter(fetches)
         .buffer_unordered(CONCURRENT_REPORTS)
         .filter_map(std::future::ready)
         .collect()
         .await;
-    for (name, report) in &reports {
-        node.peers.report(node, name, report).await;
+    for fetched in &reports {
+        node.peers.report(node, &fetched.name, &fetched.report).await;
     }
     let now = node.clock.now();
     node.upstreams.rcu(|table| {
         let mut table = Table::clone(table);
-        for (name, report) in &reports {
-            if let Some(row) = table.rows.get_mut(name) {
-                *row = with_report(row, now, report);
+        for fetched in &reports {
+            if let Some(row) = table.rows.get_mut(&fetched.name) {
+                *row = with_report(row, now, fetched);
             }
         }
         Arc::new(table)
     });
 }
 
-async fn fetch(node: Arc<Node>, row: Arc<Row>) -> Option<(Upstream, Report)> {
+/// A load report, with the time that its fetch took.
+struct Fetched {
+    name: Upstream,
+    report: Report,
+    took: Duration,
+}
+
+async fn fetch(node: Arc<Node>, row: Arc<Row>) -> Option<Fetched> {
+    let asked = node.clock.now();
     let limit = node.settings.upstream.load_timeout;
     let report = match row.role {
         Role::Engine => node.engines.load(row.address, limit).await.map(Report::Engine),
@@ -171,7 +184,10 @@
         Role::Entry => return None,
     };
     match report {
-        Ok(report) => Some((row.name.clone(), report)),
+        Ok(report) => {
+            let took = node.clock.now().since(asked);
+            Some(Fetched { name: row.name.clone(), report, took })
+        }
         Err(e) => {
             debug!(upstream:% = row.name, error:% = e; "no load report");
             None
@@ -182,8 +198,11 @@
 fn with_report(
     row: &Arc<Row>,
     now: goldcrestvale_base::time::Instant,
-    report: &Report,
+    fetched: &Fetched,
 ) -> Arc<Row> {
-    let report = Some((now, report.clone()));
-    Arc::new(Row { report, ..Row::clone(row) })
+    let report = Some((now, fetched.report.clone()));
+    let link = row
+        .link
+        .map_or(fetched.took, |link| (link * LINK_MEMORY + fetched.took) / (LINK_MEMORY + 1));
+    Arc::new(Row { report, link: Some(link), own_then: row.in_progress(), ..Row::clone(row) })
 }
