Correct load reports by the work of others in progress

Cause: nothing told the other instances what this one sent, so that a lagged report drew all instances to the same upstream. Change: instances tell what they have in progress at upstreams; the path of a request adds by how much it has grown since the report; both clocks have one origin. Customers with the greatest need are named first in a message about limits. Ruled out: totals of all that was sent, which count short calls that have ended; not measured.

--- a/crates/goldcrestvale_entry/src/clock.rs
+++ b/crates/goldcrestvale_entry/src/clock.rs
@@ -16,6 +16,11 @@
         Self { origin: std::time::Instant::now() }
     }
 
+    /// Returns the moment at which the monotonic clock reads zero.
+    pub fn origin(&self) -> std::time::Instant {
+        self.origin
+    }
+
     /// Reads the monotonic clock.
     pub fn now(&self) -> Instant {
         Instant(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
--- a/crates/goldcrestvale_entry/src/peers.rs
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -258,6 +258,7 @@
         .hold(peer.limit_hold);
     let keys = Keyring { primary: secret.clone(), secondary: peer.accepted_secret.clone() };
     Settings { max_connections: peer.connections, ..Settings::new(membership, keys) }
+        .origin(node.clock.origin())
         .max_frame(peer.frame_bytes)
         .queue(QUEUE_MESSAGES, peer.queue_bytes)
         .ask_timeout(peer.ask_timeout)
--- a/crates/goldcrestvale_entry/src/peers/tasks.rs
+++ b/crates/goldcrestvale_entry/src/peers/tasks.rs
@@ -7,6 +7,7 @@
 use goldcrestvale_member::{
     event::Event,
     message::{Config, Status},
+    sends::Sent,
 };
 use goldcrestvale_peer::handle::Handle;
 use serde_json::Value;
@@ -17,6 +18,7 @@
     daemon::{Builder, Part},
     node::Node,
     phase::Phase,
+    table::Row,
 };
 
 /// How often the status is told to the membership, and its state is read for the dump.
@@ -56,6 +58,7 @@
     let mut ticks = tokio::time::interval(INTERVAL);
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         let told = handle.tell(Event::Status(status(&node))).await;
+        let told = told.and(handle.tell(Event::Sent(in_progress(&node))).await);
         let state = handle.dump().await;
         match (told, state) {
             (Ok(()), Ok(state)) => {
@@ -67,6 +70,13 @@
     }
 }
 
+/// Returns what this instance has in progress at each upstream.
+fn in_progress(node: &Node) -> Vec<Sent> {
+    let table = node.upstreams.load();
+    let sent = |row: &Arc<Row>| Sent { upstream: row.name.clone(), units: row.in_progress() };
+    table.rows.values().map(sent).collect()
+}
+
 fn status(node: &Node) -> Status {
     let Offer { version, digest } = node.configuration.seen().offer;
     let config = (version.0 > 0).then(|| Config { version, digest: brief_of(&digest) });
--- a/crates/goldcrestvale_entry/src/table.rs
+++ b/crates/goldcrestvale_entry/src/table.rs
@@ -105,7 +105,7 @@
             reported,
             own_then: self.own_then,
             own_now: self.in_progress(),
-            others_since: i32::try_from(others).unwrap_or(i32::MAX),
+            others_since: clamp(others),
         }
     }
 
@@ -118,6 +118,10 @@
     }
 }
 
+fn clamp(units: i64) -> i32 {
+    i32::try_from(units).unwrap_or(if units < 0 { i32::MIN } else { i32::MAX })
+}
+
 /// One request or step in progress at an upstream.
 #[derive(Debug)]
 pub struct Guard(Arc<AtomicU32>);
--- a/crates/goldcrestvale_member/src/event.rs
+++ b/crates/goldcrestvale_member/src/event.rs
@@ -65,7 +65,7 @@
             /// The demand.
             parts: Parts,
         },
-        /// Work that this instance handed to upstreams since its start.
+        /// Work that this instance has in progress at upstreams.
         Sent(Vec<Sent>),
         /// This instance stops for good.
         Stop,
--- a/crates/goldcrestvale_member/src/limit.rs
+++ b/crates/goldcrestvale_member/src/limit.rs
@@ -150,18 +150,23 @@
     /// Makes the message to a peer, or returns `None` if there is nothing to say.
     pub fn report(&mut self, now: Instant, to: &Instance) -> Option<Use> {
         let base = self.base();
-        let mut customers = Vec::new();
-        for (customer, account) in &mut self.customers {
-            let need = account.need(base);
-            let lent = account.lend(now, base, to);
-            if need > 0 || lent > 0 {
-                let (need, lent) = (Parts(need), Parts(lent));
-                customers.push(CustomerUse { customer: customer.clone(), need, lent });
-            }
-            if customers.len() == MAX_CUSTOMERS_TOLD {
-                break;
-            }
-        }
+        let mut pressing: Vec<_> = self
+            .customers
+            .iter_mut()
+            .map(|(customer, account)| (account.pressure(now, base, to), customer, account))
+            .filter(|(pressure, ..)| *pressure > 0)
+            .collect();
+        pressing.sort_by_key(|(pressure, ..)| std::cmp::Reverse(*pressure));
+        pressing.truncate(MAX_CUSTOMERS_TOLD);
+        let customers: Vec<_> = pressing
+            .into_iter()
+            .map(|(_, customer, account)| CustomerUse {
+                customer: customer.clone(),
+                need: Parts(account.need(base)),
+                lent: Parts(account.lend(now, base, to)),
+            })
+            .filter(|told| told.need.0 > 0 || told.lent.0 > 0)
+            .collect();
         let exchange = self.peers.entry(to.clone()).or_default();
         let quiet = customers.is_empty() && !exchange.told;
         exchange.told = !customers.is_empty();
--- a/crates/goldcrestvale_member/src/limit/account.rs
+++ b/crates/goldcrestvale_member/src/limit/account.rs
@@ -39,6 +39,13 @@
         self.wanted().saturating_sub(base)
     }
 
+    /// Returns what this instance and a peer need together: customers with more go first where
+    /// a message cannot name all.
+    pub(super) fn pressure(&self, now: Instant, base: u32, peer: &Instance) -> u32 {
+        let theirs = self.needs.iter().find(|need| &need.peer == peer && need.until > now);
+        self.need(base) + theirs.map_or(0, |need| need.parts)
+    }
+
     /// Decides how much to lend to a peer, and counts it as given away.
     ///
     /// A loan ends a fixed time after the need was heard. The borrower ends it that time after
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -115,7 +115,7 @@
         &self.sharing
     }
 
-    /// Returns what the other instances said they handed to upstreams.
+    /// Returns what the other instances said they have in progress at upstreams.
     pub fn others(&self) -> &Others {
         &self.others
     }
--- a/crates/goldcrestvale_member/src/message.rs
+++ b/crates/goldcrestvale_member/src/message.rs
@@ -62,7 +62,7 @@
         Leaving(Vec<Mark>),
         /// Use of the customers' limits.
         Use(limit::Use),
-        /// Work that the sender handed to upstreams.
+        /// Work that the sender has in progress at upstreams.
         Sends(sends::Totals),
     }
 }
--- a/crates/goldcrestvale_member/src/sends.rs
+++ b/crates/goldcrestvale_member/src/sends.rs
@@ -1,4 +1,9 @@
-//! What other instances handed to upstreams since a load report was taken.
+//! Work that other instances handed to upstreams since a load report was taken.
+//!
+//! Instances tell what they have in progress, not what they ever sent: of a short call that has
+//! ended, nothing is left to correct a report by.
+
+use std::collections::HashSet;
 
 use goldcrestvale_base::{
     domain,
@@ -12,7 +17,7 @@
 /// Most upstreams in one message.
 pub const MAX_TOTALS: usize = 16;
 
-/// Totals of one peer that are kept for each upstream.
+/// Counts of one peer that are kept for each upstream.
 const KEPT: usize = 8;
 
 /// Most upstreams that are kept for each peer.
@@ -26,28 +31,28 @@
     #[serde(transparent)]
     pub struct Short(pub u32);
 
-    /// Units of work that one instance handed to an upstream since the instance's start.
+    /// Units of work that one instance has in progress at an upstream.
     pub struct Total {
         /// The upstream.
         pub upstream: Short,
         /// The units.
-        pub units: u64,
+        pub units: u32,
     }
 }
 
 domain! {
     value
-    /// Units of work that this instance handed to an upstream since its start.
+    /// Units of work that this instance has in progress at an upstream.
     pub struct Sent {
         /// The upstream.
         pub upstream: Upstream,
         /// The units.
-        pub units: u64,
+        pub units: u32,
     }
 
-    /// The totals that changed most since they were last told.
+    /// The counts that changed most since they were last told.
     pub struct Totals {
-        /// The totals.
+        /// The counts.
         pub totals: Vec<Total>,
     }
 }
@@ -60,7 +65,7 @@
     }
 }
 
-/// What this instance has handed to upstreams, and told.
+/// What this instance has in progress at upstreams, and has told.
 #[derive(Debug, Clone, Default)]
 pub struct Own {
     totals: IndexMap<Short, Told>,
@@ -68,19 +73,21 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Told {
-    units: u64,
-    told: u64,
+    units: u32,
+    told: u32,
 }
 
 impl Own {
-    /// Takes the present totals.
+    /// Takes the present counts of all upstreams.
     pub fn set(&mut self, sent: &[Sent]) {
+        let present: HashSet<Short> = sent.iter().map(|sent| Short::of(&sent.upstream)).collect();
+        self.totals.retain(|short, _| present.contains(short));
         for Sent { upstream, units } in sent {
             self.totals.entry(Short::of(upstream)).or_default().units = *units;
         }
     }
 
-    /// Takes out the totals that changed most since they were last told, if any changed.
+    /// Takes out the counts that changed most since they were last told, if any changed.
     pub fn report(&mut self) -> Option<Totals> {
         let mut changed: Vec<_> =
             self.totals.iter_mut().filter(|(_, told)| told.units != told.told).collect();
@@ -100,12 +107,12 @@
 #[derive(Debug, Clone, Copy, Serialize)]
 struct Sample {
     heard: Instant,
-    units: u64,
+    units: u32,
 }
 
 type Samples = SmallVec<[Sample; KEPT]>;
 
-/// What the other instances said they handed to upstreams.
+/// What the other instances said they have in progress at upstreams.
 ///
 /// # Examples
 ///
@@ -127,7 +134,7 @@
 }
 
 impl Others {
-    /// Takes the totals of a peer.
+    /// Takes the counts of a peer.
     pub fn hear(&mut self, now: Instant, from: &Instance, told: &Totals) {
         let upstreams = self.peers.entry(from.clone()).or_default();
         for Total { upstream, units } in &told.totals {
@@ -135,9 +142,6 @@
                 continue;
             }
             let samples = upstreams.entry(*upstream).or_default();
-            if samples.last().is_some_and(|last| last.units > *units) {
-                samples.clear();
-            }
             if samples.len() == KEPT {
                 samples.remove(0);
             }
@@ -145,13 +149,14 @@
         }
     }
 
-    /// Forgets a peer, whose totals start anew.
+    /// Forgets a peer, whose work ends with it.
     pub fn forget(&mut self, instance: &Instance) {
         self.peers.shift_remove(instance);
     }
 
-    /// Returns the units that the others said they handed to an upstream since a time.
-    pub fn since(&self, upstream: &Upstream, since: Instant) -> u64 {
+    /// Returns by how much the work of the others at an upstream has grown since a time; less
+    /// than zero if it has shrunk.
+    pub fn since(&self, upstream: &Upstream, since: Instant) -> i64 {
         let short = Short::of(upstream);
         self.peers
             .values()
@@ -161,10 +166,10 @@
     }
 }
 
-fn grown_since(samples: &Samples, since: Instant) -> u64 {
+fn grown_since(samples: &Samples, since: Instant) -> i64 {
     let before = samples.iter().rev().find(|sample| sample.heard <= since);
     match (before.or(samples.first()), samples.last()) {
-        (Some(before), Some(last)) => last.units - before.units,
+        (Some(before), Some(last)) => i64::from(last.units) - i64::from(before.units),
         _ => 0,
     }
 }
--- a/crates/goldcrestvale_peer/examples/control_cost.rs
+++ b/crates/goldcrestvale_peer/examples/control_cost.rs
@@ -77,7 +77,7 @@
     for place in 0..size {
         let sent = (0..40).map(|n| Sent {
             upstream: cluster::upstream(&format!("engine-{n}")),
-            units: u64::from(second) * 30 + n,
+            units: second * 7 % 50 + n,
         });
         cluster.feed(place, Event::Sent(sent.collect()));
         for n in 0..4 {
--- a/crates/goldcrestvale_peer/src/convert.rs
+++ b/crates/goldcrestvale_peer/src/convert.rs
@@ -165,12 +165,15 @@
 fn put_sends(told: &Totals) -> wire::Sends {
     wire::Sends {
         upstreams: told.totals.iter().map(|total| total.upstream.0).collect(),
-        totals: told.totals.iter().map(|total| total.units).collect(),
+        units: told.totals.iter().map(|total| total.units.into()).collect(),
     }
 }
 
 fn sends(told: &wire::Sends) -> Totals {
-    let pairs = told.upstreams.iter().zip(&told.totals);
-    let totals = pairs.map(|(&upstream, &units)| Total { upstream: Short(upstream), units });
+    let pairs = told.upstreams.iter().zip(&told.units);
+    let totals = pairs.map(|(&upstream, &units)| Total {
+        upstream: Short(upstream),
+        units: u32::try_from(units).unwrap_or(u32::MAX),
+    });
     Totals { totals: totals.collect() }
 }
--- a/crates/goldcrestvale_peer/src/peer.rs
+++ b/crates/goldcrestvale_peer/src/peer.rs
@@ -67,6 +67,7 @@
 pub fn start_alone(settings: Settings, events: impl Events) -> Handle {
     let (inputs, receiver) = mpsc::channel(INPUTS);
     let member = Member::new(settings.membership.clone());
+    let clock = Clock::start(settings.origin);
     let shared = Arc::new(Shared {
         settings,
         counts: Arc::new(Counts::default()),
@@ -74,7 +75,7 @@
         tasks: TaskTracker::new(),
         closing: CancellationToken::new(),
         stop: CancellationToken::new(),
-        clock: Clock::start(),
+        clock,
         next_id: AtomicU64::new(0),
     });
     let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
--- a/crates/goldcrestvale_peer/src/settings.rs
+++ b/crates/goldcrestvale_peer/src/settings.rs
@@ -37,6 +37,8 @@
     pub keys: Keyring,
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Moment at which the daemon's clock reads zero; else the start of the tasks.
+    pub origin: Option<std::time::Instant>,
     /// Longest frame, in bytes.
     pub max_frame_bytes: usize,
     /// Most messages that wait for one peer.
@@ -64,6 +66,7 @@
             listen: membership.own.address,
             membership,
             keys,
+            origin: None,
             max_frame_bytes: 1 << 20,
             queue_messages: 256,
             queue_bytes: 4 << 20,
@@ -82,6 +85,12 @@
         Self { listen, ..self }
     }
 
+    /// Sets the moment at which the daemon's clock reads zero, so that both clocks agree.
+    #[must_use]
+    pub fn origin(self, origin: std::time::Instant) -> Self {
+        Self { origin: Some(origin), ..self }
+    }
+
     /// Sets the longest frame.
     #[must_use]
     pub fn max_frame(self, max_frame_bytes: usize) -> Self {
--- a/crates/goldcrestvale_peer/src/snapshot.rs
+++ b/crates/goldcrestvale_peer/src/snapshot.rs
@@ -17,7 +17,7 @@
     pub leaving: leaving::Set,
     /// Parts of the limits that this instance may use.
     pub shares: Shares,
-    /// What other instances handed to upstreams.
+    /// What other instances have in progress at upstreams.
     pub others: Others,
     /// Instances that share the limits, this one included.
     pub instances: u32,
@@ -39,8 +39,8 @@
         named.map_or(self.shares.base, |share| share.parts)
     }
 
-    /// Returns the units that the others said they handed to an upstream since a time.
-    pub fn sent_by_others(&self, upstream: &Upstream, since: Instant) -> u64 {
+    /// Returns by how much the work of the others at an upstream has grown since a time.
+    pub fn sent_by_others(&self, upstream: &Upstream, since: Instant) -> i64 {
         self.others.since(upstream, since)
     }
 }
--- a/crates/goldcrestvale_wire/src/message.rs
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -109,6 +109,6 @@
     Answer = 10,
     /// Use of the customers' limits.
     Use = 11,
-    /// Work that the sender handed to upstreams.
+    /// Work that the sender has in progress at upstreams.
     Sends = 12,
 }
--- a/crates/goldcrestvale_wire/src/message/traffic.rs
+++ b/crates/goldcrestvale_wire/src/message/traffic.rs
@@ -1,4 +1,4 @@
-//! Messages about use of limits and work handed to upstreams.
+//! Messages about use of limits and work in progress at upstreams.
 
 /// Use of the customers' limits, in parts per million of each limit.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -31,13 +31,13 @@
     pub lent: u32,
 }
 
-/// Work that the sender handed to upstreams, counted since its start.
+/// Work that the sender has in progress at upstreams.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Sends {
     /// First 4 bytes of the digest of each upstream's name.
     #[prost(fixed32, repeated, tag = "1")]
     pub upstreams: Vec<u32>,
-    /// Units of work handed to each, in the same order.
+    /// Units of work in progress at each, in the same order.
     #[prost(uint64, repeated, tag = "2")]
-    pub totals: Vec<u64>,
+    pub units: Vec<u64>,
 }
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -72,6 +72,6 @@
         AnswerAsk { ask: 7, key: bytes(5, 16), digest: bytes(6, 32) }.into(),
         Answer { ask: 7, state, status: 201, headers: vec![header], body: bytes(b'x', 2) }.into(),
         Use { sequence: 3, echo: 2, hold_ms: 3_000, customers: vec![used] }.into(),
-        Sends { upstreams: vec![1, 0xffff_ffff], totals: vec![10, 300] }.into(),
+        Sends { upstreams: vec![1, 0xffff_ffff], units: vec![10, 300] }.into(),
     ]
 }
