Start during an outage of the platform with the list of a peer

Cause: an instance that started while the platform was out had the configuration from a peer but knew no upstream, and stayed in phase starting. Change: messages 13 and 14 pass on the list that a peer read last; asked for only while none is known. New sample frames are appended, the old ones are unchanged. Ruled out: serving without upstreams, which only refuses; asking during the whole outage, which costs bytes at every interval. Conclusion: a replaced instance serves during an outage, if [peer] seeds names another.

--- a/crates/goldcrestvale_entry/src/peers.rs
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwapOption;
 use goldcrestvale_base::{
     id::{Instance, Offset, Upstream},
     time::Wall,
@@ -79,6 +80,8 @@
     started: OnceLock<Started>,
     owner: OnceLock<Arc<dyn Owner>>,
     store: OnceLock<Arc<dyn Store>>,
+    /// The platform's list as it was read last, here or by a peer.
+    listing: ArcSwapOption<Listing>,
 }
 
 struct Started {
@@ -160,8 +163,32 @@
         }
     }
 
+    /// Returns the platform's list as it was read last, here or by a peer.
+    pub fn listing(&self) -> Option<Arc<Listing>> {
+        self.listing.load_full()
+    }
+
+    /// Asks the peers for the platform's list, which this instance cannot read.
+    pub async fn ask_list(&self) {
+        if let Some(handle) = self.handle()
+            && let Err(e) = handle.ask_list().await
+        {
+            log::debug!(error:% = e; "list not asked for");
+        }
+    }
+
+    /// Keeps a list, unless a newer one is known.
+    fn keep(&self, listing: Listing) {
+        let listing = Arc::new(listing);
+        self.listing.rcu(|known| match known {
+            Some(known) if known.as_of >= listing.as_of => Some(known.clone()),
+            _ => Some(listing.clone()),
+        });
+    }
+
     /// Passes the platform's list on.
     pub async fn list(&self, known: &Table, listing: &Listing) {
+        self.keep(listing.clone());
         let Some(Started { handle, address }) = self.started.get() else { return };
         if address.is_some() {
             self.tell(handle, Event::Listed(seeds(listing))).await;
--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Weak};
 
+use bytes::Bytes;
 use goldcrestvale_base::id::{Digest, Instance, Offset};
 use goldcrestvale_config::sync::brief_of;
 use goldcrestvale_member::action::Notice;
@@ -9,7 +10,7 @@
     events::{AnswerState, Ask, Configuration, Events, Reply, Stored},
     snapshot::Snapshot,
 };
-use log::{info, warn};
+use log::{debug, info, warn};
 
 use crate::{
     node::Node,
@@ -83,6 +84,28 @@
         }
     }
 
+    fn list_asked(&self, from: &Instance) {
+        let Some(node) = self.node.upgrade() else { return };
+        let Some(listing) = node.peers.listing() else { return };
+        let Ok(list) = serde_json::to_vec(&*listing) else { return };
+        let from = from.clone();
+        tokio::spawn(async move {
+            if let Some(handle) = node.peers.handle()
+                && let Err(e) = handle.send_list(from, listing.as_of, list.into()).await
+            {
+                debug!(error:% = e; "list not sent");
+            }
+        });
+    }
+
+    fn list_received(&self, from: &Instance, list: Bytes) {
+        let Some(node) = self.node.upgrade() else { return };
+        match serde_json::from_slice(&list) {
+            Ok(listing) => node.peers.keep(listing),
+            Err(e) => warn!(instance:% = from, error:% = e; "a peer's list is malformed"),
+        }
+    }
+
     fn asked(&self, ask: Ask, reply: Reply) {
         let node = self.node.upgrade();
         match node.as_ref().and_then(|node| node.peers.owner.get()) {
--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -67,9 +67,7 @@
         match list.fetch().await {
             Ok(listing) => {
                 up = true;
-                let known = node.upstreams.load_full();
-                node.upstreams.rcu(|table| Arc::new(merge(table, &listing)));
-                node.peers.list(&known, &listing).await;
+                take_list(&node, &listing).await;
                 listed.send_replace(true);
             }
             Err(e) => {
@@ -78,12 +76,37 @@
                     warn!(error:% = e; "the instance list cannot be fetched");
                 }
                 up = false;
+                if !*listed.borrow() {
+                    let read = take_list_of_peers(&node).await;
+                    listed.send_replace(read);
+                }
             }
         }
         pause = if up { interval } else { interval * 2 };
     }
 }
 
+async fn take_list(node: &Node, listing: &Listing) {
+    let known = node.upstreams.load_full();
+    node.upstreams.rcu(|table| Arc::new(merge(table, listing)));
+    node.peers.list(&known, listing).await;
+}
+
+/// Takes the list that a peer read last, or asks for it; returns whether there was one.
+async fn take_list_of_peers(node: &Node) -> bool {
+    match node.peers.listing() {
+        Some(listing) => {
+            info!(as_of = listing.as_of.0; "the instance list is taken from another instance");
+            take_list(node, &listing).await;
+            true
+        }
+        None => {
+            node.peers.ask_list().await;
+            false
+        }
+    }
+}
+
 /// Waits for a time; returns whether to go on.
 async fn sleep(stop: &CancellationToken, time: Duration) -> bool {
     tokio::select! {
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -7,7 +7,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
-use goldcrestvale_base::id::{Digest, Instance, Offset};
+use bytes::Bytes;
+use goldcrestvale_base::{
+    id::{Digest, Instance, Offset},
+    time::Wall,
+};
 use goldcrestvale_member::{
     action::{Action, Notice},
     event::Event,
@@ -68,6 +72,12 @@
         to: Instance,
         version: Offset,
     },
+    AskList,
+    SendList {
+        to: Instance,
+        as_of: Wall,
+        list: Bytes,
+    },
     SendConfig {
         to: Instance,
         configuration: Configuration,
@@ -169,6 +179,14 @@
             Command::AskConfig { to, version } => {
                 self.send(&to, wire::ConfigAsk { version: version.0 }.into());
             }
+            Command::AskList => {
+                for link in self.links.iter() {
+                    self.push(&link.queue, wire::ListAsk {}.into());
+                }
+            }
+            Command::SendList { to, as_of, list } => {
+                self.send(&to, wire::List { as_of_ms: as_of.0, bytes: list }.into());
+            }
             Command::SendConfig { to, configuration } => self.send_config(&to, &configuration),
             Command::Dump(reply) => {
                 let _ = reply.send(self.dump());
@@ -289,6 +307,18 @@
             wire::Message::AnswerAsk(ask) => self.asked(link, &ask),
             wire::Message::ConfigOffer(offer) => self.config_offered(link, &offer),
             wire::Message::ConfigState(state) => self.config_part(link, state),
+            wire::Message::ListAsk(_) => {
+                if let Some(from) = self.sender(link) {
+                    self.events.list_asked(&from);
+                }
+                Ok(())
+            }
+            wire::Message::List(list) => {
+                if let Some(from) = self.sender(link) {
+                    self.events.list_received(&from, list.bytes);
+                }
+                Ok(())
+            }
             wire::Message::ConfigAsk(ask) => {
                 if let Some(from) = self.sender(link) {
                     self.events.config_asked(&from, Offset(ask.version));
--- a/crates/goldcrestvale_peer/src/events.rs
+++ b/crates/goldcrestvale_peer/src/events.rs
@@ -34,6 +34,12 @@
     /// Takes a configuration that came whole and matches its digest.
     fn config_received(&self, from: &Instance, configuration: Configuration);
 
+    /// Takes a request for the platform's list.
+    fn list_asked(&self, _from: &Instance) {}
+
+    /// Takes the platform's list as a peer read it last.
+    fn list_received(&self, _from: &Instance, _list: Bytes) {}
+
     /// Takes a request for the stored result of an idempotent call.
     fn asked(&self, ask: Ask, reply: Reply);
 }
--- a/crates/goldcrestvale_peer/src/handle.rs
+++ b/crates/goldcrestvale_peer/src/handle.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use goldcrestvale_base::id::{Digest, Incarnation, Instance, Key, Offset};
+use bytes::Bytes;
+use goldcrestvale_base::{
+    id::{Digest, Incarnation, Instance, Key, Offset},
+    time::{Instant, Wall},
+};
 use goldcrestvale_member::event::Event;
 use snafu::{OptionExt, Snafu};
 use tokio::{
@@ -90,7 +94,7 @@
     }
 
     /// Returns the time by the membership's clock.
-    pub fn now(&self) -> goldcrestvale_base::time::Instant {
+    pub fn now(&self) -> Instant {
         self.shared.clock.now()
     }
 
@@ -136,6 +140,24 @@
         self.command(Command::AskConfig { to, version }).await
     }
 
+    /// Asks every connected peer for the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn ask_list(&self) -> Result<()> {
+        self.command(Command::AskList).await
+    }
+
+    /// Sends the platform's list to a peer, in the form of the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn send_list(&self, to: Instance, as_of: Wall, list: Bytes) -> Result<()> {
+        self.command(Command::SendList { to, as_of, list }).await
+    }
+
     /// Sends a configuration to a peer.
     ///
     /// # Errors
--- a/crates/goldcrestvale_wire/src/message.rs
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod config;
 mod leaving;
+mod list;
 mod membership;
 mod traffic;
 
@@ -17,6 +18,7 @@
     answer::{Answer, AnswerAsk, AnswerState, Header},
     config::{ConfigAsk, ConfigOffer, ConfigState},
     leaving::{Leaving, Mark, Source},
+    list::{List, ListAsk},
     membership::{Goodbye, Heartbeat, Hello, Known, Members},
     traffic::{CustomerUse, Sends, Use},
 };
@@ -111,4 +113,8 @@
     Use = 11,
     /// Work that the sender has in progress at upstreams.
     Sends = 12,
+    /// Asks for the platform's list.
+    ListAsk = 13,
+    /// The platform's list, as the sender read it last.
+    List = 14,
 }
--- a/crates/goldcrestvale_wire/tests/frame_auth.rs
+++ b/crates/goldcrestvale_wire/tests/frame_auth.rs
@@ -146,7 +146,7 @@
     #![proptest_config(config(512))]
 
     #[test]
-    fn a_flipped_bit_never_passes(which in 0_usize..12, bit in any::<prop::sample::Index>()) {
+    fn a_flipped_bit_never_passes(which in 0_usize..14, bit in any::<prop::sample::Index>()) {
         let (mut dialer, mut listener) = sessions(&keys(7), &keys(7));
         let mut sealed = seal(&mut dialer.sealer, messages().swap_remove(which));
         let bit = bit.index((sealed.len() - 4) * 8);
@@ -193,14 +193,16 @@
 
     #[test]
     fn decoded_messages_encode_to_what_decodes_the_same(
-        kind in 1_u16..13,
+        kind in 1_u16..15,
         mutations in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
     ) {
         let sample = messages().swap_remove(usize::from(kind) - 1);
         let mut body = sample.encode_body().to_vec();
         for (place, byte) in mutations {
-            let place = place.index(body.len());
-            body[place] = byte;
+            if !body.is_empty() {
+                let place = place.index(body.len());
+                body[place] = byte;
+            }
         }
         if let Ok(Some(message)) = Message::decode(kind, body.into()) {
             let again = Message::decode(kind, message.encode_body()).unwrap();
--- a/crates/goldcrestvale_wire/tests/frame_compat.rs
+++ b/crates/goldcrestvale_wire/tests/frame_compat.rs
@@ -14,7 +14,7 @@
     "000000240100000101010101010101010101010101010101d6885fc31172e91def34413448e66221";
 
 /// What that dialer sends to a listener with nonce `02..`: one message of each kind.
-const FRAMES: [&str; 12] = [
+const FRAMES: [&str; 14] = [
     "000000440100010a1003030303030303030303030303030303120679656b612d311a0479656b61220d31302e302e302e313a373030302801cf2a0f0d3ca407d4ca964dff348c3e88",
     "0000002401000208091005190807060504030201200128029f10fcf844c696b4e2eefb440daee7ad",
     "000000250100030a1003030303030303030303030303030303be658cd468a3d7797b858ce84e1d68c7",
@@ -27,6 +27,8 @@
     "0000003a01000a0807100118c901221a0a0c636f6e74656e742d74797065120a746578742f706c61696e2a02787828850afc747af5a1c8623a0b457ecf7b",
     "0000002b01000b0803100218b817220f0a076c6162656c2d311080b518180759fedacf012ec0023ccb8e61e3c68f4b",
     "0000002201000c0a0801000000ffffffff12030aac023c092a43d76a2e9d2f0304dbaabe7837",
+    "0000001301000d1fae220220825a2d29b59f75bd6cc97e",
+    "0000001d01000e0880d095ffbc3112017b6df7719e62206cfaba9e13b5e78c7bec",
 ];
 
 /// A heartbeat of version 1 with a field that this version does not know.
@@ -46,6 +48,7 @@
     let ring = keys(7);
     let listener = Handshake::new(Role::Listener, [2; 16], &ring);
     let mut session = listener.accept(&bytes(PREAMBLE)[4..], BOUND).unwrap();
+    assert_eq!(FRAMES.len(), messages().len());
     for (frame, expected) in FRAMES.iter().zip(messages()) {
         let opened = session.opener.decode(&mut bytes(frame)).unwrap();
         assert_eq!(opened, Some(Opened::Known(expected)));
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -73,5 +73,7 @@
         Answer { ask: 7, state, status: 201, headers: vec![header], body: bytes(b'x', 2) }.into(),
         Use { sequence: 3, echo: 2, hold_ms: 3_000, customers: vec![used] }.into(),
         Sends { upstreams: vec![1, 0xffff_ffff], units: vec![10, 300] }.into(),
+        ListAsk {}.into(),
+        List { as_of_ms: 1_700_000_000_000, bytes: bytes(b'{', 1) }.into(),
     ]
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -23,12 +23,17 @@
         .fold(builder, |builder, number| builder.entry(&format!("entry-{number}"), &settings("")))
 }
 
-/// Puts an entry instance on the platform's list with its address for peers.
-pub async fn list(fleet: &Fleet, entry: &mut Entry) -> io::Result<()> {
+/// Returns the address for peers of an entry instance.
+pub async fn address(entry: &mut Entry) -> io::Result<String> {
     let line = entry.process.wait_line("event=\"listening\"").await?;
     let address = line.split("peers=").nth(1).unwrap_or_default();
     let address: String = address.chars().filter(|c| !matches!(c, '"')).collect();
-    let address = address.split_whitespace().next().unwrap_or_default();
+    Ok(address.split_whitespace().next().unwrap_or_default().to_owned())
+}
+
+/// Puts an entry instance on the platform's list with its address for peers.
+pub async fn list(fleet: &Fleet, entry: &mut Entry) -> io::Result<()> {
+    let address = address(entry).await?;
     let listed = json!({
         "name": entry.name, "role": "entry", "pool": "entry", "address": address,
         "domain": "local", "state": "live",
