--- a/crates/goldcrestvale_entry/src/watch.rs
+++ b/crates/goldcrestvale_entry/src/watch.rs
@@ -23,12 +23,12 @@
 /// Load reports fetched at the same time.
 const CONCURRENT_REPORTS: usize = 64;
 
-/// Longest wait for a first peer, which may know of upstreams that an operator lets leave.
-const PEER_WAIT: Duration = Duration::from_secs(1);
-
 /// Weight of the time of a link so far against that of one more fetch.
 const LINK_MEMORY: u32 = 3;
 
+/// Longest wait for a first peer, which may know of upstreams that an operator lets leave.
+const PEER_WAIT: Duration = Duration::from_secs(1);
+
 /// Keeps the table of upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct Watch;
