--- a/crates/goldcrestvale_entry/src/configuration.rs
+++ b/crates/goldcrestvale_entry/src/configuration.rs
@@ -35,7 +35,6 @@
 use crate::{
     daemon::{Builder, Part},
     node::Node,
-    phase::Known,
 };
 
 /// How long a checkpoint that was begun may take before others write one.
@@ -62,6 +61,8 @@
 struct State {
     fold: Fold,
     sync: Sync,
+    /// Highest version that another instance has offered.
+    offered: Offset,
     desk: Desk,
     writer: Writer,
     rng: StdRng,
@@ -89,6 +90,7 @@
         let state = State {
             fold,
             sync: Sync::default(),
+            offered: Offset(0),
             desk: Desk::default(),
             writer: Writer::new(own, setting, now, instances, &mut rng),
             rng,
@@ -204,10 +206,3 @@
         },
     }
 }
-
-/// Lets an instance serve once it has a configuration.
-fn serve_from(node: &Node, version: Offset) {
-    if version > Offset(0) {
-        node.life.learn(Known::Config);
-    }
-}
--- a/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
+++ b/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
@@ -25,8 +25,8 @@
 use super::State;
 use crate::node::Node;
 
-/// How often it is looked whether something is to be written.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a failed read of the log.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Longest random wait before a schema version is raised.
 const RAISE_SPREAD: Duration = Duration::from_secs(3);
@@ -35,10 +35,9 @@
 pub(super) async fn keep(node: Arc<Node>, stop: CancellationToken) {
     let mut reader = Reader::new(node.log.clone(), checkpoint::STREAM, Offset(0));
     let mut raising = Turn::new(Duration::ZERO, RAISE_SPREAD);
-    loop {
-        let Some(read) = stop.run_until_cancelled(reader.read(Duration::ZERO)).await else {
-            return;
-        };
+    let mut wait = Duration::ZERO;
+    while let Some(read) = stop.run_until_cancelled(reader.read(wait)).await {
+        wait = Duration::ZERO;
         match read {
             Ok(records) => take(&node, &records),
             Err(Error::Trimmed { oldest, .. }) => {
@@ -47,20 +46,15 @@
             }
             // The tail reports that the log is out.
             Err(_) => {
-                if stop.run_until_cancelled(tokio::time::sleep(INTERVAL)).await.is_none() {
-                    return;
-                }
+                stop.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await;
                 continue;
             }
         }
-        if reader.position() < reader.end() {
-            continue;
-        }
-        node.configuration.note(|seen| seen.checkpoints_read = true);
-        write(&node).await;
-        raise(&node, &mut raising).await;
-        if stop.run_until_cancelled(tokio::time::sleep(INTERVAL)).await.is_none() {
-            return;
+        if reader.position() >= reader.end() {
+            node.configuration.note(|seen| seen.checkpoints_read = true);
+            write(&node).await;
+            raise(&node, &mut raising).await;
+            wait = node.settings.platform.poll;
         }
     }
 }
--- a/crates/goldcrestvale_entry/src/configuration/exchange.rs
+++ b/crates/goldcrestvale_entry/src/configuration/exchange.rs
@@ -7,8 +7,8 @@
 use goldcrestvale_peer::events::Configuration;
 use log::{error, info, warn};
 
-use super::{State, serve_from};
-use crate::{node::Node, peers::Store};
+use super::State;
+use crate::{node::Node, peers::Store, phase::Known};
 
 /// Serves the configuration to other instances and takes theirs.
 pub(super) struct Exchange {
@@ -51,7 +51,8 @@
     let now = node.clock.now();
     let weighed = {
         let mut state = node.configuration.state();
-        let State { fold, sync, .. } = &mut *state;
+        let State { fold, sync, offered, .. } = &mut *state;
+        *offered = version.max(*offered);
         sync.weigh_brief(now, fold, version, brief)
     };
     match weighed {
@@ -89,13 +90,18 @@
 fn take(node: &Arc<Node>, from: Instance, answer: Answer) {
     let now = node.clock.now();
     let before = node.configuration.seen().offer.version;
-    let (ask, version) = node.configuration.edit(node, |state| {
-        let State { fold, sync, .. } = state;
-        (sync.take(now, fold, answer), fold.version())
+    let (ask, version, whole) = node.configuration.edit(node, |state| {
+        let State { fold, sync, offered, .. } = state;
+        let ask = sync.take(now, fold, answer);
+        // Software that cannot read a newer schema version stops before it.
+        let whole = fold.version() >= *offered && fold.stop().is_none();
+        (ask, fold.version(), whole)
     });
     if version > before {
         info!(instance:% = from, version = version.0; "configuration taken from a peer");
-        serve_from(node, version);
+        if whole {
+            node.life.learn(Known::Config);
+        }
     }
     if let Some(ask) = ask {
         send_ask(node, from, ask);
