Prove that a large state reaches an instance in chunks

Change: config_process: 4,000 services, more records than an instance keeps, reach an instance that starts while the log is out.

--- a/tests/config_process.rs
+++ b/tests/config_process.rs
@@ -20,6 +20,9 @@
 /// Longest time that a test waits for an instance.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Services of a state that takes many chunks, and more records than an instance keeps.
+const SERVICES: u64 = 4_000;
+
 fn operator() -> Caller {
     Caller::default().with("authorization", &format!("Bearer {TOKEN}"))
 }
@@ -138,8 +141,7 @@
 async fn while_the_log_is_out() -> io::Result<()> {
     let mut fleet = builder(2).start().await?;
     connect(&mut fleet).await?;
-    let seed = fleet.dump(0).await?["peers"]["member"]["view"]["own"]["address"].clone();
-    let seed = seed.as_str().expect("an address for peers").to_owned();
+    let seed = seed(&fleet).await?;
     fleet.platform.fault(&json!({ "down": true })).await?;
     let later = change("later", None, &service(3));
     let (status, answer) = put(&fleet, 0, &later).await?;
@@ -199,8 +201,7 @@
 async fn without_a_checkpoint_it_is_not_ready_and_says_so() -> io::Result<()> {
     let mut fleet = builder(2).start().await?;
     connect(&mut fleet).await?;
-    let seed = fleet.dump(0).await?["peers"]["member"]["view"]["own"]["address"].clone();
-    let seed = seed.as_str().expect("an address for peers").to_owned();
+    let seed = seed(&fleet).await?;
     trim(&fleet.platform, "config", u64::MAX).await?;
     fleet.start_entry("entry-3", "").await?;
     let dump = until(&fleet, 2, PATIENCE, "proves what it cannot", |dump| {
@@ -220,3 +221,49 @@
     assert_eq!(status, StatusCode::OK, "{answer}");
     Ok(())
 }
+
+/// Returns the address of the first instance for peers.
+async fn seed(fleet: &Fleet) -> io::Result<String> {
+    let dump = fleet.dump(0).await?;
+    let address = &dump["peers"]["member"]["view"]["own"]["address"];
+    Ok(address.as_str().expect("an address for peers").to_owned())
+}
+
+/// Appends services to the log, as many instances did over days.
+async fn fill(platform: &Standin, count: u64) -> io::Result<()> {
+    let numbers: Vec<u64> = (0..count).collect();
+    for batch in numbers.chunks(500) {
+        let record = |n: &u64| {
+            let data = change(&format!("s{n}"), None, &service(9));
+            json!({ "id": format!("{:032x}-{n}", 7), "data": data })
+        };
+        let records: Vec<Value> = batch.iter().map(record).collect();
+        let body = json!({ "records": records });
+        let path = "/streams/config/records";
+        let answer = Caller::default().post(platform.address, path, &body).await?;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_state_comes_from_a_peer_in_chunks() -> io::Result<()> {
+    let mut fleet = builder(2).start().await?;
+    connect(&mut fleet).await?;
+    let version = fleet.dump(0).await?["config"]["version"].as_u64().expect("a version");
+    fill(&fleet.platform, SERVICES).await?;
+    for entry in 0..2 {
+        let all = version + SERVICES;
+        until(&fleet, entry, PATIENCE, "not read", |dump| has(dump, all - 1)).await?;
+    }
+    let seed = seed(&fleet).await?;
+    fleet.platform.fault(&json!({ "down": true })).await?;
+    fleet.start_entry("entry-3", &settings(&format!("seeds = {seed}\n"))).await?;
+    let newest = digest(&fleet, 0).await?;
+    until(&fleet, 2, PATIENCE, "no state from a peer", |dump| dump["config"]["digest"] == newest)
+        .await?;
+    let names = operator().get(fleet.entries[2].operators, "/config/service").await?;
+    let count = names.json()["names"].as_array().map_or(0, Vec::len) as u64;
+    assert_eq!(count, SERVICES + 1);
+    Ok(())
+}
