Spread stages by the present load over a sample of sixteen

Cause: a stage went to the better of two engines by this instance's own steps; on mixed accelerators two choices draw slow engines too often, and steps of other instances were not seen. Ruled out: rebuilding the planner for every draft, whose cost grows with the fleet; the sample's does not. Change: sample of 16; load from the report, own steps and what others say they sent since; goldcrestvale-bench mixed compares programs in one run.

--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cpu;
 pub mod experiment;
 pub mod load;
+pub mod mixed;
 pub mod overhead;
 pub mod policy;
 pub mod sim;
--- a/crates/goldcrestvale_bench/src/main.rs
+++ b/crates/goldcrestvale_bench/src/main.rs
@@ -6,7 +6,7 @@
 };
 
 use clap::Parser;
-use goldcrestvale_bench::{baseline::Proxy, experiment, overhead};
+use goldcrestvale_bench::{baseline::Proxy, experiment, mixed, overhead};
 
 /// Measures the router and compares policies.
 #[derive(Debug, Parser)]
@@ -14,6 +14,8 @@
 enum Command {
     /// Measures what an entry instance adds to a call, with real processes on loopback.
     Overhead(overhead::Settings),
+    /// Compares programs by drafts over mixed accelerators, with real processes.
+    Mixed(mixed::Settings),
     /// Compares choices of an engine on virtual time.
     Policies(experiment::Settings),
     /// Runs the bare pass-through, which `overhead` compares with.
@@ -35,6 +37,7 @@
             }
             write!(out, "{table}")
         }
+        Command::Mixed(settings) => write!(out, "{}", mixed::run(&settings).await?),
         Command::Policies(settings) => experiment::run(&settings),
         Command::Proxy { target } => {
             let proxy = Proxy::bind(target).await?;
--- a/crates/goldcrestvale_entry/src/callers/draft/relay.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/relay.rs
@@ -72,7 +72,7 @@
             .deadline(until)
             .priority(ask.priority)
             .settings(settings);
-        let begun = with_plan(&plans, &ask, id, |plan| prompt.start(started, plan));
+        let begun = with_plan(&node, &plans, (&ask, id), |plan| prompt.start(started, plan));
         let (draft, actions) = begun.map_err(|failure| refusal(&failure))?;
         Ok(Self {
             node,
@@ -136,7 +136,8 @@
         let plans = Plans::current(&self.node);
         let now = self.node.clock.now();
         let (ask, draft) = (&self.ask, &mut self.draft);
-        let actions = with_plan(&plans, ask, self.id, |plan| draft.handle(now, event, plan));
+        let actions =
+            with_plan(&self.node, &plans, (ask, self.id), |plan| draft.handle(now, event, plan));
         self.actions.extend(actions);
         self.check_left(now, plans);
     }
@@ -250,7 +251,12 @@
 
 /// Runs something with the plan for a draft: the planner of its version, spread by the present
 /// load of the engines.
-fn with_plan<T>(plans: &Plans, ask: &Ask, id: Request, run: impl FnOnce(&dyn Plan) -> T) -> T {
+fn with_plan<T>(
+    node: &Node,
+    plans: &Plans,
+    (ask, id): (&Ask, Request),
+    run: impl FnOnce(&dyn Plan) -> T,
+) -> T {
     let empty;
     let planner = match plans.get(&ask.model, &ask.version) {
         Some(planner) => planner,
@@ -259,7 +265,8 @@
             &empty
         }
     };
-    let load = |upstream: &Upstream| plans.row(upstream).map_or(0, |row| row.in_progress());
+    let peers = node.peers.snapshot();
+    let load = |upstream: &Upstream| plans.row(upstream).map_or(0, |row| row.load(&peers).now());
     // The low bits of a version 7 UUID are random.
     run(&Spread::new(planner, id.0.as_u128() as u64, load))
 }
--- a/crates/goldcrestvale_route/src/chain/spread.rs
+++ b/crates/goldcrestvale_route/src/chain/spread.rs
@@ -7,20 +7,17 @@
 use smallvec::SmallVec;
 
 use super::{Candidate, Chain, Plan, Planner, Result, Stage};
-use crate::balance::Choice;
+use crate::balance::{Choice, SAMPLE};
 
 /// Most engines among which a stage is spread.
 const PEERS: usize = 32;
 
-/// Engines that are compared for a stage.
-const SAMPLE: usize = 2;
-
-/// Plans with a planner, and then moves each stage to the less loaded of two engines that hold
-/// the same layers behind a link of the same cost.
+/// Plans with a planner, and then moves each stage to the least loaded of a sample of engines that
+/// hold the same layers behind a link of the same cost.
 ///
-/// The planner's costs lag; the load that is asked for here is the present one, such as the
-/// steps that this instance has in progress. Two choices keep instances that see the same lagged
-/// reports from sending to the same engine.
+/// The planner's costs lag; the load that is asked for here is the present one, as far as it is
+/// known from reports, from this instance's own steps and from what the others say they sent. A
+/// sample of two draws slow engines too often where the kinds of accelerator differ.
 #[derive(Debug)]
 pub struct Spread<'a, F> {
     planner: &'a Planner,
