Measure how long drafts stand still when an engine fails

Cause: recovery time had figures of the decision only, none with real processes. Ruled out: telling the interrupted drafts by their gaps; the engine's own record of requests names them. Change: goldcrestvale-bench recovery: drafts over two stages with two engines each; one engine is killed, stopped or told to leave.

--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod overhead;
 pub mod policy;
+pub mod recovery;
 pub mod sim;
 
 /// Re-exports the types that most users of this package name.
--- a/crates/goldcrestvale_bench/src/main.rs
+++ b/crates/goldcrestvale_bench/src/main.rs
@@ -6,7 +6,7 @@
 };
 
 use clap::Parser;
-use goldcrestvale_bench::{baseline::Proxy, experiment, overhead};
+use goldcrestvale_bench::{baseline::Proxy, experiment, overhead, recovery};
 
 /// Measures the router and compares policies.
 #[derive(Debug, Parser)]
@@ -14,6 +14,8 @@
 enum Command {
     /// Measures what an entry instance adds to a call, with real processes on loopback.
     Overhead(overhead::Settings),
+    /// Measures how long drafts stand still when an engine fails, with real processes.
+    Recovery(recovery::Settings),
     /// Compares choices of an engine on virtual time.
     Policies(experiment::Settings),
     /// Runs the bare pass-through, which `overhead` compares with.
@@ -35,6 +37,13 @@
             }
             write!(out, "{table}")
         }
+        Command::Recovery(settings) => {
+            let table = recovery::run(&settings).await?;
+            if let Some(path) = &settings.out {
+                table.write(path)?;
+            }
+            write!(out, "{table}")
+        }
         Command::Policies(settings) => experiment::run(&settings),
         Command::Proxy { target } => {
             let proxy = Proxy::bind(target).await?;
