--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod mixed;
 pub mod overhead;
 pub mod policy;
+pub mod recovery;
 pub mod sim;
 
 /// Re-exports the types that most users of this package name.
