Read the links of a body when they are needed

Cause: the state takes the larger part of the 32 MB that a node may spend on control at the target.

Change: a stored body is its canonical text alone; what it refers to and reserves is read from the text when the entity changes.

--- a/crates/goldcrestvale_config/src/evaluate.rs
+++ b/crates/goldcrestvale_config/src/evaluate.rs
@@ -1,5 +1,7 @@
 //! The rules by which one record changes the state.
 
+use std::sync::Arc;
+
 use goldcrestvale_base::id::{Offset, Upstream};
 use serde_json::{Map, Value};
 
@@ -10,7 +12,7 @@
     fold::{Fold, Outcome, Stop},
     link::{Address, Links},
     record::Kind,
-    slot::{Step, Stored},
+    slot::Step,
 };
 
 /// The result of a check; the error is the reason of the rejection.
@@ -48,7 +50,7 @@
     pub fn try_read(&self, change: &Change) -> Result<()> {
         check_envelope(change)?;
         let Some(body) = &change.body else { return Ok(()) };
-        store(&change.kind, body)?;
+        try_store(body)?;
         Body::try_read(&self.table, &change.kind, change.schema.major, body.clone()).map(drop)
     }
 
@@ -68,9 +70,9 @@
             None if head.is_none() => return Err(format!("{address} does not exist")),
             None => self.state.try_unlink(&address)?,
             Some(body) => {
-                let stored = store(&address.kind, &body)?;
-                self.state.try_link(&address, &stored.links)?;
-                step.body = Some(stored);
+                let text = try_store(&body)?;
+                self.state.try_link(&address, &Links::of(&address.kind, &body))?;
+                step.body = Some(text);
                 if !held {
                     if !self.table.reads(&address.kind, major) {
                         self.stop = Some(Stop::Unread { kind: address.kind, major });
@@ -129,9 +131,9 @@
 
     fn put_step(&mut self, address: &Address, step: Step) {
         let version = step.version;
-        let read = step.body.as_ref().map(|stored| {
+        let read = step.body.as_ref().map(|text| {
             let body: Map<String, Value> =
-                serde_json::from_str(&stored.text).map_err(|fault| fault.to_string())?;
+                serde_json::from_str(text).map_err(|fault| fault.to_string())?;
             Body::try_read(&self.table, &address.kind, step.schema.major, body)
         });
         match read.transpose() {
@@ -153,10 +155,10 @@
     change.name.parse::<Upstream>().map(drop).map_err(|fault| fault.to_string())
 }
 
-fn store(kind: &Kind, body: &Map<String, Value>) -> Result<Stored> {
+fn try_store(body: &Map<String, Value>) -> Result<Arc<str>> {
     let text = canonical(body);
     if text.len() > MAX_BODY_BYTES {
         return Err(format!("the body has {} bytes, allowed are {MAX_BODY_BYTES}", text.len()));
     }
-    Ok(Stored { links: Links::of(kind, body), text: text.into() })
+    Ok(text.into())
 }
--- a/crates/goldcrestvale_config/src/fold.rs
+++ b/crates/goldcrestvale_config/src/fold.rs
@@ -165,7 +165,7 @@
     /// Returns the body of an entity in force, with the fields that this software does not know.
     pub fn text(&self, kind: &Kind, name: &str) -> Option<Arc<str>> {
         let slot = self.state.slot(&Address::new(kind.clone(), name))?;
-        slot.now.as_ref()?.body.as_ref().map(|stored| Arc::clone(&stored.text))
+        slot.now.as_ref()?.body.clone()
     }
 
     /// Puts a body in force, or takes the entity out of force.
--- a/crates/goldcrestvale_config/src/link.rs
+++ b/crates/goldcrestvale_config/src/link.rs
@@ -43,6 +43,12 @@
 }
 
 impl Links {
+    /// Reads the links of a stored body.
+    pub(crate) fn read(kind: &Kind, text: &str) -> Self {
+        let body = serde_json::from_str(text).expect("bodies are stored as JSON objects");
+        Self::of(kind, &body)
+    }
+
     /// Reads the links of a body.
     pub(crate) fn of(kind: &Kind, body: &Map<String, Value>) -> Self {
         let mut refers = SmallVec::new();
--- a/crates/goldcrestvale_config/src/saved.rs
+++ b/crates/goldcrestvale_config/src/saved.rs
@@ -1,5 +1,7 @@
 //! The form of the state inside a checkpoint.
 
+use std::sync::Arc;
+
 use goldcrestvale_base::{
     domain,
     id::{Incarnation, Offset, RecordId},
@@ -10,10 +12,10 @@
     body::Body,
     change::Schema,
     fold::{Fold, Outcome},
-    link::{Address, Links},
+    link::Address,
     outcome::Folded,
     record::Kind,
-    slot::{Slot, Step, Stored},
+    slot::{Slot, Step},
 };
 
 /// The result of restoring a part of the state.
@@ -113,8 +115,8 @@
 }
 
 fn save_step(step: &Step) -> SavedStep {
-    let raw = |stored: &Stored| {
-        RawValue::from_string(stored.text.as_ref().to_owned()).expect("bodies are stored as JSON")
+    let raw = |text: &Arc<str>| {
+        RawValue::from_string(text.as_ref().to_owned()).expect("bodies are stored as JSON objects")
     };
     SavedStep { version: step.version, schema: step.schema, body: step.body.as_ref().map(raw) }
 }
@@ -144,7 +146,7 @@
     let address = Address::new(saved.kind, &saved.name);
     let mut now = None;
     if let Some(step) = saved.now {
-        let (step, body) = restore_step(&address.kind, step)?;
+        let (step, body) = restore_step(step)?;
         let body = body.map(|body| {
             let read = Body::try_read(&fold.table, &address.kind, step.schema.major, body);
             read.map_err(|reason| Fault::Unread(address.clone(), reason))
@@ -152,16 +154,15 @@
         fold.put_in_force(&address, step.version, body.transpose()?);
         now = Some(step);
     }
-    let held = saved.held.into_iter().map(|step| restore_step(&address.kind, step));
+    let held = saved.held.into_iter().map(restore_step);
     let held = held.map(|restored| restored.map(|(step, _)| step)).collect::<Result<_>>()?;
     fold.state.edit(&address, &mut fold.sum, |slot| *slot = Slot { now, held });
     Ok(())
 }
 
-fn restore_step(kind: &Kind, saved: SavedStep) -> Result<(Step, Option<Map<String, Value>>)> {
+fn restore_step(saved: SavedStep) -> Result<(Step, Option<Map<String, Value>>)> {
     let SavedStep { version, schema, body } = saved;
     let Some(raw) = body else { return Ok((Step { version, schema, body: None }, None)) };
-    let body: Map<String, Value> = serde_json::from_str(raw.get())?;
-    let stored = Stored { text: raw.get().into(), links: Links::of(kind, &body) };
-    Ok((Step { version, schema, body: Some(stored) }, Some(body)))
+    let body = serde_json::from_str(raw.get())?;
+    Ok((Step { version, schema, body: Some(raw.get().into()) }, Some(body)))
 }
--- a/crates/goldcrestvale_config/src/slot.rs
+++ b/crates/goldcrestvale_config/src/slot.rs
@@ -4,21 +4,15 @@
 
 use goldcrestvale_base::id::Offset;
 
-use crate::{change::Schema, link::Links};
-
-/// A body as it was written.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct Stored {
-    pub(crate) text: Arc<str>,
-    pub(crate) links: Links,
-}
+use crate::{change::Schema, link::Links, record::Kind};
 
 /// An accepted change; without a body, it deletes the entity.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Step {
     pub(crate) version: Offset,
     pub(crate) schema: Schema,
-    pub(crate) body: Option<Stored>,
+    /// The body as canonical JSON; its links are read from it when they are needed.
+    pub(crate) body: Option<Arc<str>>,
 }
 
 /// One entity.
@@ -43,9 +37,9 @@
     }
 
     /// Returns the links of all bodies.
-    pub(crate) fn links(&self) -> impl Iterator<Item = &Links> {
+    pub(crate) fn links(&self, kind: &Kind) -> impl Iterator<Item = Links> {
         let steps = self.now.iter().chain(&self.held);
-        steps.filter_map(|step| step.body.as_ref()).map(|stored| &stored.links)
+        steps.filter_map(|step| step.body.as_ref()).map(|text| Links::read(kind, text))
     }
 
     /// Returns whether nothing is left of the entity.
--- a/crates/goldcrestvale_config/src/state.rs
+++ b/crates/goldcrestvale_config/src/state.rs
@@ -97,18 +97,18 @@
     }
 
     fn index(&mut self, address: &Address, slot: &Slot) {
-        for links in slot.links() {
-            for end in &links.refers {
-                self.users.entry(end.clone()).or_default().insert(address.clone());
+        for links in slot.links(&address.kind) {
+            for end in links.refers {
+                self.users.entry(end).or_default().insert(address.clone());
             }
-            if let Some(text) = &links.reserves {
-                self.reserved.insert(text.clone(), address.clone());
+            if let Some(text) = links.reserves {
+                self.reserved.insert(text, address.clone());
             }
         }
     }
 
     fn forget(&mut self, address: &Address, slot: &Slot) {
-        for links in slot.links() {
+        for links in slot.links(&address.kind) {
             for end in &links.refers {
                 if let Some(users) = self.users.get_mut(end) {
                     users.remove(address);
@@ -129,7 +129,7 @@
     let held = slot.held.iter().map(|step| ("held", step));
     for (place, step) in now.chain(held) {
         let Step { version, schema, body } = step;
-        let text = body.as_ref().map_or("", |stored| &stored.text);
+        let text = body.as_deref().unwrap_or_default();
         count(
             sum,
             &[
