Hold the new holder's wait in a table

Cause: a trial without the wait for the old lease still passed the random runs, since a candidate's patience covers most of it.

--- a/crates/goldcrestvale_ledger/tests/stale_lease.rs
+++ b/crates/goldcrestvale_ledger/tests/stale_lease.rs
@@ -9,7 +9,7 @@
     time::{Instant, Wall},
 };
 use goldcrestvale_ledger::{
-    lease::{Action, Duty, Event, Keeper, Queue},
+    lease::{Action, Duty, Event, Keeper, Lease, Queue, Wish},
     prefix::Prefix,
     record::{Draft, Page, Sequence, View},
 };
@@ -371,3 +371,57 @@
     let found = order(Holder::NoDelay, 4_000).unwrap_err().to_string();
     assert!(found.contains("order of") || found.contains("on their way"), "{found}");
 }
+
+#[test]
+fn a_new_holder_waits_out_the_old_lease_and_its_last_order() {
+    let at = |seconds: u64| Instant(seconds * 1_000_000);
+    for (name, before, ready) in [
+        ("held by another", Some(Duration::from_secs(30)), at(132)),
+        ("never held", None, at(112)),
+        ("released", Some(Duration::ZERO), at(102)),
+    ] {
+        let wish = Wish {
+            name: "orders".into(),
+            instance: "node-1".parse().unwrap(),
+            length: LENGTH,
+            after: None,
+            quiet_since: at(100),
+        };
+        let id = RecordId { incarnation: Incarnation(1), sequence: 0 };
+        let (asked, _) = Lease::ask(&wish, id, at(101));
+        let waiting = asked.granted(Offset(0), before, ORDER_DELAY);
+        assert_eq!(waiting.ready(), ready, "{name}");
+        let early = Instant(ready.0 - 1);
+        let waiting = waiting.try_hold(early).expect_err("too early");
+        assert!(waiting.try_hold(ready).is_ok(), "{name}");
+    }
+}
+
+/// Lets one keeper's record be stored and read by another one.
+fn pass_on(world: &mut World, from: usize, to: usize) {
+    world.append(from, Fate::Done);
+    world.read(from, 9);
+    world.read(to, 9);
+}
+
+#[test]
+fn a_take_over_starts_only_when_the_paused_holder_cannot_order_any_more() {
+    let mut world = World::new(Holder::Careful);
+    world.nodes.iter_mut().for_each(|node| node.wanted = 1);
+    world.handle(0, Event::Tick);
+    world.handle(1, Event::Tick);
+    while world.nodes[0].keeper.held().is_none() {
+        world.advance(Duration::from_millis(500)).unwrap();
+        world.handle(0, Event::Tick);
+        pass_on(&mut world, 0, 1);
+    }
+    let deadline = world.nodes[0].keeper.held().unwrap().deadline();
+    while world.nodes[1].keeper.held().is_none() {
+        world.advance(Duration::from_millis(500)).unwrap();
+        world.handle(1, Event::Tick);
+        world.append(1, Fate::Done);
+        world.read(1, 9);
+    }
+    assert!(world.now >= deadline, "held at {:?}, old deadline {deadline:?}", world.now);
+    assert!(world.now <= deadline + LENGTH, "held at {:?}, too late", world.now);
+}
