--- a/crates/goldcrestvale_entry/src/configuration/exchange.rs
+++ b/crates/goldcrestvale_entry/src/configuration/exchange.rs
@@ -1,20 +1,14 @@
 //! Passing the configuration between instances.
 
-use std::{
-    sync::{Arc, Weak},
-    time::Duration,
-};
+use std::sync::{Arc, Weak};
 
 use goldcrestvale_base::id::{Digest, Instance, Offset};
 use goldcrestvale_config::sync::{Answer, Ask, Frame, Weighed};
 use goldcrestvale_peer::events::Configuration;
 use log::{error, info, warn};
 
-use super::{State, serve_from};
-use crate::{node::Node, peers::Store};
-
-/// Time after an ask within which no other offer is followed.
-const ASK_PAUSE: Duration = Duration::from_secs(2);
+use super::State;
+use crate::{node::Node, peers::Store, phase::Known};
 
 /// Serves the configuration to other instances and takes theirs.
 pub(super) struct Exchange {
@@ -57,23 +51,16 @@
     let now = node.clock.now();
     let weighed = {
         let mut state = node.configuration.state();
-        let State { fold, sync, asked, .. } = &mut *state;
-        let busy = asked.is_some_and(|at| now.since(at) < ASK_PAUSE);
-        if busy && version > fold.version() {
-            return;
-        }
-        let weighed = sync.weigh_brief(fold, version, brief);
-        if matches!(weighed, Weighed::Ask(_)) {
-            *asked = Some(now);
-        }
-        weighed
+        let State { fold, sync, offered, .. } = &mut *state;
+        *offered = version.max(*offered);
+        sync.weigh_brief(now, fold, version, brief)
     };
     match weighed {
         Weighed::Ask(ask) => send_ask(node, from, ask),
         Weighed::Diverged => {
             error!(instance:% = from, version = version.0; "another instance has another state");
         }
-        Weighed::Same | Weighed::Older => {}
+        Weighed::Same | Weighed::Older | Weighed::Wait => {}
     }
 }
 
@@ -103,15 +90,18 @@
 fn take(node: &Arc<Node>, from: Instance, answer: Answer) {
     let now = node.clock.now();
     let before = node.configuration.seen().offer.version;
-    let (ask, version) = node.configuration.edit(node, |state| {
-        let State { fold, sync, asked, .. } = state;
-        let ask = sync.take(fold, answer);
-        *asked = ask.map(|_| now);
-        (ask, fold.version())
+    let (ask, version, whole) = node.configuration.edit(node, |state| {
+        let State { fold, sync, offered, .. } = state;
+        let ask = sync.take(now, fold, answer);
+        // Software that cannot read a newer schema version stops before it.
+        let whole = fold.version() >= *offered && fold.stop().is_none();
+        (ask, fold.version(), whole)
     });
     if version > before {
         info!(instance:% = from, version = version.0; "configuration taken from a peer");
-        serve_from(node, version);
+        if whole {
+            node.life.learn(Known::Config);
+        }
     }
     if let Some(ask) = ask {
         send_ask(node, from, ask);
