--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod cpu;
 pub mod experiment;
 pub mod load;
+pub mod mixed;
 pub mod overhead;
 pub mod policy;
+pub mod recovery;
 pub mod sim;
 
 /// Re-exports the types that most users of this package name.
