Test links beside dead instances, and connections of ended lives

Cause: of nine seams that were broken by hand as trials, two went unnoticed. Change: a test of the links when half of the domains count as dead, and a connection of an ended incarnation in the restart test.

--- a/crates/goldcrestvale_member/tests/member_view.rs
+++ b/crates/goldcrestvale_member/tests/member_view.rs
@@ -6,7 +6,11 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use cluster::{Cluster, MS, SECOND};
-use goldcrestvale_member::{prelude::*, view::State};
+use goldcrestvale_member::{
+    links::{self, Candidate, Fanout},
+    prelude::*,
+    view::State,
+};
 
 const FOUR: [&str; 4] = ["bole", "bole", "kirkos", "yeka"];
 
@@ -105,6 +109,33 @@
     cluster.feed(0, Event::Heard { from, message: Message::Members(vec![stale]) });
     let known = cluster.node(0).view().peer(&old.instance).unwrap().incarnation;
     assert_ne!(known, Some(old.incarnation));
+    // Nor does a connection that it left behind.
+    cluster.feed(0, Event::Connected(old.clone()));
+    cluster.run(SECOND);
+    let peer = cluster.node(0).view().peer(&old.instance).unwrap();
+    assert_ne!(peer.incarnation, Some(old.incarnation));
+}
+
+#[test]
+fn links_leave_the_dead_but_for_one_on_the_ring() {
+    let seed = |domain: usize, place: usize| Seed {
+        instance: format!("entry-{domain}-{place}").parse().unwrap(),
+        domain: format!("domain-{domain}").parse().unwrap(),
+        address: "10.0.0.1:1".parse().unwrap(),
+    };
+    // Of domains 1 to 8, those up to 4 count as dead; 1 is next on the ring.
+    let peers: Vec<Seed> = (1..9).flat_map(|domain| (0..3).map(move |n| seed(domain, n))).collect();
+    let is_dead = |peer: &Seed| peer.domain.as_str() < "domain-5";
+    for place in 0..12 {
+        let candidates: Vec<Candidate<'_>> =
+            peers.iter().map(|peer| Candidate { seed: peer, dead: is_dead(peer) }).collect();
+        let chosen = links::choose(&seed(0, place), &candidates, Fanout { mesh: 16, outer: 3 });
+        let domains = chosen.iter().map(|name| &name.as_str()[..7]);
+        let domains: Vec<&str> = domains.collect();
+        assert_eq!(domains[0], "entry-1", "the ring goes on across a cut");
+        assert!(domains[1..].iter().all(|domain| *domain >= "entry-5"), "{domains:?}");
+        assert_eq!(domains.len(), 3);
+    }
 }
 
 #[test]
