--- a/crates/goldcrestvale_entry/src/peers/tasks.rs
+++ b/crates/goldcrestvale_entry/src/peers/tasks.rs
@@ -1,6 +1,12 @@
 //! The part that attends to the peer tasks: status, dump, metrics, goodbye.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use goldcrestvale_config::sync::{Offer, brief_of};
@@ -9,7 +15,7 @@
     message::{Config, Status},
     sends::Sent,
 };
-use goldcrestvale_peer::handle::Handle;
+use goldcrestvale_peer::handle::{Handle, Result};
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
@@ -21,9 +27,12 @@
     table::Row,
 };
 
-/// How often the status is told to the membership, and its state is read for the dump.
+/// How often the status is told to the membership, and its state may be read for the dump.
 const INTERVAL: Duration = Duration::from_millis(500);
 
+/// Intervals between readings of the state while nobody looks at it.
+const SELDOM: u32 = 4;
+
 /// Attends to the peer tasks.
 #[derive(Debug)]
 pub struct Attend {
@@ -36,12 +45,41 @@
     }
 }
 
+/// The state of the peer tasks as it was read last.
+///
+/// It is read at each interval while somebody looks at it, else seldom, since at hundreds of
+/// instances each reading costs a millisecond.
+#[derive(Default)]
+struct Shown {
+    state: ArcSwap<Value>,
+    asked: AtomicBool,
+    skipped: AtomicU32,
+}
+
+impl Shown {
+    fn read(&self) -> Value {
+        self.asked.store(true, Ordering::Relaxed);
+        self.state.load().as_ref().clone()
+    }
+
+    fn is_due(&self) -> bool {
+        let asked = self.asked.swap(false, Ordering::Relaxed);
+        asked || self.skipped.fetch_add(1, Ordering::Relaxed).is_multiple_of(SELDOM)
+    }
+
+    async fn renew(&self, handle: &Handle) -> Result<()> {
+        let state = handle.dump().await?;
+        self.state.store(Arc::new(serde_json::to_value(state).unwrap_or_default()));
+        Ok(())
+    }
+}
+
 impl Part for Attend {
     fn register(self, builder: &mut Builder) {
         let node = builder.node().clone();
-        let dump = Arc::new(ArcSwap::from_pointee(Value::Null));
+        let dump = Arc::new(Shown::default());
         let shown = dump.clone();
-        builder.insert_dump("peers", move || shown.load().as_ref().clone());
+        builder.insert_dump("peers", move || shown.read());
         insert_gauges(&node, &self.handle);
         builder.insert_task(attend(node, self.handle.clone(), dump, builder.stop()));
         let handle = self.handle;
@@ -49,23 +87,15 @@
     }
 }
 
-async fn attend(
-    node: Arc<Node>,
-    handle: Handle,
-    dump: Arc<ArcSwap<Value>>,
-    stop: CancellationToken,
-) {
+async fn attend(node: Arc<Node>, handle: Handle, dump: Arc<Shown>, stop: CancellationToken) {
     let mut ticks = tokio::time::interval(INTERVAL);
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         let told = handle.tell(Event::Status(status(&node))).await;
         let told = told.and(handle.tell(Event::Sent(in_progress(&node))).await);
-        let state = handle.dump().await;
-        match (told, state) {
-            (Ok(()), Ok(state)) => {
-                dump.store(Arc::new(serde_json::to_value(state).unwrap_or_default()));
-            }
+        let shown = if dump.is_due() { dump.renew(&handle).await } else { Ok(()) };
+        if told.and(shown).is_err() {
             // The goodbye ended the tasks.
-            _ => return,
+            return;
         }
     }
 }
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -26,6 +26,9 @@
 /// How often the balancer asks the instances whether they are ready.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Longest time until a goodbye shows in the dump of another instance.
+const GOODBYE: Duration = Duration::from_secs(3);
+
 /// Callers that send one request after the other.
 const CALLERS: usize = 12;
 
@@ -205,7 +208,8 @@
     // The goodbye was heard: no missed heartbeat had to tell.
     let gone =
         |dump: &Value| dump["peers"]["member"]["view"]["peers"]["entry-1"]["state"] == "gone";
-    fleet.wait_dump(1, gone).await?;
+    let heard = tokio::time::timeout(GOODBYE, fleet.wait_dump(1, gone)).await;
+    assert!(heard.is_ok(), "no goodbye: {:#}", fleet.dump(1).await?["peers"]["member"]["view"]);
     Ok(())
 }
 
