Take calls without a key where the service's settings allow them

Cause: a service's run_without_log had no effect, since every call that is not idempotent was refused without a key, log or no log. Ruled out: taking them only while the log is out, which no caller could rely on. Change: such a service takes calls without a key, each sent at most once; the default interval of load reports is 1 s, as in the measured policies; a measurement of what an idle instance spends by the number of upstreams. The fleet of the tests has the setting off, so that whole_path's refusal stands.

--- a/crates/goldcrestvale_bench/src/lib.rs
+++ b/crates/goldcrestvale_bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load and experiments: policies against baselines, figures as CSV and tables.
 
 pub mod baseline;
+pub mod control;
 pub mod cpu;
 pub mod experiment;
 pub mod load;
--- a/crates/goldcrestvale_bench/src/main.rs
+++ b/crates/goldcrestvale_bench/src/main.rs
@@ -6,7 +6,7 @@
 };
 
 use clap::Parser;
-use goldcrestvale_bench::{baseline::Proxy, experiment, mixed, overhead, recovery};
+use goldcrestvale_bench::{baseline::Proxy, control, experiment, mixed, overhead, recovery};
 
 /// Measures the router and compares policies.
 #[derive(Debug, Parser)]
@@ -18,6 +18,8 @@
     Mixed(mixed::Settings),
     /// Measures how long drafts stand still when an engine fails, with real processes.
     Recovery(recovery::Settings),
+    /// Measures what an idle entry instance spends, by the number of upstreams.
+    Control(control::Settings),
     /// Compares choices of an engine on virtual time.
     Policies(experiment::Settings),
     /// Runs the bare pass-through, which `overhead` compares with.
@@ -47,6 +49,7 @@
             }
             write!(out, "{table}")
         }
+        Command::Control(settings) => write!(out, "{}", control::run(&settings).await?),
         Command::Policies(settings) => experiment::run(&settings),
         Command::Proxy { target } => {
             let proxy = Proxy::bind(target).await?;
--- a/crates/goldcrestvale_config/src/record.rs
+++ b/crates/goldcrestvale_config/src/record.rs
@@ -163,7 +163,8 @@
         /// Its calls; one that is not listed is not idempotent.
         #[serde(default)]
         pub methods: Vec<Method>,
-        /// Whether calls without an idempotency key may run while the log is out.
+        /// Whether calls that are not idempotent may come without a key; each is sent at most once,
+        /// also while the log is out.
         #[serde(default)]
         pub run_without_log: bool,
         /// Unknown fields.
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -94,7 +94,7 @@
 /// Instances of a service that one call tries while nothing was sent.
 pub(super) const MOST_TRIES: usize = 3;
 
-/// Sends an idempotent call, to another instance as long as nothing was sent.
+/// Sends a call without a key, to another instance as long as nothing was sent.
 async fn send(node: Arc<Node>, ready: Ready, trace: &mut Trace) -> Result<Response<Body>> {
     let mut series = Series::new(ready.until, MOST_TRIES);
     loop {
@@ -118,7 +118,8 @@
     }
 }
 
-/// Returns the idempotency key of a call that is not idempotent, which needs one.
+/// Returns the idempotency key of a call that is not idempotent, which needs one unless its
+/// service takes calls without.
 fn read_key(
     service: &record::Service,
     target: &Target,
@@ -140,6 +141,10 @@
             None => Err(Refusal::early(Cause::KeyInvalid, detail)),
         };
     }
+    if service.run_without_log {
+        // Sent at most once, since only what was never sent is tried again.
+        return Ok(None);
+    }
     let detail = format!("{method} {} is not idempotent and needs Idempotency-Key", target.rest);
     Err(Refusal::early(Cause::KeyMissing, detail))
 }
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -214,7 +214,7 @@
     fn default() -> Self {
         Self {
             connect_timeout: Duration::from_millis(500),
-            load_interval: Duration::from_millis(500),
+            load_interval: Duration::from_millis(1_000),
             load_timeout: Duration::from_millis(500),
             answer_bytes: 8 << 20,
             step_timeout: Duration::from_secs(5),
--- a/crates/goldcrestvale_standin/src/fleet.rs
+++ b/crates/goldcrestvale_standin/src/fleet.rs
@@ -367,7 +367,7 @@
             "layers": LAYERS, "version": "1", "context_tokens": 16384, "activation_bytes": 8192,
         });
         let service = json!({
-            "pool": SERVICE, "timeout_ms": 5000, "run_without_log": true,
+            "pool": SERVICE, "timeout_ms": 5000,
             "methods": [{ "method": "GET", "path": "/", "idempotent": true }],
         });
         let bind = |target: Value| json!({ "customer": CUSTOMER, "target": target, "priority": 1 });
--- a/src/cli/service.rs
+++ b/src/cli/service.rs
@@ -31,7 +31,7 @@
         /// Calls that may be repeated, as METHOD:PATH-PREFIX; all others need a key.
         #[arg(long = "idempotent", value_name = "METHOD:PREFIX", value_parser = parse_method)]
         idempotent: Vec<Method>,
-        /// Calls without a key go on while the platform log is out.
+        /// Calls that are not idempotent may come without a key, also while the log is out.
         #[arg(long)]
         run_without_log: bool,
     },
--- a/tests/verdict_truth.rs
+++ b/tests/verdict_truth.rs
@@ -136,3 +136,38 @@
     assert_eq!(effects(&fleet, &used.to_string()).await?, 1);
     Ok(())
 }
+
+/// Calls without a key, which the service's settings allow: sent at most once, log or no log.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_without_a_key() -> io::Result<()> {
+    let fleet = Builder::new(Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale")))
+        .service("booking-1")
+        .entry("entry-1", "")
+        .start()
+        .await?;
+    let keyless = json!({ "pool": SERVICE, "timeout_ms": 1000, "run_without_log": true });
+    fleet.put(0, "service", "keyless", &keyless).await?;
+    let binding = json!({ "customer": "tester", "target": { "service": "keyless" } });
+    fleet.put(0, "binding", "tester-keyless", &binding).await?;
+    let table = [
+        service(json!({}), "ran", 1),
+        platform(json!({ "down": true }), "ran", 1),
+        service(json!({ "refuse": true }), "not-run", 0),
+        service(json!({ "close_before": 1 }), "may-have-run", 0),
+        service(json!({ "close_after": 1 }), "may-have-run", 1),
+    ];
+    for row in table {
+        let before = fleet.services[0].counts().await?["effects"].as_u64().unwrap_or(0);
+        fleet.services[0].fault(&row.service).await?;
+        fleet.platform.fault(&row.platform).await?;
+        let customer = fleet.customer();
+        let entry = fleet.entries[0].callers;
+        let answer = customer.post(entry, "/services/keyless/notices", &json!({})).await?;
+        let name = format!("{} {}", row.service, row.platform);
+        assert_eq!(answer.header("goldcrestvale-verdict"), row.verdict, "{name}");
+        recover(&fleet).await?;
+        let after = fleet.services[0].counts().await?["effects"].as_u64().unwrap_or(0);
+        assert_eq!(after - before, row.effects, "{name}");
+    }
+    Ok(())
+}
