Strike the owner of a key at each step, and record waits and batches

Cause: the process tests struck the owner at three of its steps, and two metrics that operators are promised were never recorded. Ruled out: nothing; the mechanism held at each step. Change: claim_process kills and pauses the owner with its claim in the log, the call sent, the call run, and the answer given but not settled; histograms of claims an append and of waits for admission.

--- a/crates/goldcrestvale_entry/src/callers/admit.rs
+++ b/crates/goldcrestvale_entry/src/callers/admit.rs
@@ -36,5 +36,9 @@
         .most(most)
         .priority(caller.priority.unwrap_or(need.priority))
         .cost(need.cost);
-    queue.enter(ask).await
+    let asked = node.clock.now();
+    let slot = queue.enter(ask).await?;
+    let waited = node.clock.now().since(asked);
+    node.metrics.wait.record(waited.as_secs_f64(), &[]);
+    Ok(slot)
 }
--- a/crates/goldcrestvale_entry/src/claims/shard.rs
+++ b/crates/goldcrestvale_entry/src/claims/shard.rs
@@ -256,6 +256,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Append(batch) => {
+                self.node.metrics.claim_batch.record(batch.records.len() as u64, &[]);
                 let append = append(self.node.clone(), self.stream.clone(), batch);
                 self.appends.spawn(append);
             }
--- a/crates/goldcrestvale_entry/src/metrics.rs
+++ b/crates/goldcrestvale_entry/src/metrics.rs
@@ -44,6 +44,8 @@
     pub duration: Histogram<f64>,
     /// Time to the first token of a draft, in seconds.
     pub first_token: Histogram<f64>,
+    /// Time that an admitted request waited for a slot, in seconds.
+    pub wait: Histogram<f64>,
     /// Requests in progress, by kind.
     pub in_progress: UpDownCounter<i64>,
     /// Attempts after the first, by kind.
@@ -77,6 +79,7 @@
             refusals: meter.u64_counter("goldcrestvale_refusals").build(),
             duration: meter.f64_histogram("goldcrestvale_request_seconds").build(),
             first_token: meter.f64_histogram("goldcrestvale_first_token_seconds").build(),
+            wait: meter.f64_histogram("goldcrestvale_wait_seconds").build(),
             in_progress: meter.i64_up_down_counter("goldcrestvale_requests_in_progress").build(),
             retries: meter.u64_counter("goldcrestvale_retries").build(),
             recovery: meter.f64_histogram("goldcrestvale_recovery_seconds").build(),
--- a/tests/claim_process.rs
+++ b/tests/claim_process.rs
@@ -72,6 +72,27 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_of_a_keyed_call() -> io::Result<()> {
+    let fleet = pair().await?;
+    assert_eq!(verdict(&book(&fleet, 0, &new_key()).await?), "ran");
+    let token = format!("Bearer {}", goldcrestvale_standin::fleet::TOKEN);
+    let operator = Caller::new(&[("authorization", &token)]);
+    let scraped = operator.get(fleet.entries[0].operators, "/metrics").await?;
+    let text = String::from_utf8_lossy(&scraped.body);
+    for sample in [
+        "goldcrestvale_claims_per_append_sum",
+        "goldcrestvale_wait_seconds_count",
+        "goldcrestvale_requests_total{kind=\"service\"",
+        "goldcrestvale_request_seconds_count{kind=\"service\"",
+    ] {
+        let line = text.lines().find(|line| line.starts_with(sample));
+        let value = line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        assert!(value > Some(0.0), "{sample}: {line:?}");
+    }
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn owner_killed() -> io::Result<()> {
     let mut fleet = pair().await?;
@@ -193,3 +214,101 @@
     assert_eq!(effects(&fleet, &key).await?, 1);
     Ok(())
 }
+
+/// Where the owner of a key stands when it is struck.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Its claim is in the log and was not read back.
+    Claimed,
+    /// It has sent the call, and the service has not begun.
+    Sent,
+    /// The service has run the call and has not answered.
+    Ran,
+    /// The service has answered, and the log does not say so yet.
+    Answered,
+}
+
+const STEPS: [Step; 4] = [Step::Claimed, Step::Sent, Step::Ran, Step::Answered];
+
+/// Holds the owner at a step, until the faults are cleared.
+async fn hold(fleet: &Fleet, step: Step) -> io::Result<()> {
+    match step {
+        Step::Claimed => fleet.platform.fault(&json!({ "late_ms": 400 })).await,
+        Step::Sent => fleet.services[0].fault(&json!({ "delay_ms": 800 })).await,
+        Step::Ran => fleet.services[0].fault(&json!({ "hang_after": true })).await,
+        Step::Answered => fleet.services[0].fault(&json!({ "delay_ms": 300 })).await,
+    }
+}
+
+/// Waits until the owner has come to a step.
+async fn reach(fleet: &Fleet, step: Step, key: &str, appends: Option<u64>) -> io::Result<()> {
+    match step {
+        Step::Claimed => {
+            while fleet.platform.counts().await?["appends"].as_u64() <= appends {
+                tokio::task::yield_now().await;
+            }
+        }
+        Step::Sent => wait_running(fleet).await?,
+        Step::Ran | Step::Answered => {
+            if step == Step::Answered {
+                wait_running(fleet).await?;
+                fleet.platform.fault(&json!({ "down_appends": true })).await?;
+            }
+            while effects(fleet, key).await? == 0 {
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn strike(step: Step, signal: Signal) -> io::Result<()> {
+    let fleet = pair().await?;
+    hold(&fleet, step).await?;
+    let key = new_key();
+    let appends = fleet.platform.counts().await?["appends"].as_u64();
+    let owner = book(&fleet, 0, &key);
+    let others = async {
+        reach(&fleet, step, &key, appends).await?;
+        fleet.entries[0].process.signal(signal)?;
+        fleet.platform.fault(&json!({})).await?;
+        fleet.services[0].fault(&json!({})).await?;
+        let other = book(&fleet, 1, &key).await?;
+        if signal == Signal::SIGSTOP {
+            fleet.entries[0].process.signal(Signal::SIGCONT)?;
+        }
+        io::Result::Ok(other)
+    };
+    let (owned, other) = tokio::join!(owner, others);
+    let other = other?;
+    let again = book(&fleet, 1, &key).await?;
+    let ran = effects(&fleet, &key).await?;
+    let mut verdicts = vec![verdict(&other).to_owned(), verdict(&again).to_owned()];
+    verdicts.extend(owned.iter().map(|answer| verdict(answer).to_owned()));
+    let case = format!("{step:?}, {signal}: {verdicts:?}, {ran} effects");
+    assert!(ran <= 1, "{case}");
+    if verdicts.iter().any(|verdict| verdict == "ran") {
+        assert_eq!(ran, 1, "{case}");
+    }
+    if step != Step::Claimed {
+        assert!(verdicts.iter().all(|verdict| verdict != "not-run"), "{case}");
+    }
+    assert_eq!(owned.is_err(), signal == Signal::SIGKILL, "{case}");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_at_each_step() -> io::Result<()> {
+    for step in STEPS {
+        strike(step, Signal::SIGKILL).await?;
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_at_each_step() -> io::Result<()> {
+    for step in STEPS {
+        strike(step, Signal::SIGSTOP).await?;
+    }
+    Ok(())
+}
