Give the comparison of states a file of its own

Change: offer holds what state an instance has and how it compares with another's; sync, which re-exports it, what instances ask of each other.

--- a/crates/goldcrestvale_config/src/lib.rs
+++ b/crates/goldcrestvale_config/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod evaluate;
 pub mod fold;
 pub mod link;
+pub mod offer;
 pub mod outcome;
 pub mod raise;
 pub mod record;
--- a/crates/goldcrestvale_config/src/sync.rs
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -12,8 +12,8 @@
     time::Instant,
 };
 
+pub use crate::offer::{Compared, Offer, brief_of};
 use crate::{
-    checkpoint::Checkpoint,
     chunk::{Chunk, Gather, Set},
     fold::Fold,
     tail::Read,
@@ -30,14 +30,6 @@
 
 domain! {
     copy
-    /// What state an instance has.
-    pub struct Offer {
-        /// Version of the state.
-        pub version: Offset,
-        /// Digest of the state.
-        pub digest: Digest,
-    }
-
     /// What an instance lacks.
     pub struct Ask {
         /// Version that it has.
@@ -89,29 +81,6 @@
     }
 }
 
-/// Returns the first bytes of a digest, which heartbeats carry.
-pub fn brief_of(digest: &Digest) -> u64 {
-    let mut brief = [0; 8];
-    brief.copy_from_slice(&digest.0[..8]);
-    u64::from_be_bytes(brief)
-}
-
-domain! {
-    copy
-    /// How an offered state compares with the own one.
-    #[serde(rename_all = "kebab-case")]
-    pub enum Compared {
-        /// It is the own state.
-        Same,
-        /// It is newer.
-        Newer,
-        /// It is older.
-        Older,
-        /// The own state of that version had another digest: an alarm, which was counted.
-        Diverged,
-    }
-}
-
 domain! {
     record
     /// What instances send each other.
@@ -143,56 +112,6 @@
     given: Option<(Set, Arc<[Chunk]>)>,
 }
 
-impl Fold {
-    /// Returns what state this instance has.
-    pub fn offer(&self) -> Offer {
-        Offer { version: self.version(), digest: self.digest() }
-    }
-
-    /// Compares an offered state with the own one of that version, by digest.
-    pub fn compare(&mut self, version: Offset, agrees: impl FnOnce(Digest) -> bool) -> Compared {
-        if version > self.version() {
-            return Compared::Newer;
-        }
-        match self.digest_at(version) {
-            Some(digest) if !agrees(digest) => {
-                self.alarms.divergences += 1;
-                Compared::Diverged
-            }
-            _ if version == self.version() => Compared::Same,
-            _ => Compared::Older,
-        }
-    }
-
-    /// Replaces the state by that of a checkpoint, if that is newer.
-    ///
-    /// Returns whether it was. Alarms are kept.
-    ///
-    /// # Errors
-    ///
-    /// Fails, and keeps the state, if the checkpoint cannot be restored.
-    pub fn try_advance(&mut self, checkpoint: &Checkpoint) -> crate::checkpoint::Result<bool> {
-        if checkpoint.version == self.version() && checkpoint.digest != self.digest() {
-            self.alarms.divergences += 1;
-        }
-        if checkpoint.version <= self.version() {
-            return Ok(false);
-        }
-        match checkpoint.try_restore(Arc::clone(&self.table)) {
-            Ok(restored) => {
-                let alarms = self.alarms;
-                *self = Self { alarms, ..restored };
-                Ok(true)
-            }
-            Err(fault) => {
-                let mismatch = matches!(fault, crate::checkpoint::Error::Mismatch { .. });
-                self.alarms.corruptions += u64::from(mismatch);
-                Err(fault)
-            }
-        }
-    }
-}
-
 impl Sync {
     /// Weighs the offer of another instance.
     pub fn weigh(&mut self, now: Instant, fold: &mut Fold, offer: &Offer) -> Weighed {
