Use a late engine again when the one that replaced it is lost

Ruled out: a shorter time of avoiding, which would go back to engines that hang; liveness by twice the interval of load reports alone, since a round that waits for a stopped engine takes longer.

--- a/crates/goldcrestvale_entry/src/callers/draft/relay.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/relay.rs
@@ -268,16 +268,18 @@
     };
     let peers = node.peers.snapshot();
     // The low bits of a version 7 UUID are random.
+    let upstream = &node.settings.upstream;
     let present = Loads {
         plans,
         peers: &peers,
         now: node.clock.now(),
-        alive: node.settings.upstream.load_interval * REPORTS_ALIVE,
+        alive: (upstream.load_interval + upstream.load_timeout) * REPORTS_ALIVE,
     };
     run(&Spread::new(planner, id.0.as_u128() as u64, present))
 }
 
-/// Intervals between load reports after which an engine without one gives no sign of life.
+/// Rounds of load reports after which an engine without one gives no sign of life; a round takes
+/// its interval and at most the time of a fetch.
 const REPORTS_ALIVE: u32 = 2;
 
 /// The present load of the engines of some plans.
--- a/crates/goldcrestvale_entry/src/plans.rs
+++ b/crates/goldcrestvale_entry/src/plans.rs
@@ -24,8 +24,9 @@
 /// Steps that an engine batches before its step time has doubled.
 const BATCH: u32 = 16;
 
-/// Factor on the cost of an engine that is ejected and used for want of another.
-const EJECTED: u32 = 16;
+/// Factor on the cost of an engine that is ejected, so that it is used only for want of another:
+/// one that is not may turn out to be dead.
+const EJECTED: u32 = 1_000;
 
 /// Cost of a link that was not measured yet.
 const LINK: Duration = Duration::from_millis(1);
@@ -117,7 +118,6 @@
     fn build(now: Instant, table: Arc<Table>, config: Arc<Snapshot>, health: Arc<Monitor>) -> Self {
         let links = links(&table);
         let mut planners = BTreeMap::new();
-        let mut ejected = Vec::new();
         for row in table.iter_engines().filter(|row| !health.is_leaving(&row.name)) {
             let usual = links.get(&row.domain).copied().unwrap_or(LINK);
             for held in row.engine().into_iter().flat_map(|load| &load.holds) {
@@ -125,30 +125,13 @@
                 let Some(candidate) = candidate(now, row, held, usual, &health) else { continue };
                 let key = (held.model.clone(), held.version.clone());
                 let empty = || Planner::new(model.body.layers, BOTTLENECK);
-                let planner = planners.entry(key.clone()).or_insert_with(empty);
-                if health.is_ejected(now, &row.name) {
-                    ejected.push((key, candidate));
-                } else {
-                    insert(planner, candidate);
-                }
+                insert(planners.entry(key).or_insert_with(empty), candidate);
             }
         }
-        // A suspected engine is better than none.
-        planners.iter_mut().for_each(|(key, planner)| complete(planner, key, &ejected));
         Self { table, config, health, planners }
     }
 }
 
-/// Adds the ejected candidates to a planner that cannot cover its model without them.
-fn complete(planner: &mut Planner, key: &Key, ejected: &[(Key, Candidate)]) {
-    if planner.plan(planner.span(), &[]).is_ok() {
-        return;
-    }
-    for (_, candidate) in ejected.iter().filter(|(held, _)| held == key) {
-        insert(planner, candidate.clone());
-    }
-}
-
 /// Adds a candidate, or a further range of one that holds several.
 fn insert(planner: &mut Planner, mut candidate: Candidate) {
     if let Some(known) = planner.get(&candidate.upstream) {
--- a/crates/goldcrestvale_route/src/draft/leave.rs
+++ b/crates/goldcrestvale_route/src/draft/leave.rs
@@ -44,7 +44,7 @@
         upstream: &Upstream,
         planner: &dyn Plan,
     ) -> Result<(), Error> {
-        self.avoid(now, upstream);
+        self.avoid_for(now, upstream, true);
         let suspected = |place: &Place| place.stage.upstream == *upstream;
         while let Some(index) = self.places.iter().position(suspected) {
             if !self.is_replaceable(now, index, planner) {
--- a/crates/goldcrestvale_route/src/draft/machine.rs
+++ b/crates/goldcrestvale_route/src/draft/machine.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Action, Actions, Error, Event, Failure, Fault, Prompt, Tally,
-    place::{Place, Work},
+    place::{Avoided, Place, Work},
 };
 use crate::chain::{Chain, Plan};
 
@@ -33,8 +33,8 @@
     pub(super) places: SmallVec<[Place; 4]>,
     /// The highest attempt number in use.
     pub(super) attempt: u32,
-    /// Engines that the draft does not use, each up to a time.
-    pub(super) avoided: SmallVec<[(Upstream, Instant); 2]>,
+    /// Engines that the draft does not use.
+    pub(super) avoided: SmallVec<[Avoided; 2]>,
     pub(super) loss: Option<Loss>,
     pub(super) tally: Tally,
     /// Taken when the draft ends.
--- a/crates/goldcrestvale_route/src/draft/place.rs
+++ b/crates/goldcrestvale_route/src/draft/place.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use goldcrestvale_base::{engine::StepName, time::Instant};
+use goldcrestvale_base::{engine::StepName, id::Upstream, time::Instant};
 
 use super::boundary::Boundary;
 use crate::chain::Stage;
@@ -29,6 +29,15 @@
     pub(super) until: Instant,
 }
 
+/// An engine that the draft does not use for a time.
+#[derive(Debug)]
+pub(super) struct Avoided {
+    pub(super) upstream: Upstream,
+    pub(super) until: Instant,
+    /// Whether it was only late, so that it serves again for want of another.
+    pub(super) late: bool,
+}
+
 /// What a stage is doing.
 #[derive(Debug)]
 pub(super) enum Work {
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -8,7 +8,7 @@
     Action, Draft, Error, Fault, Way,
     action::{ChainSnafu, RebuildsSnafu},
     machine::Loss,
-    place::{Place, Work},
+    place::{Avoided, Place, Work},
 };
 use crate::chain::{Chain, Plan};
 
@@ -56,7 +56,10 @@
             | Fault::Gap
             | Fault::Refused => {
                 let upstream = place.stage.upstream.clone();
-                self.avoid(now, &upstream);
+                // After the longest timeout a sign of life does not count any more.
+                let ceiling = self.prompt.settings.timeout_ceiling;
+                let late = fault == Fault::Timeout && now < sent.at + ceiling;
+                self.avoid_for(now, &upstream, late);
                 self.rebuild(now, index, planner)
             }
         }
@@ -138,7 +141,7 @@
             from: self.places[first].stage.layers.from,
             to: self.places[last].stage.layers.to,
         };
-        let chain = planner.plan(span, &self.excluded(now)).context(ChainSnafu)?;
+        let chain = self.plan_anew(now, span, planner)?;
         let needed = chain.time(self.length(), self.prompt.settings.chunk);
         self.prompt.check_time(now, needed)?;
         for lost in first..=last {
@@ -198,15 +201,34 @@
     }
 
     pub(super) fn avoid(&mut self, now: Instant, upstream: &Upstream) {
+        self.avoid_for(now, upstream, false);
+    }
+
+    /// Avoids an engine; one that was only late serves again for want of another.
+    pub(super) fn avoid_for(&mut self, now: Instant, upstream: &Upstream, late: bool) {
         let until = now + self.prompt.settings.avoid;
-        self.avoided.retain(|(avoided, _)| avoided != upstream);
-        self.avoided.push((upstream.clone(), until));
+        self.avoided.retain(|avoided| avoided.upstream != *upstream);
+        self.avoided.push(Avoided { upstream: upstream.clone(), until, late });
     }
 
-    /// Returns the engines that the draft does not use now.
+    /// Returns the engines that are avoided now.
     pub(super) fn excluded(&self, now: Instant) -> SmallVec<[Upstream; 4]> {
-        let present = self.avoided.iter().filter(|(_, until)| now < *until);
-        present.map(|(upstream, _)| upstream.clone()).collect()
+        self.exclude(now, |_| true)
+    }
+
+    fn exclude(&self, now: Instant, keep: impl Fn(&Avoided) -> bool) -> SmallVec<[Upstream; 4]> {
+        let present = self.avoided.iter().filter(|avoided| now < avoided.until && keep(avoided));
+        present.map(|avoided| avoided.upstream.clone()).collect()
+    }
+
+    /// Plans a chain without the avoided engines, or for want of others with those of them that
+    /// were only late and live.
+    fn plan_anew(&self, now: Instant, span: Layers, planner: &dyn Plan) -> Result<Chain, Error> {
+        planner.plan(span, &self.excluded(now)).or_else(|error| {
+            let lost = |avoided: &Avoided| !(avoided.late && planner.is_alive(&avoided.upstream));
+            let second = planner.plan(span, &self.exclude(now, lost));
+            second.map_err(|_| error).context(ChainSnafu)
+        })
     }
 
     /// Returns whether other engines hold the layers of a place.
--- a/crates/goldcrestvale_route/tests/late_engine.rs
+++ b/crates/goldcrestvale_route/tests/late_engine.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use goldcrestvale_base::{
-    engine::{Accelerator, Layers, StepOutput},
+    engine::{Accelerator, Layers, StepName, StepOutput},
     id::{Request, Upstream},
     time::Instant,
 };
 use goldcrestvale_route::{
     chain::{Candidate, Planner, Present, Spread},
-    draft::{Action, Actions, Draft, Event, Prompt, Settings},
+    draft::{Action, Actions, Draft, Event, Fault, Prompt, Settings},
 };
 use uuid::Uuid;
 
@@ -102,11 +102,7 @@
     let planner = planner(&["a"]);
     let known = Known { alive: true, positions: 0 };
     let (mut draft, actions) = start(&planner, known);
-    let sent = actions.iter().find_map(|action| match action {
-        Action::Send { step, .. } => Some(step.name),
-        _ => None,
-    });
-    let name = sent.expect("a first step");
+    let name = step(&actions).expect("a first step");
     let late = Instant(0) + Duration::from_secs(3);
     tick(&mut draft, &planner, known, late);
     let plan = Spread::new(&planner, 1, known);
@@ -130,3 +126,43 @@
     assert_eq!(idle, Settings::default().timeout_floor);
     assert!(busy >= Duration::from_millis(3_200), "{busy:?}");
 }
+
+/// A draft that left a late engine for one that turns out to be dead goes back to it.
+#[test]
+fn late_engine_is_used_again() {
+    let planner = planner(&["a", "b"]);
+    for (alive, fails) in [(true, false), (false, true)] {
+        let known = Known { alive, positions: 0 };
+        let (mut draft, actions) = start(&planner, known);
+        let first = engine(&actions).expect("a first step");
+        let limit = Instant(0) + Duration::from_secs(1);
+        let (mut now, mut actions) = tick(&mut draft, &planner, known, limit);
+        let second = engine(&actions).expect("a step at the other engine");
+        assert_ne!(first, second);
+        let plan = Spread::new(&planner, 1, known);
+        // The second engine is dead; its step is tried once more under its name.
+        while engine(&actions) == Some(second.clone()) {
+            let name = step(&actions).expect("a step");
+            now = now + Duration::from_millis(1);
+            let event = Event::Failed { name, fault: Fault::Lost };
+            actions = draft.handle(now, event, &plan);
+        }
+        let failed = actions.iter().any(|action| matches!(action, Action::Fail(_)));
+        assert_eq!(failed, fails, "{actions:?}");
+        assert_eq!(engine(&actions), (!fails).then_some(first), "{actions:?}");
+    }
+}
+
+fn engine(actions: &Actions) -> Option<Upstream> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { upstream, .. } => Some(upstream.clone()),
+        _ => None,
+    })
+}
+
+fn step(actions: &Actions) -> Option<StepName> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { step, .. } => Some(step.name),
+        _ => None,
+    })
+}
--- a/tests/long_replay.rs
+++ b/tests/long_replay.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use goldcrestvale_standin::{
-    fleet::{Builder, LAYERS, MODEL, Programs},
+    fleet::{Builder, Fleet, LAYERS, MODEL, Programs},
     process::Signal,
     reference,
 };
@@ -12,22 +12,41 @@
 
 const DRAFTS: usize = 8;
 const PROMPT_TOKENS: usize = 1_000;
-const ANSWER_TOKENS: usize = 30;
-const TOKENS_BEFORE: usize = 5;
+const ANSWER_TOKENS: usize = 120;
+const TOKENS_BEFORE: usize = 30;
 
-/// The engine that is left reads all prompts again, one batch after the other: it is slow for a
-/// moment, not lost, and there is no other.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_burst_of_replays_is_waited_for() -> io::Result<()> {
+/// Starts a deployment with one or two engines for the first half of the layers, two for the
+/// second.
+async fn fleet(firsts: &[&str]) -> io::Result<Fleet> {
     let scale = "--time-scale=4";
     let half = LAYERS / 2;
-    let fleet = Builder::new(Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale")))
-        .engine("first-1", 0, half, &[scale])
+    let builder = Builder::new(Programs::beside(env!("CARGO_BIN_EXE_goldcrestvale")));
+    let builder = firsts.iter().fold(builder, |b, name| b.engine(name, 0, half, &[scale]));
+    builder
         .engine("second-1", half, LAYERS, &[scale])
         .engine("second-2", half, LAYERS, &[scale])
         .entry("entry-1", "")
         .start()
-        .await?;
+        .await
+}
+
+/// The engine that is left reads all prompts again, one batch after the other: it is slow for a
+/// moment, not lost, and there is no other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_of_replays_is_waited_for() -> io::Result<()> {
+    let fleet = fleet(&["first-1"]).await?;
+    survive(&fleet, |_| 1).await
+}
+
+/// The engine that is left was late at the start, and is used again for want of another.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_was_late_is_used_again() -> io::Result<()> {
+    let fleet = fleet(&["first-1", "first-2"]).await?;
+    survive(&fleet, |steps| if steps[2] > steps[3] { 2 } else { 3 }).await
+}
+
+/// Kills one engine, chosen by the steps that each ran, while drafts run.
+async fn survive(fleet: &Fleet, victim: impl Fn(&[u64]) -> usize) -> io::Result<()> {
     let (reached, mut ready) = mpsc::channel(DRAFTS);
     let mut drafts = Vec::new();
     for number in 0..DRAFTS {
@@ -54,7 +73,11 @@
         // The channel ends early if a draft fails before it has these tokens.
         ready.recv().await;
     }
-    fleet.engines[1].process.signal(Signal::SIGKILL)?;
+    let mut steps = Vec::new();
+    for engine in &fleet.engines {
+        steps.push(engine.counts().await?["steps"].as_u64().unwrap_or(0));
+    }
+    fleet.engines[victim(&steps)].process.signal(Signal::SIGKILL)?;
     for draft in drafts {
         let (prompt, events) = draft.await??;
         let last = events.last().expect("a last event");
