--- a/crates/goldcrestvale_route/src/chain/spread.rs
+++ b/crates/goldcrestvale_route/src/chain/spread.rs
@@ -57,7 +57,7 @@
     /// use goldcrestvale_route::chain::{Plan, Planner, Spread};
     ///
     /// let planner = Planner::new(4, 1);
-    /// let spread = Spread::new(&planner, 17, |_| 0);
+    /// let spread = Spread::new(&planner, 17, |_: &goldcrestvale_base::id::Upstream| 0);
     /// assert_eq!(spread.span(), planner.span());
     /// ```
     pub fn new(planner: &'a Planner, seed: u64, present: P) -> Self {
