Let a killed owner have answered its caller

Cause: the test asserted that a killed owner never answers; at the step 'answered' the answer may reach the caller before the signal. Ruled out: a fault of the product: one effect, and both verdicts are true. Change: at that step an answer is allowed and must say that the call ran; at all other steps a killed owner must not answer, as before.

--- a/tests/claim_process.rs
+++ b/tests/claim_process.rs
@@ -293,7 +293,13 @@
     if step != Step::Claimed {
         assert!(verdicts.iter().all(|verdict| verdict != "not-run"), "{case}");
     }
-    assert_eq!(owned.is_err(), signal == Signal::SIGKILL, "{case}");
+    match &owned {
+        // Its caller may have been answered before the signal came.
+        Ok(answer) if step == Step::Answered && signal == Signal::SIGKILL => {
+            assert_eq!(verdict(answer), "ran", "{case}");
+        }
+        owned => assert_eq!(owned.is_err(), signal == Signal::SIGKILL, "{case}"),
+    }
     Ok(())
 }
 
