Turn ledger records into platform entries in one place

Cause: the claim streams and the lease stream each built an entry from a record of the ledger. Ruled out: one append for both; claims travel in numbered batches, leases one by one with a pause after a failure. Change: claims::log::entry serves both; behaviour is the same.

--- a/crates/goldcrestvale_entry/src/claims/log.rs
+++ b/crates/goldcrestvale_entry/src/claims/log.rs
@@ -22,15 +22,17 @@
 
 /// Appends records together.
 pub(super) async fn append(node: Arc<Node>, stream: String, batch: Batch) -> Appended {
-    let entry = |draft: record::Draft| {
-        let data = RawValue::from_string(draft.data).ok()?;
-        Some(Entry { id: draft.id, data })
-    };
     let records = batch.records.into_iter().filter_map(entry).collect();
     let result = node.log.append(&stream, records).await.map(|_| ());
     Appended { number: batch.number, result }
 }
 
+/// Returns a record of the ledger as the platform takes it.
+pub(crate) fn entry(draft: record::Draft) -> Option<Entry> {
+    let data = RawValue::from_string(draft.data).ok()?;
+    Some(Entry { id: draft.id, data })
+}
+
 /// Reads a page; a trimmed start is a page without records.
 pub(crate) async fn read(
     node: Arc<Node>,
--- a/crates/goldcrestvale_entry/src/orders/lease.rs
+++ b/crates/goldcrestvale_entry/src/orders/lease.rs
@@ -6,12 +6,8 @@
     prefix::Prefix,
     record::{self, Draft, Sequence},
 };
-use goldcrestvale_platform::{
-    Result,
-    message::{Entry, Page},
-};
+use goldcrestvale_platform::{Result, message::Page};
 use log::debug;
-use serde_json::value::RawValue;
 use tokio::task::JoinSet;
 
 use crate::{claims::log as stream, node::Node};
@@ -155,10 +151,10 @@
 
 /// Appends a record; returns whether the log acknowledged it.
 async fn append(node: Arc<Node>, draft: Draft) -> bool {
-    let Ok(data) = RawValue::from_string(draft.data) else {
+    let Some(entry) = stream::entry(draft) else {
         return false;
     };
-    match node.log.append(STREAM, vec![Entry { id: draft.id, data }]).await {
+    match node.log.append(STREAM, vec![entry]).await {
         Ok(_) => true,
         Err(e) => {
             debug!(error:% = e; "lease record not appended");
