--- a/crates/goldcrestvale_entry/src/activity.rs
+++ b/crates/goldcrestvale_entry/src/activity.rs
@@ -8,12 +8,9 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
 use tokio::sync::watch;
 
-use crate::body::Body;
-
 /// Counts the requests in progress on one connection.
 #[derive(Debug, Clone)]
 pub(crate) struct Activity {
@@ -51,8 +48,8 @@
 
 impl Request {
     /// Ties the request to the body of its answer.
-    pub(crate) fn guard(self, body: Body) -> Body {
-        Guarded { body, _request: self }.boxed()
+    pub(crate) fn guard<B>(self, body: B) -> Guarded<B> {
+        Guarded { body, _request: self }
     }
 }
 
@@ -62,14 +59,15 @@
     }
 }
 
-struct Guarded {
-    body: Body,
+/// The body of an answer, tied to its request.
+pub(crate) struct Guarded<B> {
+    body: B,
     _request: Request,
 }
 
-impl hyper::body::Body for Guarded {
+impl<B: hyper::body::Body<Data = Bytes> + Unpin> hyper::body::Body for Guarded<B> {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
--- a/crates/goldcrestvale_entry/src/metrics.rs
+++ b/crates/goldcrestvale_entry/src/metrics.rs
@@ -3,7 +3,7 @@
 use goldcrestvale_base::id::Upstream;
 use opentelemetry::{
     KeyValue,
-    metrics::{AsyncInstrument, Counter, Histogram, MeterProvider as _, UpDownCounter},
+    metrics::{AsyncInstrument, Counter, Histogram, Meter, MeterProvider as _, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -31,11 +31,52 @@
     },
 }
 
-/// The instruments of an instance.
+/// Records instruments and writes them as text.
 #[derive(Debug, Clone)]
-pub struct Metrics {
+pub struct Recorder {
     registry: Registry,
     provider: SdkMeterProvider,
+}
+
+impl Recorder {
+    /// Creates a recorder without instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be built.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::Setup { detail: e.to_string() })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Returns the meter that builds instruments.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("goldcrestvale")
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be encoded.
+    pub fn scrape(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .map_err(|source| Error::Encode { source })?;
+        Ok(text)
+    }
+}
+
+/// The instruments of an instance.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    recorder: Recorder,
     /// Requests ended, by kind and verdict.
     pub requests: Counter<u64>,
     /// Requests refused, by cause.
@@ -67,13 +108,8 @@
     ///
     /// Fails if the exporter cannot be built.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error::Setup { detail: e.to_string() })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("goldcrestvale");
+        let recorder = Recorder::new()?;
+        let meter = recorder.meter();
         Ok(Self {
             requests: meter.u64_counter("goldcrestvale_requests").build(),
             refusals: meter.u64_counter("goldcrestvale_refusals").build(),
@@ -86,14 +122,13 @@
             claim_batch: meter.u64_histogram("goldcrestvale_claims_per_append").build(),
             tokens: meter.u64_counter("goldcrestvale_tokens").build(),
             platform_failures: meter.u64_counter("goldcrestvale_platform_failures").build(),
-            registry,
-            provider,
+            recorder,
         })
     }
 
     /// Registers a gauge that is read when the metrics are scraped.
     pub fn insert_gauge(&self, name: &'static str, read: impl Fn() -> u64 + Send + Sync + 'static) {
-        let meter = self.provider.meter("goldcrestvale");
+        let meter = self.recorder.meter();
         meter.u64_observable_gauge(name).with_callback(move |o| o.observe(read(), &[])).build();
     }
 
@@ -108,7 +143,7 @@
                 observer.observe(value, &[KeyValue::new("upstream", upstream.to_string())]);
             }
         };
-        let meter = self.provider.meter("goldcrestvale");
+        let meter = self.recorder.meter();
         meter.u64_observable_gauge(name).with_callback(observe).build();
     }
 
@@ -123,10 +158,6 @@
     ///
     /// Fails if the metrics cannot be encoded.
     pub fn scrape(&self) -> Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .map_err(|source| Error::Encode { source })?;
-        Ok(text)
+        self.recorder.scrape()
     }
 }
--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -2,8 +2,12 @@
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http::{Request, Response};
-use hyper::{body::Incoming, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
@@ -14,9 +18,9 @@
     sync::{OwnedSemaphorePermit, Semaphore},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use tower::{Service, ServiceExt};
+use tower::{BoxError, Service, ServiceExt};
 
-use crate::{activity::Activity, body::Body};
+use crate::activity::Activity;
 
 /// How long the listener pauses after it failed to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -36,16 +40,24 @@
 
 /// A service that answers every request.
 pub trait Handler:
-    Service<Request<Incoming>, Response = Response<Body>, Error = Infallible> + Clone + Send + 'static
+    Service<Request<Incoming>, Response = Response<Self::Body>, Error = Infallible>
+    + Clone
+    + Send
+    + 'static
 {
+    /// The body of its answers; one that fails ends its connection.
+    type Body: Body<Data = Bytes, Error: Into<BoxError>> + Unpin + Send + 'static;
 }
 
-impl<S> Handler for S where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+impl<S, B> Handler for S
+where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
         + Clone
         + Send
-        + 'static
+        + 'static,
+    B: Body<Data = Bytes, Error: Into<BoxError>> + Unpin + Send + 'static,
 {
+    type Body = B;
 }
 
 /// A bound listener that serves HTTP/1.1 and HTTP/2 on one address.
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/catalog.rs
@@ -0,0 +1,171 @@
+//! Which upstreams are there, from what the directory says.
+
+use std::{collections::HashMap, time::Duration};
+
+use goldcrestvale_base::{id::Upstream, time::Instant};
+
+use crate::port::{Change, Registration};
+
+/// An upstream and when it began to leave.
+#[derive(Debug, Clone, PartialEq)]
+struct Row {
+    registration: Registration,
+    leaving_since: Option<Instant>,
+    /// Its record vanished together with the directory; it counts as gone from then on.
+    missing_until: Option<Instant>,
+}
+
+/// What a change meant.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// An upstream came, or came back in a new life.
+    Joined(Upstream),
+    /// It holds other layers, moved, or changed in another way.
+    Changed(Upstream),
+    /// It gets no new work.
+    Leaving(Upstream),
+    /// It is gone.
+    Gone(Upstream),
+}
+
+/// The upstreams that the directory lists.
+///
+/// The load it answers: the directory is away for seconds, and the records of live upstreams run
+/// out meanwhile. They are not taken as gone before they had time to come back.
+#[derive(Debug, Clone, Default)]
+pub struct Catalog {
+    rows: HashMap<Upstream, Row>,
+    last_join: Option<Instant>,
+}
+
+impl Catalog {
+    /// Returns when an upstream last joined.
+    pub fn last_join(&self) -> Option<Instant> {
+        self.last_join
+    }
+
+    /// Iterates over the upstreams, with the time since which each is leaving.
+    pub fn iter(&self) -> impl Iterator<Item = (&Registration, Option<Instant>)> {
+        self.rows.values().map(|row| (&row.registration, row.leaving_since))
+    }
+
+    /// Takes over a whole list. Rows that it lacks are gone, after `grace` if one is given.
+    pub fn replace(
+        &mut self,
+        changes: &[Change],
+        now: Instant,
+        grace: Option<Duration>,
+    ) -> Vec<News> {
+        let listed: Vec<&Upstream> = changes.iter().filter_map(registered).collect();
+        let absent: Vec<Upstream> =
+            self.rows.keys().filter(|upstream| !listed.contains(upstream)).cloned().collect();
+        let mut news: Vec<News> =
+            changes.iter().filter_map(|change| self.apply(change, now, grace)).collect();
+        for upstream in absent {
+            news.extend(self.lose(&upstream, now, grace));
+        }
+        news
+    }
+
+    /// Applies one change. A record that is gone counts after `grace` if one is given.
+    pub fn apply(
+        &mut self,
+        change: &Change,
+        now: Instant,
+        grace: Option<Duration>,
+    ) -> Option<News> {
+        match change {
+            Change::Registered(registration) => self.register(registration, now),
+            Change::Gone(key) | Change::Unreadable { key, .. } => {
+                let upstream = key.parse().ok()?;
+                self.lose(&upstream, now, grace)
+            }
+            Change::Configuration(_) => None,
+        }
+    }
+
+    /// Drops the upstreams that did not come back in time.
+    pub fn expire(&mut self, now: Instant) -> Vec<News> {
+        let late: Vec<Upstream> = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.missing_until.is_some_and(|until| until <= now))
+            .map(|(upstream, _)| upstream.clone())
+            .collect();
+        late.into_iter().filter_map(|upstream| self.remove(&upstream)).collect()
+    }
+
+    /// Notes what an engine said of itself, fresher than its record.
+    pub fn set_layers(
+        &mut self,
+        upstream: &Upstream,
+        layers: Option<goldcrestvale_base::engine::Layers>,
+    ) -> bool {
+        let row = self.rows.get_mut(upstream);
+        let holding = row.and_then(|row| row.registration.holding.as_mut());
+        holding.is_some_and(|holding| {
+            let changed = holding.layers != layers;
+            holding.layers = layers;
+            changed
+        })
+    }
+
+    fn register(&mut self, registration: &Registration, now: Instant) -> Option<News> {
+        let upstream = registration.upstream.clone();
+        let leaving_since = (!registration.ready).then_some(now);
+        let fresh = || Row {
+            registration: registration.clone(),
+            leaving_since,
+            missing_until: None,
+        };
+        match self.rows.get_mut(&upstream) {
+            Some(row) if row.registration.born_ms == registration.born_ms => {
+                row.missing_until = None;
+                if row.registration == *registration {
+                    return None;
+                }
+                row.registration = registration.clone();
+                if !registration.ready && row.leaving_since.is_none() {
+                    row.leaving_since = Some(now);
+                    return Some(News::Leaving(upstream));
+                }
+                if registration.ready {
+                    row.leaving_since = None;
+                }
+                Some(News::Changed(upstream))
+            }
+            _ => {
+                self.rows.insert(upstream.clone(), fresh());
+                self.last_join = Some(now);
+                Some(News::Joined(upstream))
+            }
+        }
+    }
+
+    fn lose(
+        &mut self,
+        upstream: &Upstream,
+        now: Instant,
+        grace: Option<Duration>,
+    ) -> Option<News> {
+        match grace {
+            Some(grace) => {
+                let row = self.rows.get_mut(upstream)?;
+                row.missing_until.get_or_insert(now + grace);
+                None
+            }
+            None => self.remove(upstream),
+        }
+    }
+
+    fn remove(&mut self, upstream: &Upstream) -> Option<News> {
+        self.rows.remove(upstream).map(|_| News::Gone(upstream.clone()))
+    }
+}
+
+fn registered(change: &Change) -> Option<&Upstream> {
+    match change {
+        Change::Registered(registration) => Some(&registration.upstream),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -0,0 +1,141 @@
+//! The way of a request: read, matched to a route and a customer, sent on.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use goldcrestvale_base::time::Instant;
+use goldcrestvale_route::forward::{Customer, Kind, Refusal as NoPlace, Route, Table};
+use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::{
+    answer::Refusal,
+    body::Body,
+    gateway::Gateway,
+    plain,
+    port::{Ask, Port},
+    stream,
+    trace::Trace,
+};
+
+/// When a caller may come back that came before the configuration is known, in which time an
+/// instance reads it.
+const BACK_UNCONFIGURED: Duration = Duration::from_millis(400);
+
+/// A request that has a place to go.
+pub(crate) struct Matched<P> {
+    pub(crate) gateway: Arc<Gateway<P>>,
+    pub(crate) trace: Trace<P>,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) ask: Ask,
+    pub(crate) route: Arc<Route>,
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// When the final answer is due.
+    pub(crate) due: Instant,
+}
+
+impl<P> Matched<P> {
+    /// Returns how long the caller still waits, as upstreams are told.
+    pub(crate) fn patience(&self, now: Instant) -> Duration {
+        let route = self.due.since(now);
+        match self.ask.patience {
+            Some(patience) => (self.trace.started + patience).since(now).min(route),
+            None => route,
+        }
+    }
+
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| customer.name.as_str())
+    }
+}
+
+/// Answers a request.
+pub(crate) async fn serve<P: Port>(
+    gateway: Arc<Gateway<P>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let ask = gateway.port.read_ask(&parts.headers);
+    let trace = Trace::start(gateway.clone(), ask.id.as_ref());
+    let is_leaving = gateway.is_leaving();
+    let mut response = answer(gateway, trace, ask, parts, body).await;
+    if is_leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer<P: Port>(
+    gateway: Arc<Gateway<P>>,
+    mut trace: Trace<P>,
+    ask: Ask,
+    parts: Parts,
+    body: Incoming,
+) -> Response<Body> {
+    let table = gateway.table.load_full();
+    let refused = |trace: &mut Trace<P>, refusal: &Refusal| {
+        trace.end(refusal.cause, refusal.status, refusal.detail.as_str());
+        refusal.respond()
+    };
+    let (route, customer) = match place(&table, &parts, &ask) {
+        Ok(place) => place,
+        Err(refusal) => return refused(&mut trace, &refusal),
+    };
+    trace.route.clone_from(&route.name);
+    if let Some(customer) = &customer {
+        trace.customer.clone_from(&customer.name);
+    }
+    let body = match read(body, &table).await {
+        Ok(body) => body,
+        Err(refusal) => return refused(&mut trace, &refusal),
+    };
+    let due = trace.started + route.timeout;
+    let kind = route.kind;
+    let matched = Matched { gateway, trace, parts, body, ask, route, customer, due };
+    match kind {
+        Kind::Safe | Kind::Unsafe => plain::serve(matched).await,
+        Kind::Stream => stream::serve(matched).await,
+    }
+}
+
+type Place = (Arc<Route>, Option<Arc<Customer>>);
+
+fn place(table: &Table, parts: &Parts, ask: &Ask) -> Result<Place, Refusal> {
+    if table.version() == 0 {
+        let detail = "no configuration is known yet";
+        return Err(Refusal::not_run("not configured", detail, BACK_UNCONFIGURED));
+    }
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let no_place = |refusal: NoPlace| {
+        let (status, cause) = match refusal {
+            NoPlace::NoRoute => (StatusCode::NOT_FOUND, "no route"),
+            NoPlace::Credential => (StatusCode::UNAUTHORIZED, "no customer"),
+        };
+        Refusal::rejected(status, cause, format!("{refusal}: {host}{}", parts.uri.path()))
+    };
+    let route = table.find(host, parts.uri.path()).map_err(no_place)?;
+    let customer = table.customer(route, ask.credential.as_deref()).map_err(no_place)?;
+    Ok((route.clone(), customer.cloned()))
+}
+
+async fn read(body: Incoming, table: &Table) -> Result<Bytes, Refusal> {
+    let most = table.bounds().map_or(u64::MAX, |bounds| bounds.body_bytes);
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::rejected(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "oversized",
+            format!("the body is larger than {most} bytes"),
+        )),
+        Err(e) => Err(Refusal::rejected(
+            StatusCode::BAD_REQUEST,
+            "malformed",
+            format!("the body cannot be read: {e}"),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -0,0 +1,322 @@
+//! What every task of a gateway instance shares.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use goldcrestvale_base::{
+    id::{Service, Upstream},
+    time::Instant,
+};
+use goldcrestvale_entry::clock::Clock;
+use goldcrestvale_route::{
+    forward::{Configuration, Table},
+    pipeline::{Choice, Engine, Line, Load},
+    retry::Window,
+};
+use goldcrestvale_upstream::pool::{Limits, Pool, Protocol};
+use log::{info, warn};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::sync::Notify;
+
+use crate::{
+    catalog::Catalog,
+    metrics::Metrics,
+    registry::Registry,
+    settings::{Retry, Settings},
+    view::{Fleet, View},
+};
+
+/// How long a connection attempt to an upstream may take: many round trips inside an area, and
+/// less than a lost opening packet takes to be sent again.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a connection to an upstream may stay idle and still be used: shorter than upstreams
+/// keep theirs, so that a request seldom meets a close.
+const IDLE_LIFE: Duration = Duration::from_millis(1_000);
+
+/// Largest answer of a plain service, in bytes.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Instances that the retry budget is shared between, as long as their number is not known.
+const ASSUMED_INSTANCES: f64 = 7.0;
+
+/// The shared state of a gateway instance.
+#[derive(Debug)]
+pub(crate) struct Gateway<P> {
+    pub(crate) settings: Settings,
+    pub(crate) port: P,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    /// Configuration in force; version 0 before the first one is known.
+    pub(crate) table: ArcSwap<Table>,
+    /// Snapshot of the upstreams.
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) registry: Arc<Registry>,
+    pub(crate) pool: Pool,
+    /// Tells the placer that something changed.
+    pub(crate) changed: Notify,
+    known: Mutex<Known>,
+    windows: Mutex<HashMap<Service, Window>>,
+    retry: Mutex<Retry>,
+    rng: Mutex<StdRng>,
+    listed: AtomicBool,
+    leaving: AtomicBool,
+    /// Until when this instance has the duty of placing layers, in microseconds of its clock.
+    duty_until: AtomicU64,
+}
+
+/// What the snapshot is built from.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    pub(crate) catalog: Catalog,
+    /// Until when an upstream is left alone: it failed, or a chain through it did.
+    avoided: HashMap<Upstream, Instant>,
+    /// Until when an engine counts as silent: streams in progress must leave it.
+    silent: HashMap<Upstream, Instant>,
+}
+
+impl Known {
+    /// Uses an upstream again that came back in a new life.
+    pub(crate) fn forgive(&mut self, upstream: &Upstream) {
+        self.avoided.remove(upstream);
+        self.silent.remove(upstream);
+    }
+}
+
+impl<P> Gateway<P> {
+    pub(crate) fn new(settings: Settings, port: P, metrics: Metrics) -> Self {
+        let limits = Limits {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_life: IDLE_LIFE,
+            answer_bytes: ANSWER_BYTES,
+            ..Limits::default()
+        };
+        Self {
+            port,
+            clock: Clock::start(),
+            metrics,
+            table: ArcSwap::default(),
+            view: ArcSwap::default(),
+            registry: Arc::default(),
+            pool: Pool::new(Protocol::Http1, limits),
+            changed: Notify::new(),
+            known: Mutex::default(),
+            windows: Mutex::default(),
+            retry: Mutex::new(settings.retry),
+            rng: Mutex::new(StdRng::from_os_rng()),
+            listed: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            duty_until: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.listed.load(Ordering::Acquire) && self.is_configured()
+    }
+
+    pub(crate) fn is_configured(&self) -> bool {
+        self.table.load().version() > 0
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn set_listed(&self) {
+        if !self.listed.swap(true, Ordering::AcqRel) {
+            info!("upstreams are known");
+        }
+    }
+
+    /// Notes until when this instance has the duty of placing layers.
+    pub(crate) fn set_duty(&self, until: Option<Instant>) {
+        self.duty_until.store(until.map_or(0, |until| until.0), Ordering::Release);
+    }
+
+    pub(crate) fn has_duty(&self) -> bool {
+        self.now().0 < self.duty_until.load(Ordering::Acquire)
+    }
+
+    /// Returns whether some domain with engines has no chain of its own.
+    pub(crate) fn is_degraded(&self) -> bool {
+        self.view.load().fleets.values().any(|fleet| {
+            let whole = |engine: &&Engine| {
+                fleet.lines.iter().any(|line| line.domain == engine.domain && line.crossings == 0)
+            };
+            fleet.engines.iter().any(|engine| !whole(&engine))
+        })
+    }
+
+    /// Returns whether an upstream is left alone because chains wait for it.
+    pub(crate) fn is_silent(&self, upstream: &Upstream) -> bool {
+        let now = self.now();
+        self.read(|known| known.silent.get(upstream).is_some_and(|until| *until > now))
+    }
+
+    /// Leaves an engine alone that does not answer, and moves the streams that wait for it.
+    pub(crate) fn silence(&self, upstream: &Upstream, time: Duration, why: &str) {
+        let until = self.now() + time;
+        self.learn(|known| known.silent.insert(upstream.clone(), until).is_none());
+        self.avoid(upstream, time, why);
+    }
+
+    /// Puts a version of the configuration in force, unless a newer one is.
+    pub(crate) fn configure(&self, configuration: Configuration) {
+        let current = self.table.load().version();
+        if configuration.version <= current {
+            return;
+        }
+        let table = Table::new(configuration);
+        info!(from = current, to = table.version(); "configuration in force");
+        self.table.store(Arc::new(table));
+        self.rebuild();
+    }
+
+    /// Changes what is known of the upstreams and publishes a new snapshot if `change` says so.
+    pub(crate) fn learn(&self, change: impl FnOnce(&mut Known) -> bool) {
+        let changed = change(&mut self.lock());
+        if changed {
+            self.rebuild();
+        }
+    }
+
+    /// Reads what is known of the upstreams.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&Known) -> T) -> T {
+        read(&self.lock())
+    }
+
+    /// Leaves an upstream alone for a while.
+    pub(crate) fn avoid(&self, upstream: &Upstream, time: Duration, why: &str) {
+        let now = self.now();
+        let until = now + time;
+        self.learn(|known| {
+            let before = known.avoided.insert(upstream.clone(), until);
+            if before.is_none_or(|before| before <= now) {
+                warn!(upstream:% = upstream, millis = time.as_millis() as u64, why; "upstream is left alone");
+                return true;
+            }
+            false
+        });
+    }
+
+    /// Uses the upstreams again whose time of being left alone has passed.
+    pub(crate) fn expire(&self) {
+        let now = self.now();
+        self.learn(|known| {
+            let before = known.avoided.len();
+            known.avoided.retain(|_, until| *until > now);
+            known.silent.retain(|_, until| *until > now);
+            let gone = known.catalog.expire(now);
+            before != known.avoided.len() || !gone.is_empty()
+        });
+    }
+
+    fn rebuild(&self) {
+        let now = self.now();
+        let table = self.table.load();
+        let view = self.read(|known| View::build(&table, &known.catalog, &known.avoided, now));
+        let before: Vec<usize> = self.view.load().fleets.values().map(|f| f.lines.len()).collect();
+        let after: Vec<usize> = view.fleets.values().map(|f| f.lines.len()).collect();
+        if before != after {
+            for (service, fleet) in &view.fleets {
+                let lines: Vec<String> = fleet
+                    .lines
+                    .iter()
+                    .map(|line| format!("{}/{}/{}", line.domain, line.parts.len(), line.crossings))
+                    .collect();
+                info!(service:% = service, engines = fleet.engines.len(), lines = lines.join(" "); "chains changed");
+            }
+        }
+        self.view.store(Arc::new(view));
+        self.changed.notify_one();
+    }
+
+    /// Returns the engines of a service.
+    pub(crate) fn fleet(&self, service: &Service) -> Option<Arc<Fleet>> {
+        self.view.load().fleets.get(service).cloned()
+    }
+
+    /// Chooses a chain for a stream; `without` are first engines that it must not take.
+    pub(crate) fn choose(
+        &self,
+        fleet: &Fleet,
+        without: &[Upstream],
+    ) -> Result<Arc<Line>, Choice> {
+        let candidates: Vec<(&Line, Load)> = fleet
+            .lines
+            .iter()
+            .filter(|line| !without.contains(&line.head().upstream))
+            .map(|line| (line.as_ref(), self.registry.load(&line.head().upstream)))
+            .collect();
+        let domain = &self.settings.domain;
+        let draw = self.draw();
+        match Choice::new(&fleet.model, &candidates, domain, self.now(), draw) {
+            Choice::Take(place) => {
+                let head = candidates[place].0.head();
+                let line = fleet.lines.iter().find(|line| line.head() == head);
+                line.cloned().ok_or(Choice::Broken(Duration::ZERO))
+            }
+            other => Err(other),
+        }
+    }
+
+    /// Returns a random point in `0..1`.
+    pub(crate) fn draw(&self) -> f64 {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner).random()
+    }
+
+    /// Takes over changed bounds of repeated arrivals.
+    pub(crate) fn set_retry(&self, retry: Retry) {
+        *self.retry.lock().unwrap_or_else(PoisonError::into_inner) = retry;
+        self.windows.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Counts the first arrival of a request at a service.
+    pub(crate) fn count_first(&self, service: &Service) {
+        let now = self.now();
+        self.with_window(service, |window| window.count_first(now));
+    }
+
+    /// Takes a repeated arrival from the budget of a service, if it holds one.
+    pub(crate) fn try_repeat(&self, service: &Service) -> bool {
+        let now = self.now();
+        let allowed = self.with_window(service, |window| window.try_repeat(now));
+        self.metrics.count_repeat(allowed);
+        allowed
+    }
+
+    fn with_window<T>(&self, service: &Service, with: impl FnOnce(&mut Window) -> T) -> T {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(window) = windows.get_mut(service) {
+            return with(window);
+        }
+        let retry = *self.retry.lock().unwrap_or_else(PoisonError::into_inner);
+        let floor = retry.floor / ASSUMED_INSTANCES;
+        with(
+            windows
+                .entry(service.clone())
+                .or_insert_with(|| Window::new(retry.span, retry.ratio, floor)),
+        )
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -0,0 +1,223 @@
+//! Orders engines to hold layers, while this instance has the duty.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use goldcrestvale_base::{
+    id::{Domain, Upstream},
+    time::Instant,
+};
+use goldcrestvale_route::pipeline::{Engine, Placement, mend, widen};
+use log::{info, warn};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    gateway::Gateway,
+    port::{Obedience, Port, Tenure},
+    view::Fleet,
+};
+
+/// How often the chains are looked at without news.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// How often an engine is asked whether it has carried out an order.
+const ORDER_POLL: Duration = Duration::from_millis(150);
+
+/// How long an order may take beyond the time of its load.
+const ORDER_SLACK: Duration = Duration::from_millis(1_500);
+
+/// How much older a report may be than an order that was answered: twice the lag that engines state.
+const REPORT_LAG: Duration = Duration::from_millis(600);
+
+/// Tries to give an order to an engine that does not answer.
+const ORDER_TRIES: u32 = 4;
+
+/// Pause between two steps that widen a narrow stage.
+const WIDEN_PAUSE: Duration = Duration::from_millis(2_500);
+
+/// How long a domain must be whole before a narrow stage in it is widened, so that the loads do not
+/// meet those of a repair.
+const CALM: Duration = Duration::from_millis(1_500);
+
+/// The orders in progress, by engine.
+type Pending = Arc<Mutex<HashMap<Upstream, Placement>>>;
+
+/// Keeps the duty and places layers until the token is cancelled.
+pub(crate) async fn attend<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
+    let member = format!("{}-{}", gateway.settings.name, uuid::Uuid::now_v7().simple());
+    let keeper = keep(gateway.clone(), member.clone(), stop.clone());
+    tokio::join!(keeper, place(gateway.clone(), stop));
+    if let Err(e) = gateway.port.release(&member).await {
+        warn!(error:% = e; "the duty was not given up and lapses");
+    }
+}
+
+async fn keep<P: Port>(gateway: Arc<Gateway<P>>, member: String, stop: CancellationToken) {
+    let times = gateway.settings.placement;
+    let mut tenure = Tenure { generation: 0, is_held: false };
+    loop {
+        // The tenure counts from before the call, so it ends here no later than at the platform.
+        let asked = gateway.now();
+        match gateway.port.renew(&member, tenure.generation, times.tenure).await {
+            Ok(renewed) => {
+                if renewed.is_held != tenure.is_held {
+                    info!(held = renewed.is_held, generation = renewed.generation; "duty of placing layers");
+                }
+                tenure = renewed;
+                gateway.set_duty(tenure.is_held.then_some(asked + times.tenure));
+            }
+            Err(e) => {
+                gateway.metrics.count_store_failure("renew");
+                log::debug!(error:% = e; "the duty was not renewed");
+            }
+        }
+        if stop.run_until_cancelled(tokio::time::sleep(times.renewal)).await.is_none() {
+            return;
+        }
+    }
+}
+
+async fn place<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
+    let pending: Pending = Arc::default();
+    let mut calm: HashMap<Domain, Instant> = HashMap::new();
+    loop {
+        let news = timeout(PERIOD, gateway.changed.notified());
+        if stop.run_until_cancelled(news).await.is_none() {
+            return;
+        }
+        if !gateway.has_duty() || gateway.is_leaving() {
+            continue;
+        }
+        let view = gateway.view.load_full();
+        for fleet in view.fleets.values() {
+            step(&gateway, fleet, &pending, &mut calm);
+        }
+    }
+}
+
+/// Gives the orders that are due in each domain.
+fn step<P: Port>(
+    gateway: &Arc<Gateway<P>>,
+    fleet: &Arc<Fleet>,
+    pending: &Pending,
+    calm: &mut HashMap<Domain, Instant>,
+) {
+    let now = gateway.now();
+    let mut domains: BTreeMap<&Domain, Vec<&Engine>> = BTreeMap::new();
+    for engine in &fleet.engines {
+        domains.entry(&engine.domain).or_default().push(engine);
+    }
+    for (domain, engines) in domains {
+        let is_empty = engines.iter().all(|engine| engine.held.is_none());
+        if is_empty && !is_settled(gateway, now) {
+            continue;
+        }
+        let in_progress = lock(pending).clone();
+        let is_pending = |engine: &Engine| in_progress.contains_key(&engine.upstream);
+        let mut orders = mend(&fleet.model, &engines, now, is_pending);
+        if orders.is_empty() {
+            let since = *calm.entry(domain.clone()).or_insert(now + CALM);
+            if since <= now && !engines.iter().any(|engine| is_pending(engine)) {
+                orders.extend(widen(&fleet.model, &engines, now));
+                if !orders.is_empty() {
+                    calm.insert(domain.clone(), now + WIDEN_PAUSE);
+                }
+            }
+        } else {
+            calm.remove(domain);
+        }
+        for placement in orders {
+            let Some(engine) = fleet.engine(&placement.upstream) else { continue };
+            if engine.held == Some(placement.layers) {
+                continue;
+            }
+            lock(pending).insert(placement.upstream.clone(), placement.clone());
+            info!(
+                engine:% = placement.upstream,
+                domain:% = domain,
+                held:? = engine.held.map(|held| (held.from, held.to)),
+                layers:? = (placement.layers.from, placement.layers.to);
+                "layers are placed"
+            );
+            let gateway = gateway.clone();
+            let pending = pending.clone();
+            let engine = engine.clone();
+            let load = fleet.model.load;
+            tokio::spawn(async move {
+                order(&gateway, &engine, &placement, load).await;
+                lock(&pending).remove(&placement.upstream);
+                gateway.changed.notify_one();
+            });
+        }
+    }
+}
+
+/// Returns whether no engine joined for a while, so that the layout sees all of them.
+fn is_settled<P>(gateway: &Gateway<P>, now: Instant) -> bool {
+    let last = gateway.read(|known| known.catalog.last_join());
+    last.is_some_and(|last| now.since(last) >= gateway.settings.placement.settle)
+}
+
+/// Gives one order and waits until it is carried out.
+async fn order<P: Port>(
+    gateway: &Arc<Gateway<P>>,
+    engine: &Engine,
+    placement: &Placement,
+    load: Duration,
+) {
+    let limit = gateway.now() + load + ORDER_SLACK;
+    let mut tries = 0;
+    // Reports are older than the answers to orders: until one counts the last order, it is stale.
+    let mut ordered: Option<(u64, Instant)> = None;
+    while gateway.has_duty() && gateway.now() < limit {
+        let report = match gateway.port.report(engine.address).await {
+            Ok(report) => report,
+            Err(e) => {
+                warn!(engine:% = engine.upstream, error:% = e; "engine does not report");
+                gateway.metrics.count_order("unreachable");
+                return;
+            }
+        };
+        if report.layers == Some(placement.layers) && !report.busy {
+            gateway.metrics.count_order("done");
+            gateway.learn(|known| known.catalog.set_layers(&engine.upstream, report.layers));
+            return;
+        }
+        let is_stale = ordered.is_some_and(|(expected, until)| {
+            report.orders == expected && gateway.now() < until
+        });
+        if report.busy || is_stale {
+            tokio::time::sleep(ORDER_POLL).await;
+            continue;
+        }
+        if tries == ORDER_TRIES {
+            break;
+        }
+        tries += 1;
+        ordered = Some((report.orders, gateway.now() + REPORT_LAG));
+        // An order that got no answer may be carried out late; the count of orders that it expects
+        // no longer fits by then, if another one was accepted in between.
+        match gateway.port.place(engine.address, placement.layers, report.orders).await {
+            Ok(Obedience::Begun | Obedience::Done) => {}
+            Ok(outcome) => {
+                warn!(engine:% = engine.upstream, outcome:? = outcome; "engine did not take the order");
+                gateway.metrics.count_order("conflict");
+            }
+            Err(e) => {
+                warn!(engine:% = engine.upstream, error:% = e; "order was not answered");
+                gateway.metrics.count_order("unanswered");
+            }
+        }
+        tokio::time::sleep(ORDER_POLL).await;
+    }
+    warn!(engine:% = engine.upstream, tries; "order is given up");
+    gateway.metrics.count_order("given up");
+}
+
+fn lock(pending: &Pending) -> std::sync::MutexGuard<'_, HashMap<Upstream, Placement>> {
+    pending.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -0,0 +1,277 @@
+//! What the gateway needs of the platform that it runs on.
+//!
+//! An adapter implements these traits; nothing in it decides. The gateway names no header, path or
+//! topic of a platform.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use goldcrestvale_base::{
+    engine::Layers,
+    id::{Domain, Offset, Service, Upstream},
+};
+use goldcrestvale_route::{forward::Configuration, pipeline::Part};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use snafu::Snafu;
+
+/// The result of a call to the platform or to an engine's control interface.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A failed call to the platform or to an engine's control interface.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The records from the asked offset on were dropped; the subject must be listed again.
+    #[snafu(display("the records from offset {from} on are gone"))]
+    Trimmed {
+        /// The offset that was asked for.
+        from: Offset,
+    },
+    /// The call was refused and had no effect.
+    #[snafu(display("{call} was refused with status {status}"))]
+    Refused {
+        /// The call.
+        call: &'static str,
+        /// Status of the answer.
+        status: StatusCode,
+    },
+    /// No usable answer came; the call may have had an effect.
+    #[snafu(display("{call} failed: {detail}"))]
+    Unknown {
+        /// The call.
+        call: &'static str,
+        /// What was seen.
+        detail: String,
+    },
+}
+
+/// What a caller asks beside its method, path and body.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Identifier of the attempt; upstreams echo it.
+    pub id: Option<HeaderValue>,
+    /// How long the caller waits, from the arrival of the request.
+    pub patience: Option<Duration>,
+    /// The caller's credential.
+    pub credential: Option<String>,
+    /// The last event that the caller has of a resumed stream.
+    pub last_event: Option<u64>,
+}
+
+/// What an upstream is told beside the caller's method, path, headers and body.
+#[derive(Debug, Clone, Copy)]
+pub struct Dispatch<'d> {
+    /// How long the caller still waits.
+    pub patience: Option<Duration>,
+    /// The upstream that is to run the request; another one at the address refuses.
+    pub upstream: &'d Upstream,
+    /// The customer, where the configuration holds customers.
+    pub customer: Option<&'d str>,
+    /// The chain, for streams that pass through several engines.
+    pub chain: Option<&'d [Part]>,
+    /// The last event that the caller has, where a stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// The load that an upstream reports with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What an upstream's answer says beside its status and body.
+#[derive(Debug, Clone, Default)]
+pub struct Head {
+    /// Identifier of the attempt that is answered.
+    pub id: Option<HeaderValue>,
+    /// Whether the upstream itself vouches for the answer.
+    pub is_signed: bool,
+    /// Whether the request did not run and never will.
+    pub is_not_run: bool,
+    /// Load of the upstream.
+    pub load: Option<Load>,
+    /// The engine of the chain that was at fault.
+    pub at_fault: Option<SocketAddr>,
+}
+
+/// Reads and writes the headers of requests and answers.
+pub trait Dialect: Send + Sync + 'static {
+    /// Path of the readiness check.
+    fn ready_path(&self) -> &'static str;
+
+    /// Reads a caller's request headers.
+    fn read_ask(&self, headers: &HeaderMap) -> Ask;
+
+    /// Turns a caller's headers into those for an upstream.
+    fn write_dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
+
+    /// Reads the headers of an upstream's answer.
+    fn read_head(&self, status: StatusCode, headers: &HeaderMap) -> Head;
+
+    /// Removes from an answer what concerns one connection only.
+    fn clean_answer(&self, headers: &mut HeaderMap);
+}
+
+/// What an engine holds, as its registration says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// Kind of card.
+    pub card: String,
+    /// Layers that it holds.
+    pub layers: Option<Layers>,
+}
+
+/// An upstream as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registration {
+    /// Name of this life of the upstream.
+    pub upstream: Upstream,
+    /// The service that it runs.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Whether it takes new work; false once it is leaving.
+    pub ready: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub born_ms: Option<u64>,
+    /// What it holds, for engines.
+    pub holding: Option<Holding>,
+}
+
+/// What a directory keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// The configuration.
+    Configuration,
+    /// The upstreams.
+    Upstreams,
+}
+
+/// One change of a directory.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// A version of the configuration.
+    Configuration(Box<Configuration>),
+    /// An upstream joined or changed.
+    Registered(Registration),
+    /// The record of this key is gone.
+    Gone(String),
+    /// A record that names nothing usable.
+    Unreadable {
+        /// Key of the record.
+        key: String,
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// Changes and where to read on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Page {
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+    /// Where to read on.
+    pub next: Offset,
+}
+
+/// Reads what operators and upstreams write.
+pub trait Directory: Send + Sync + 'static {
+    /// Lists the newest record of every key.
+    fn list(&self, subject: Subject) -> impl Future<Output = Result<Page>> + Send;
+
+    /// Reads on from an offset; waits up to `wait` for the first record.
+    fn tail(
+        &self,
+        subject: Subject,
+        from: Offset,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Page>> + Send;
+}
+
+/// A stream that waits for an engine which does not answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stalled {
+    /// Identifier of the attempt.
+    pub id: String,
+    /// Address of the engine that is waited for.
+    pub address: SocketAddr,
+}
+
+/// The state of an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Layers that it holds.
+    pub layers: Option<Layers>,
+    /// Orders that it accepted in this life.
+    pub orders: u64,
+    /// Whether it carries out an order.
+    pub busy: bool,
+    /// Streams that it heads and that are stalled.
+    pub stalled: Vec<Stalled>,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obedience {
+    /// It has begun.
+    Begun,
+    /// The state already holds.
+    Done,
+    /// The engine's state does not fit it.
+    Conflict,
+    /// The engine, or the stream that it names, is not there.
+    Missing,
+}
+
+/// Speaks to the engines' control interface.
+pub trait Engines: Send + Sync + 'static {
+    /// Reads an engine's state.
+    fn report(&self, address: SocketAddr) -> impl Future<Output = Result<Report>> + Send;
+
+    /// Orders an engine to hold a range of layers, if it has accepted `expected` orders so far.
+    fn place(
+        &self,
+        address: SocketAddr,
+        layers: Layers,
+        expected: u64,
+    ) -> impl Future<Output = Result<Obedience>> + Send;
+
+    /// Moves a running stream to another chain with the same first engine.
+    fn repath(&self, id: &str, chain: &[Part]) -> impl Future<Output = Result<Obedience>> + Send;
+}
+
+/// A duty that one instance holds at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tenure {
+    /// Number of the last change of hands that was seen.
+    pub generation: u64,
+    /// Whether this instance holds the duty.
+    pub is_held: bool,
+}
+
+/// Hands the duty of placing layers to one instance at a time.
+pub trait Duty: Send + Sync + 'static {
+    /// Asks for the duty or keeps it for `life`.
+    fn renew(
+        &self,
+        member: &str,
+        generation: u64,
+        life: Duration,
+    ) -> impl Future<Output = Result<Tenure>> + Send;
+
+    /// Gives the duty up.
+    fn release(&self, member: &str) -> impl Future<Output = Result<()>> + Send;
+}
+
+/// Everything that the gateway needs of a platform.
+pub trait Port: Dialect + Directory + Engines + Duty {}
+
+impl<P: Dialect + Directory + Engines + Duty> Port for P {}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -0,0 +1,154 @@
+//! The streams in progress of this instance, and the load and pulse of the chains.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use goldcrestvale_base::{
+    id::{Service, Upstream},
+    time::Instant,
+};
+use goldcrestvale_route::pipeline::{Held, Line, Load, Pulse};
+use tokio::sync::Notify;
+
+/// The streams in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Registry {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    next: u64,
+    streams: HashMap<u64, Stream>,
+    heads: HashMap<Upstream, Head>,
+}
+
+/// A stream in progress.
+#[derive(Debug, Clone)]
+pub(crate) struct Stream {
+    /// Identifier of the attempt, as the first engine knows it.
+    pub(crate) id: String,
+    pub(crate) service: Service,
+    /// The chain that it passes through now.
+    pub(crate) line: Arc<Line>,
+    /// Asks its task to go on elsewhere.
+    pub(crate) resume: Arc<Notify>,
+    /// When the last event came, or the request was sent.
+    pub(crate) last: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Head {
+    reported: Option<Held>,
+    pulse: Pulse,
+}
+
+/// A place in the registry, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    number: u64,
+    head: Upstream,
+    registry: Arc<Registry>,
+    pub(crate) resume: Arc<Notify>,
+}
+
+impl Registry {
+    /// Enters a stream that is about to be sent.
+    pub(crate) fn enter(
+        self: &Arc<Self>,
+        id: &str,
+        service: &Service,
+        line: &Arc<Line>,
+        now: Instant,
+    ) -> Ticket {
+        let resume = Arc::new(Notify::new());
+        let head = line.head().upstream.clone();
+        let mut state = self.lock();
+        state.next += 1;
+        let number = state.next;
+        let stream = Stream {
+            id: id.to_owned(),
+            service: service.clone(),
+            line: line.clone(),
+            resume: resume.clone(),
+            last: now,
+        };
+        state.streams.insert(number, stream);
+        state.heads.entry(head.clone()).or_default().pulse.start(now);
+        Ticket { number, head, registry: self.clone(), resume }
+    }
+
+    /// Returns the load of a chain, by its first engine.
+    pub(crate) fn load(&self, head: &Upstream) -> Load {
+        let state = self.lock();
+        let head = state.heads.get(head);
+        head.map_or_else(Load::default, |head| Load {
+            own: head.pulse.streams(),
+            reported: head.reported,
+        })
+    }
+
+    /// Notes what a first engine reported of its load.
+    pub(crate) fn report(&self, head: &Upstream, load: crate::port::Load, now: Instant) {
+        let mut state = self.lock();
+        let head = state.heads.entry(head.clone()).or_default();
+        let own = head.pulse.streams();
+        head.reported = Some(Held { streams: load.running + load.waiting, own, at: now });
+    }
+
+    /// Returns the first engines whose chains have stopped.
+    pub(crate) fn stopped(&self, now: Instant) -> Vec<Upstream> {
+        let state = self.lock();
+        let stopped = state.heads.iter().filter(|(_, head)| head.pulse.is_stopped(now));
+        stopped.map(|(upstream, _)| upstream.clone()).collect()
+    }
+
+    /// Returns the streams that a predicate picks.
+    pub(crate) fn find(&self, pick: impl Fn(&Stream) -> bool) -> Vec<(u64, Stream)> {
+        let state = self.lock();
+        let found = state.streams.iter().filter(|(_, stream)| pick(stream));
+        found.map(|(number, stream)| (*number, stream.clone())).collect()
+    }
+
+    /// Notes that a stream passes through another chain with the same first engine.
+    pub(crate) fn repath(&self, number: u64, line: Arc<Line>) {
+        if let Some(stream) = self.lock().streams.get_mut(&number) {
+            stream.line = line;
+        }
+    }
+
+    /// Returns the number of streams in progress.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().streams.len()
+    }
+
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Ticket {
+    /// Notes an event of the stream.
+    pub(crate) fn beat(&self, now: Instant) {
+        let mut state = self.registry.lock();
+        if let Some(head) = state.heads.get_mut(&self.head) {
+            head.pulse.beat(now);
+        }
+        if let Some(stream) = state.streams.get_mut(&self.number) {
+            stream.last = now;
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.registry.lock();
+        state.streams.remove(&self.number);
+        if let Some(head) = state.heads.get_mut(&self.head) {
+            head.pulse.end();
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -0,0 +1,120 @@
+//! Watches the chains of the streams in progress and moves streams off those that stopped.
+
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use goldcrestvale_base::id::Upstream;
+use goldcrestvale_route::pipeline::{Engine, Line, Rescue};
+use log::info;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    gateway::Gateway,
+    port::Port,
+    registry::Stream,
+    stream::repath,
+    view::{Fleet, View},
+};
+
+/// How often the chains are looked at: a fraction of the silence after which one counts as stopped.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// How long an engine is left alone that a chain waits for: longer than its stall, and than its
+/// record outlives it.
+const AVOID_SILENT: Duration = Duration::from_millis(4_500);
+
+/// How long a stream may stay on an engine that is leaving: most streams end within that time, and
+/// the engine still serves.
+const LEAVING_STAY: Duration = Duration::from_millis(1_300);
+
+/// Watches until the token is cancelled.
+pub(crate) async fn watch<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut asked: HashSet<Upstream> = HashSet::new();
+    while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+        gateway.expire();
+        let now = gateway.now();
+        let stopped = gateway.registry.stopped(now);
+        asked.retain(|head| stopped.contains(head));
+        for head in stopped {
+            // One question a stop; the streams are moved below, at every tick.
+            if asked.insert(head.clone()) {
+                diagnose(&gateway, &head).await;
+            }
+        }
+        move_streams(&gateway).await;
+    }
+}
+
+/// Asks the first engine of a stopped chain which engine it waits for.
+async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
+    let view = gateway.view.load_full();
+    let engine = view.fleets.values().find_map(|fleet| fleet.engine(head));
+    let Some(engine) = engine else { return };
+    match gateway.port.report(engine.address).await {
+        Ok(report) => {
+            let addresses: HashSet<SocketAddr> =
+                report.stalled.iter().map(|stalled| stalled.address).collect();
+            info!(head:% = head, stalled = report.stalled.len(), engines = addresses.len(); "chain has stopped");
+            let engines = view.fleets.values().flat_map(|fleet| &fleet.engines);
+            for engine in engines.filter(|engine| addresses.contains(&engine.address)) {
+                gateway.silence(&engine.upstream, AVOID_SILENT, "a chain waits for it");
+            }
+        }
+        Err(e) => gateway.silence(head, AVOID_SILENT, &format!("its chain stopped: {e}")),
+    }
+}
+
+/// Moves the streams whose chains hold an engine that is lost or leaving.
+async fn move_streams<P: Port>(gateway: &Arc<Gateway<P>>) {
+    let view = gateway.view.load_full();
+    for (service, fleet) in &view.fleets {
+        let lost = lost(gateway, &view, fleet);
+        let streams =
+            gateway.registry.find(|stream| stream.service == *service && touches(stream, &lost));
+        if streams.is_empty() {
+            continue;
+        }
+        let engines: Vec<&Engine> = fleet.engines();
+        let lines: Vec<&Line> = fleet.lines.iter().map(Arc::as_ref).collect();
+        let now = gateway.now();
+        for (number, stream) in streams {
+            match Rescue::new(&fleet.model, &engines, &stream.line, &lines, now) {
+                Rescue::Stay | Rescue::Wait => {}
+                Rescue::Resume => {
+                    info!(request = stream.id.as_str(), head:% = stream.line.head().upstream; "stream goes on elsewhere");
+                    stream.resume.notify_one();
+                }
+                Rescue::Repath(line) => {
+                    let gateway = gateway.clone();
+                    // Until the answer is known the stream counts as moved, so that it is ordered once.
+                    gateway.registry.repath(number, Arc::new(line.clone()));
+                    tokio::spawn(async move {
+                        if !repath(&gateway, number, &stream.id, line).await {
+                            stream.resume.notify_one();
+                        }
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// The engines that streams in progress must leave.
+fn lost<P>(gateway: &Gateway<P>, view: &View, fleet: &Fleet) -> HashSet<Upstream> {
+    let now = gateway.now();
+    let mut lost = HashSet::new();
+    for engine in &fleet.engines {
+        let left = view.leaving.get(&engine.upstream);
+        let is_leaving = left.is_some_and(|since| now.since(*since) >= LEAVING_STAY);
+        if is_leaving || gateway.is_silent(&engine.upstream) {
+            lost.insert(engine.upstream.clone());
+        }
+    }
+    lost
+}
+
+fn touches(stream: &Stream, lost: &HashSet<Upstream>) -> bool {
+    stream.line.parts.iter().any(|part| lost.contains(&part.upstream))
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/serve.rs
@@ -0,0 +1,264 @@
+//! The life cycle of a gateway instance: start, serve, drain, end.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use goldcrestvale_entry::{
+    metrics::{self, Recorder},
+    server::{Bounds, Handler, Server},
+};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use log::{info, warn};
+use serde_json::json;
+use snafu::{ResultExt, Snafu};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tower::service_fn;
+
+use crate::{
+    forward, gateway::Gateway, metrics::Metrics, placer, port::Port, rescue, settings::{Retry, Settings},
+    watch,
+};
+
+/// The result of running an instance.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Largest request head before a configuration bounds it, in bytes.
+const HEADER_BYTES: u32 = 64 << 10;
+
+/// How long a request head may take to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long a connection of a caller may stay idle: longer than callers keep theirs.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Most connections to the readiness check and to the metrics.
+const CONTROL_CONNECTIONS: usize = 32;
+
+/// How long a control request in progress may take at the end.
+const CONTROL_DRAIN: Duration = Duration::from_millis(200);
+
+/// A failure to run an instance.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address} for {interface}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Who would speak to it.
+        interface: &'static str,
+        /// What the operating system reported.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// What failed.
+        source: metrics::Error,
+    },
+}
+
+/// A started gateway instance.
+#[derive(Debug)]
+pub struct Instance<P> {
+    gateway: Arc<Gateway<P>>,
+    callers: Listening,
+    ready: Listening,
+    metrics: Listening,
+    stop: CancellationToken,
+    tasks: Vec<JoinHandle<()>>,
+    duty: JoinHandle<()>,
+}
+
+/// A server that runs in a task.
+#[derive(Debug)]
+struct Listening {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<bool>,
+}
+
+impl Listening {
+    async fn finish(self) -> bool {
+        self.stop.cancel();
+        self.task.await.unwrap_or(false)
+    }
+}
+
+impl<P: Port> Instance<P> {
+    /// Binds the addresses and starts the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or the metrics cannot be set up.
+    pub async fn start(settings: Settings, port: P) -> Result<Self> {
+        let recorder = Recorder::new().context(MetricsSnafu)?;
+        let gateway = Arc::new(Gateway::new(settings, port, Metrics::new(recorder)));
+        let settings = &gateway.settings;
+        let callers = {
+            let gateway = gateway.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = forward::serve(gateway.clone(), request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let bounds = bounds(settings.connections);
+            listen(settings.callers, bounds, "callers", service, settings.stop.timeout).await?
+        };
+        let ready = {
+            let gateway = gateway.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = check(&gateway, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let bounds = bounds(CONTROL_CONNECTIONS);
+            listen(settings.ready, bounds, "readiness", service, CONTROL_DRAIN).await?
+        };
+        let metrics = {
+            let gateway = gateway.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = show(&gateway, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let bounds = bounds(CONTROL_CONNECTIONS);
+            listen(settings.metrics, bounds, "metrics", service, CONTROL_DRAIN).await?
+        };
+        let stop = CancellationToken::new();
+        let tasks = vec![
+            tokio::spawn(watch::configuration(gateway.clone(), stop.clone())),
+            tokio::spawn(watch::upstreams(gateway.clone(), stop.clone())),
+            tokio::spawn(rescue::watch(gateway.clone(), stop.clone())),
+        ];
+        let duty_stop = stop.child_token();
+        let duty = tokio::spawn(placer::attend(gateway.clone(), duty_stop));
+        info!(
+            instance:% = settings.name,
+            domain:% = settings.domain,
+            callers:% = callers.address,
+            ready:% = ready.address,
+            metrics:% = metrics.address;
+            "listening"
+        );
+        Ok(Self { gateway, callers, ready, metrics, stop, tasks, duty })
+    }
+
+    /// Returns the address of the callers' interface.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// Returns the address of the readiness check.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready.address
+    }
+
+    /// Returns the address of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics.address
+    }
+
+    /// Takes over changed bounds of repeated arrivals.
+    pub fn reload(&self, retry: Retry) {
+        self.gateway.set_retry(retry);
+    }
+
+    /// Drains and ends the instance; returns whether every request in progress could finish.
+    ///
+    /// The instance stops being ready at once, and still accepts connections until the balancer has
+    /// noticed. Then it finishes what is in progress.
+    pub async fn stop(self) -> bool {
+        let settings = self.gateway.settings.stop;
+        self.gateway.leave();
+        info!(streams = self.gateway.registry.len(); "leaving");
+        tokio::time::sleep(settings.notice).await;
+        let clean = self.callers.finish().await;
+        self.stop.cancel();
+        if let Err(e) = self.duty.await {
+            warn!(error:% = e; "the task of placing layers failed");
+        }
+        for task in self.tasks {
+            task.abort();
+        }
+        self.ready.finish().await;
+        self.metrics.finish().await;
+        info!(clean; "stopped");
+        clean
+    }
+}
+
+fn bounds(connections: usize) -> Bounds {
+    Bounds {
+        header_bytes: HEADER_BYTES,
+        header_timeout: HEADER_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+        connections,
+    }
+}
+
+async fn listen<S>(
+    address: SocketAddr,
+    bounds: Bounds,
+    interface: &'static str,
+    service: S,
+    drain: Duration,
+) -> Result<Listening>
+where
+    S: Handler,
+    S::Future: Send,
+{
+    let context = ListenSnafu { address, interface };
+    let server = Server::bind(address, bounds).await.context(context)?;
+    let address = server.address().context(context)?;
+    let stop = CancellationToken::new();
+    let task = tokio::spawn(server.run(service, stop.clone(), drain));
+    Ok(Listening { address, stop, task })
+}
+
+fn check<P: Port>(gateway: &Gateway<P>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let status = match (request.uri().path() == gateway.port.ready_path(), gateway.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    respond(status, Bytes::new())
+}
+
+fn show<P>(gateway: &Gateway<P>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        "/metrics" => match gateway.metrics.recorder().scrape() {
+            Ok(text) => respond(StatusCode::OK, text.into()),
+            Err(e) => respond(StatusCode::INTERNAL_SERVER_ERROR, e.to_string().into()),
+        },
+        "/dump" => respond(StatusCode::OK, dump(gateway).to_string().into()),
+        path => respond(StatusCode::NOT_FOUND, format!("no page {path}\n").into()),
+    }
+}
+
+fn dump<P>(gateway: &Gateway<P>) -> serde_json::Value {
+    let view = gateway.view.load();
+    let fleets: Vec<_> = view
+        .fleets
+        .iter()
+        .map(|(service, fleet)| {
+            let lines: Vec<_> = fleet.lines.iter().map(|line| json!(line.as_ref())).collect();
+            json!({ "service": service, "engines": fleet.engines, "lines": lines })
+        })
+        .collect();
+    json!({
+        "instance": gateway.settings.name,
+        "domain": gateway.settings.domain,
+        "configuration": gateway.table.load().version(),
+        "ready": gateway.is_ready(),
+        "duty": gateway.has_duty(),
+        "streams": gateway.registry.len(),
+        "fleets": fleets,
+    })
+}
+
+fn respond(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/trace.rs
@@ -0,0 +1,102 @@
+//! One log line and the metrics of a request.
+
+use std::sync::Arc;
+
+use goldcrestvale_base::{id::Upstream, time::Instant};
+use http::{HeaderValue, StatusCode};
+use log::info;
+
+use crate::gateway::Gateway;
+
+/// What is known of a request, written when it ends.
+#[derive(Debug)]
+pub(crate) struct Trace<P> {
+    gateway: Arc<Gateway<P>>,
+    pub(crate) id: String,
+    pub(crate) started: Instant,
+    pub(crate) route: String,
+    pub(crate) customer: String,
+    pub(crate) version: u64,
+    /// Upstreams that it was sent to, in order.
+    pub(crate) tried: Vec<Upstream>,
+    /// Chains that it passed through beyond the first.
+    pub(crate) moves: u32,
+    pub(crate) events: u64,
+    pub(crate) first_event: Option<Instant>,
+    outcome: &'static str,
+    detail: String,
+    status: u16,
+}
+
+impl<P> Trace<P> {
+    pub(crate) fn start(gateway: Arc<Gateway<P>>, id: Option<&HeaderValue>) -> Self {
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned();
+        Self {
+            started: gateway.now(),
+            version: gateway.table.load().version(),
+            gateway,
+            id,
+            route: String::new(),
+            customer: String::new(),
+            tried: Vec::new(),
+            moves: 0,
+            events: 0,
+            first_event: None,
+            outcome: "caller left",
+            detail: String::new(),
+            status: 0,
+        }
+    }
+
+    /// Notes how the request ends.
+    pub(crate) fn end(
+        &mut self,
+        outcome: &'static str,
+        status: StatusCode,
+        detail: impl Into<String>,
+    ) {
+        self.outcome = outcome;
+        self.status = status.as_u16();
+        self.detail = detail.into();
+    }
+
+    /// Notes that an answer is on its way; it counts as cut off until it is whole.
+    pub(crate) fn begin_answer(&mut self, status: StatusCode) {
+        self.outcome = "caller left midway";
+        self.status = status.as_u16();
+    }
+
+    /// Notes that the answer is whole.
+    pub(crate) fn complete(&mut self) {
+        self.outcome = "answered";
+    }
+}
+
+impl<P> Drop for Trace<P> {
+    fn drop(&mut self) {
+        let now = self.gateway.now();
+        let taken = now.since(self.started);
+        self.gateway.metrics.count_request(self.outcome, taken);
+        let first = self.first_event.map(|first| first.since(self.started));
+        if let Some(first) = first {
+            self.gateway.metrics.record_first_event(first);
+        }
+        let tried: Vec<&str> = self.tried.iter().map(Upstream::as_str).collect();
+        info!(
+            request = self.id.as_str(),
+            route = self.route.as_str(),
+            customer = self.customer.as_str(),
+            configuration = self.version,
+            view_age_ms = now.since(self.gateway.view.load().built).as_millis() as u64,
+            tried = tried.join(","),
+            moves = self.moves,
+            events = self.events,
+            first_ms = first.map_or(0, |first| first.as_millis() as u64),
+            status = self.status,
+            outcome = self.outcome,
+            detail = self.detail.as_str(),
+            millis = taken.as_millis() as u64;
+            "request ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/view.rs
@@ -0,0 +1,96 @@
+//! What the request path sees of the upstreams: an immutable snapshot.
+
+use std::{collections::HashMap, sync::Arc};
+
+use goldcrestvale_base::{
+    id::{Service, Upstream},
+    time::Instant,
+};
+use goldcrestvale_route::{
+    forward::Table,
+    pipeline::{Engine, Line, Model, find_lines},
+};
+
+use crate::{catalog::Catalog, port::Registration};
+
+/// An upstream of a plain service.
+#[derive(Debug, Clone)]
+pub(crate) struct Plain {
+    pub(crate) registration: Registration,
+    /// It is tried last before this time.
+    pub(crate) avoided_until: Instant,
+}
+
+/// The engines of a model and the chains over them.
+#[derive(Debug, Clone)]
+pub(crate) struct Fleet {
+    pub(crate) model: Model,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) lines: Vec<Arc<Line>>,
+}
+
+impl Fleet {
+    pub(crate) fn engines(&self) -> Vec<&Engine> {
+        self.engines.iter().collect()
+    }
+
+    pub(crate) fn engine(&self, upstream: &Upstream) -> Option<&Engine> {
+        self.engines.iter().find(|engine| engine.upstream == *upstream)
+    }
+}
+
+/// A snapshot of the upstreams.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct View {
+    pub(crate) built: Instant,
+    pub(crate) plain: HashMap<Service, Vec<Plain>>,
+    pub(crate) fleets: HashMap<Service, Arc<Fleet>>,
+    /// When each upstream that is leaving began to.
+    pub(crate) leaving: HashMap<Upstream, Instant>,
+}
+
+impl View {
+    /// Builds a snapshot. `avoided` says until when an upstream is to be left alone.
+    pub(crate) fn build(
+        table: &Table,
+        catalog: &Catalog,
+        avoided: &HashMap<Upstream, Instant>,
+        now: Instant,
+    ) -> Self {
+        let mut view = Self { built: now, ..Self::default() };
+        let mut engines: HashMap<Service, Vec<Engine>> = HashMap::new();
+        for (registration, leaving) in catalog.iter() {
+            let upstream = &registration.upstream;
+            let avoided_until = avoided.get(upstream).copied().unwrap_or_default();
+            view.leaving.extend(leaving.map(|since| (upstream.clone(), since)));
+            match &registration.holding {
+                Some(holding) => {
+                    engines.entry(registration.service.clone()).or_default().push(Engine {
+                        upstream: upstream.clone(),
+                        address: registration.address,
+                        domain: registration.domain.clone(),
+                        card: holding.card.clone(),
+                        held: holding.layers,
+                        ready: registration.ready,
+                        avoided_until,
+                    });
+                }
+                None if registration.ready => view
+                    .plain
+                    .entry(registration.service.clone())
+                    .or_default()
+                    .push(Plain { registration: registration.clone(), avoided_until }),
+                None => {}
+            }
+        }
+        for (service, mut engines) in engines {
+            let model = table.pool(&service).and_then(|pool| pool.model.clone());
+            let Some(model) = model else { continue };
+            engines.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+            let borrowed: Vec<&Engine> = engines.iter().collect();
+            let lines = find_lines(&model, &borrowed, now).into_iter().map(Arc::new).collect();
+            view.fleets.insert(service, Arc::new(Fleet { model, engines, lines }));
+        }
+        view
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/forward/table.rs
@@ -0,0 +1,137 @@
+//! Lookup of routes and customers.
+
+use std::{collections::HashMap, sync::Arc};
+
+use goldcrestvale_base::id::Service;
+use snafu::Snafu;
+
+use super::{Bounds, Configuration, Customer, Pool, Route};
+
+/// The result of a lookup.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Why a request has no place to go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum Refusal {
+    /// No route has the host and a prefix of the path.
+    #[snafu(display("no route matches the host and path"))]
+    NoRoute,
+    /// The credential is missing or no customer has it.
+    #[snafu(display("the credential is missing or unknown"))]
+    Credential,
+}
+
+/// A version of the configuration, indexed for lookups.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_route::forward::{Refusal, Table};
+///
+/// let table = Table::default();
+/// assert_eq!(table.find("a.example", "/x/").unwrap_err(), Refusal::NoRoute);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    version: u64,
+    /// Routes by host, longest prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    pools: HashMap<Service, Arc<Pool>>,
+    customers: Option<HashMap<String, Arc<Customer>>>,
+    bounds: Option<Bounds>,
+}
+
+impl Table {
+    /// Indexes a version of the configuration.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in configuration.routes {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let pools = configuration.pools.into_iter();
+        let customers = configuration.customers.map(|customers| {
+            let mut held = HashMap::new();
+            for customer in customers.into_iter().map(Arc::new) {
+                let credentials = customer.credentials.iter().cloned();
+                held.extend(credentials.map(|credential| (credential, customer.clone())));
+            }
+            held
+        });
+        Self {
+            version: configuration.version,
+            hosts,
+            pools: pools.map(|pool| (pool.service.clone(), Arc::new(pool))).collect(),
+            customers,
+            bounds: Some(configuration.bounds),
+        }
+    }
+
+    /// Returns what callers may send; `None` before the first version.
+    pub fn bounds(&self) -> Option<&Bounds> {
+        self.bounds.as_ref()
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the service's pool.
+    pub fn pool(&self, service: &Service) -> Option<&Arc<Pool>> {
+        self.pools.get(service)
+    }
+
+    /// Iterates over all pools.
+    pub fn iter_pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
+        self.pools.values()
+    }
+
+    /// Finds the route with the longest prefix of a path; a port in the host is ignored.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Refusal::NoRoute`] if none matches.
+    pub fn find(&self, host: &str, path: &str) -> Result<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(host) {
+            Some(routes) => Some(routes),
+            None => self.hosts.get(&host.to_ascii_lowercase()),
+        };
+        let matching = |route: &&Arc<Route>| path.starts_with(&route.prefix);
+        routes.and_then(|routes| routes.iter().find(matching)).ok_or(Refusal::NoRoute)
+    }
+
+    /// Finds the customer of a request; `None` if the route needs no credential.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Refusal::Credential`] if one is needed and not known.
+    pub fn customer(
+        &self,
+        route: &Route,
+        credential: Option<&str>,
+    ) -> Result<Option<&Arc<Customer>>> {
+        let Some(customers) = &self.customers else { return Ok(None) };
+        match credential.and_then(|credential| customers.get(credential)) {
+            Some(customer) => Ok(Some(customer)),
+            None if route.public => Ok(None),
+            None => Err(Refusal::Credential),
+        }
+    }
+
+    /// Picks the service of a request by a point in `0..1`.
+    pub fn pick<'r>(&self, route: &'r Route, point: f64) -> Option<&'r Service> {
+        let total: u32 = route.split.iter().map(|share| share.weight).sum();
+        let mut left = point * f64::from(total);
+        for share in &route.split {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return Some(&share.service);
+            }
+        }
+        route.split.last().map(|share| &share.service)
+    }
+}
--- a/crates/goldcrestvale_route/src/lib.rs
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod balance;
 pub mod chain;
 pub mod draft;
+pub mod forward;
 pub mod health;
 pub mod limit;
+pub mod pipeline;
 pub mod prefix;
 pub mod retry;
 
--- /dev/null
+++ b/crates/goldcrestvale_route/src/pipeline/choice.rs
@@ -0,0 +1,107 @@
+//! Which chain a new stream takes, or that it is turned away.
+//!
+//! The load it answers: more streams than the memory of the chains holds. A chain beyond its room
+//! preempts streams midway, so what does not fit is turned away before it is sent.
+
+use std::time::Duration;
+
+use goldcrestvale_base::{id::Domain, time::Instant};
+
+use super::{Line, Model};
+
+/// Load that a chain of the caller's own domain may have above another one and still be taken:
+/// bytes between domains are dear.
+const OWN_DOMAIN: f64 = 0.35;
+
+/// Load that a chain counts as having for each boundary between domains that it crosses.
+const CROSSING: f64 = 0.25;
+
+/// Share of a chain's room that may be taken by streams of the usual size.
+const FULL: f64 = 0.95;
+
+/// How long a report of an engine's load counts.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Shortest time after which a caller that was turned away may come back: about a quarter of the
+/// time of a usual stream, in which as large a part of the places becomes free.
+const RETURN_MIN: Duration = Duration::from_millis(800);
+
+/// Callers that were turned away are spread over this time, so that they do not meet again.
+const RETURN_SPREAD: Duration = Duration::from_millis(2_400);
+
+/// The streams on a chain, as far as this instance knows.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Load {
+    /// Streams that this instance has in progress.
+    pub own: u32,
+    /// The first engine's last report.
+    pub reported: Option<Held>,
+}
+
+/// What a first engine reported.
+#[derive(Debug, Clone, Copy)]
+pub struct Held {
+    /// Streams of all instances, running or waiting.
+    pub streams: u32,
+    /// Streams of this instance at that time.
+    pub own: u32,
+    /// When it was reported.
+    pub at: Instant,
+}
+
+impl Load {
+    /// Returns the streams of all instances: those reported, corrected by what was sent since.
+    pub fn streams(&self, now: Instant) -> u32 {
+        match self.reported {
+            Some(held) if now.since(held.at) < REPORT_LIFE => {
+                (held.streams + self.own).saturating_sub(held.own).max(self.own)
+            }
+            _ => self.own,
+        }
+    }
+}
+
+/// What happens to a new stream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Choice {
+    /// It takes the chain at this place.
+    Take(usize),
+    /// No chain has room; the caller may come back after this time.
+    Full(Duration),
+    /// No chain holds every layer; the caller may come back after this time.
+    Broken(Duration),
+}
+
+impl Choice {
+    /// Chooses a chain for a stream of a caller in `domain`; `draw` is a point in `0..1` that
+    /// spreads the callers that are turned away.
+    pub fn new(
+        model: &Model,
+        candidates: &[(&Line, Load)],
+        domain: &Domain,
+        now: Instant,
+        draw: f64,
+    ) -> Self {
+        let back = RETURN_MIN + RETURN_SPREAD.mul_f64(draw.clamp(0.0, 1.0));
+        let mut best: Option<(usize, f64)> = None;
+        for (place, (line, load)) in candidates.iter().enumerate() {
+            let streams = f64::from(load.streams(now) + 1);
+            let memory = streams * model.stream_tokens() / line.room.max(1.0);
+            let slots = streams / f64::from(model.slots.max(1));
+            let taken = memory.max(slots);
+            if taken > FULL {
+                continue;
+            }
+            let away = if line.domain == *domain { 0.0 } else { OWN_DOMAIN };
+            let score = taken + away + f64::from(line.crossings) * CROSSING;
+            if best.is_none_or(|(_, least)| score < least) {
+                best = Some((place, score));
+            }
+        }
+        match best {
+            Some((place, _)) => Self::Take(place),
+            None if candidates.is_empty() => Self::Broken(back),
+            None => Self::Full(back),
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/pipeline/layout.rs
@@ -0,0 +1,101 @@
+//! Where the layers go when nothing is placed yet.
+//!
+//! The load it answers: the most streams at once that the memory beside the weights can hold. Every
+//! stage of a chain holds all its streams, so the stage with the least room bounds the chain.
+
+use std::collections::BTreeMap;
+
+use goldcrestvale_base::{
+    engine::Layers,
+    id::{Domain, Upstream},
+};
+
+use super::{Engine, Model};
+
+/// Share of a domain's memory that weights may take; the rest holds streams. A second chain in a
+/// domain with room for 2.26 models cost four fifths of the worth of a quiet day.
+const WEIGHTS_SHARE: f64 = 0.6;
+
+/// Most engines of one chain; upstreams refuse longer ones.
+const LONGEST: usize = 30;
+
+goldcrestvale_base::domain! {
+    value
+    /// The layers that an engine is to hold.
+    pub struct Placement {
+        /// The engine.
+        pub upstream: Upstream,
+        /// The layers.
+        pub layers: Layers,
+    }
+}
+
+/// Returns how many whole chains a set of engines should hold.
+pub fn replicas(model: &Model, engines: &[&Engine]) -> usize {
+    let memory: f64 = engines.iter().filter_map(|e| model.card(&e.card)).map(|c| c.memory_mb).sum();
+    let weights = model.layer_mb * f64::from(model.layers);
+    let layers: u32 = engines
+        .iter()
+        .filter_map(|engine| model.card(&engine.card))
+        .map(|card| model.most_layers(card))
+        .sum();
+    if layers < model.layers || weights <= 0.0 {
+        return 0;
+    }
+    ((memory * WEIGHTS_SHARE / weights).floor() as usize).max(1)
+}
+
+/// Places whole chains inside each failure domain that has the memory for one.
+pub fn layout(model: &Model, engines: &[&Engine]) -> Vec<Placement> {
+    let mut domains: BTreeMap<&Domain, Vec<&Engine>> = BTreeMap::new();
+    for engine in engines {
+        domains.entry(&engine.domain).or_default().push(engine);
+    }
+    domains.into_values().flat_map(|engines| layout_domain(model, engines)).collect()
+}
+
+fn layout_domain(model: &Model, mut engines: Vec<&Engine>) -> Vec<Placement> {
+    let memory = |engine: &Engine| model.card(&engine.card).map_or(0.0, |card| card.memory_mb);
+    engines.sort_by(|a, b| {
+        memory(b).total_cmp(&memory(a)).then_with(|| a.upstream.cmp(&b.upstream))
+    });
+    let count = replicas(model, &engines);
+    let mut chains: Vec<Vec<&Engine>> = vec![Vec::new(); count];
+    for (place, engine) in engines.into_iter().enumerate() {
+        // Dealt back and forth, so that the chains get about the same memory.
+        let round = place / count.max(1);
+        let turn = place % count.max(1);
+        let chain = if round % 2 == 0 { turn } else { count.saturating_sub(1 + turn) };
+        if let Some(chain) = chains.get_mut(chain).filter(|chain| chain.len() < LONGEST) {
+            chain.push(engine);
+        }
+    }
+    chains.iter().flat_map(|chain| fill(model, chain)).collect()
+}
+
+/// Gives each layer to the engine that keeps the most room with it.
+fn fill(model: &Model, chain: &[&Engine]) -> Vec<Placement> {
+    let mut counts = vec![0_u32; chain.len()];
+    for _ in 0..model.layers {
+        let room = |place: usize| {
+            let card = model.card(&chain[place].card)?;
+            let layers = counts[place] + 1;
+            (layers <= model.most_layers(card)).then(|| model.room(card, layers))
+        };
+        let best = (0..chain.len())
+            .filter_map(|place| Some((place, room(place)?)))
+            .max_by(|a, b| a.1.total_cmp(&b.1).then_with(|| b.0.cmp(&a.0)));
+        let Some((place, _)) = best else { return Vec::new() };
+        counts[place] += 1;
+    }
+    let mut from = 0;
+    let mut placed = Vec::new();
+    for (engine, count) in chain.iter().zip(counts) {
+        if count > 0 {
+            let layers = Layers { from, to: from + count };
+            placed.push(Placement { upstream: engine.upstream.clone(), layers });
+            from += count;
+        }
+    }
+    placed
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/pipeline/line.rs
@@ -0,0 +1,236 @@
+//! Chains of engines that hold every layer once and in order.
+//!
+//! The load it answers: streams that start while a stage is dead, leaving or refusing. Such a stage
+//! is no candidate, and its layers are taken from another holder, in another domain if need be.
+
+use std::{collections::HashSet, net::SocketAddr};
+
+use goldcrestvale_base::{
+    engine::Layers,
+    id::{Domain, Upstream},
+    time::Instant,
+};
+
+use super::{Engine, Model};
+
+/// Cost of one more engine in a chain, in layers of the reference card.
+const HOP: f64 = 2.0;
+
+/// Cost of a boundary between failure domains, in layers of the reference card: a prompt of the
+/// usual size takes about 16 ms of the pipe, a layer of the slowest card about 0.2 ms a token.
+const CROSSING: f64 = 2_000.0;
+
+/// Cost of a layer on an engine that has room for one token; less the more room it has.
+const SCARCITY: f64 = 3e6;
+
+/// Most engines in a chain; upstreams refuse longer ones.
+const LONGEST: usize = 32;
+
+goldcrestvale_base::domain! {
+    value
+    /// One engine of a chain and the layers that it runs.
+    pub struct Part {
+        /// The engine.
+        pub upstream: Upstream,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// The layers that it runs.
+        pub layers: Layers,
+    }
+}
+
+goldcrestvale_base::domain! {
+    record
+    /// A chain that may take streams.
+    pub struct Line {
+        /// The engines in order.
+        pub parts: Vec<Part>,
+        /// Failure domain of the first engine.
+        pub domain: Domain,
+        /// Boundaries between failure domains.
+        pub crossings: u32,
+        /// Tokens that fit on the stage with the least room.
+        pub room: f64,
+    }
+}
+
+impl Line {
+    /// Returns the engine that takes the request.
+    pub fn head(&self) -> &Part {
+        // A line is only built with at least one part.
+        &self.parts[0]
+    }
+
+    /// Returns whether an engine is part of the chain.
+    pub fn contains(&self, upstream: &Upstream) -> bool {
+        self.parts.iter().any(|part| part.upstream == *upstream)
+    }
+}
+
+/// Finds the chains that new streams may take: those whole inside each domain, and one across
+/// domains for each domain that has none.
+pub fn find_lines(model: &Model, engines: &[&Engine], now: Instant) -> Vec<Line> {
+    let usable: Vec<&Engine> = engines.iter().copied().filter(|e| e.is_usable(now)).collect();
+    let mut domains: Vec<&Domain> = usable.iter().map(|engine| &engine.domain).collect();
+    domains.sort();
+    domains.dedup();
+    let mut lines = Vec::new();
+    for domain in domains {
+        let mut inside: Vec<&Engine> =
+            usable.iter().copied().filter(|engine| engine.domain == *domain).collect();
+        let before = lines.len();
+        while let Some(line) = shortest(model, &inside, None) {
+            inside.retain(|engine| !line.contains(&engine.upstream));
+            lines.push(line);
+        }
+        if lines.len() == before {
+            lines.extend(shortest(model, &usable, Some(domain)));
+        }
+    }
+    lines
+}
+
+/// Finds another chain with the same first part, within the domain or over all of them.
+///
+/// A running stream keeps what its first engine holds of it, so only the engines behind the first
+/// one are replaced.
+pub fn detour(
+    model: &Model,
+    engines: &[&Engine],
+    line: &Line,
+    inside: bool,
+    now: Instant,
+) -> Option<Line> {
+    let head = line.head();
+    let clip = |engine: &&Engine| {
+        let held = engine.held?;
+        let held = match engine.upstream == head.upstream {
+            true => Layers { from: held.from.max(head.layers.from), to: head.layers.to },
+            false => Layers { from: held.from.max(head.layers.to), to: held.to },
+        };
+        (!held.is_empty()).then(|| Engine { held: Some(held), ..(*engine).clone() })
+    };
+    let clipped: Vec<Engine> = engines
+        .iter()
+        .filter(|engine| engine.is_usable(now))
+        .filter(|engine| !inside || engine.domain == line.domain)
+        .filter_map(clip)
+        .collect();
+    let clipped: Vec<&Engine> = clipped.iter().collect();
+    shortest(model, &clipped, Some(&line.domain)).filter(|found| found.head() == head)
+}
+
+/// Finds the cheapest chain over a set of engines, with its first engine in a domain if one is named.
+fn shortest(model: &Model, engines: &[&Engine], first: Option<&Domain>) -> Option<Line> {
+    let mut engines = engines.to_vec();
+    loop {
+        let parts = walk(model, &engines, first)?;
+        let mut seen = HashSet::new();
+        let twice = parts.iter().find(|&&(engine, _)| !seen.insert(engine));
+        let Some(&(twice, _)) = twice else {
+            return (parts.len() <= LONGEST).then(|| build(model, &engines, &parts)).flatten();
+        };
+        // An engine may stand in a chain once; the one between its two parts is left out.
+        let place = parts.iter().position(|&(engine, _)| engine == twice)?;
+        let between = parts.get(place + 1)?.0;
+        engines.remove(between);
+    }
+}
+
+/// Walks over the layers, at each one staying on an engine or changing to another; returns places
+/// of engines with the layers each runs.
+fn walk(
+    model: &Model,
+    engines: &[&Engine],
+    first: Option<&Domain>,
+) -> Option<Vec<(usize, Layers)>> {
+    let layers = model.layers as usize;
+    let width = engines.len();
+    let price: Vec<f64> = engines.iter().map(|engine| price(model, engine)).collect();
+    // For each layer and engine, the cost up to and with that layer, and the engine before.
+    let mut cost = vec![f64::INFINITY; layers * width];
+    let mut before = vec![usize::MAX; layers * width];
+    for layer in 0..layers {
+        let holds = |engine: &Engine| {
+            engine.held.is_some_and(|held| (held.from..held.to).contains(&(layer as u32)))
+        };
+        let previous: Vec<f64> = match layer {
+            0 => Vec::new(),
+            _ => cost[(layer - 1) * width..layer * width].to_vec(),
+        };
+        for (place, engine) in engines.iter().enumerate() {
+            if !holds(engine) {
+                continue;
+            }
+            let at = layer * width + place;
+            if layer == 0 {
+                if first.is_none_or(|domain| engine.domain == *domain) {
+                    cost[at] = price[place];
+                }
+                continue;
+            }
+            for (from, &reached) in previous.iter().enumerate() {
+                if !reached.is_finite() {
+                    continue;
+                }
+                let step = match from == place {
+                    true => 0.0,
+                    false if engines[from].domain == engine.domain => HOP,
+                    false => HOP + CROSSING,
+                };
+                let total = reached + step + price[place];
+                if total < cost[at] {
+                    cost[at] = total;
+                    before[at] = from;
+                }
+            }
+        }
+    }
+    let last = layers.checked_sub(1)?;
+    let mut place = (0..width)
+        .filter(|&place| cost[last * width + place].is_finite())
+        .min_by(|&a, &b| cost[last * width + a].total_cmp(&cost[last * width + b]))?;
+    let mut parts = vec![(place, Layers { from: 0, to: model.layers })];
+    for layer in (1..layers).rev() {
+        let from = before[layer * width + place];
+        if from != place {
+            if let Some((_, run)) = parts.last_mut() {
+                run.from = layer as u32;
+            }
+            parts.push((from, Layers { from: 0, to: layer as u32 }));
+            place = from;
+        }
+    }
+    parts.reverse();
+    Some(parts)
+}
+
+/// The cost of a layer on an engine.
+fn price(model: &Model, engine: &Engine) -> f64 {
+    let Some(card) = model.card(&engine.card) else { return f64::INFINITY };
+    let room = model.room(card, engine.held.map_or(0, Layers::len));
+    card.step_pace + SCARCITY / room.max(1.0)
+}
+
+fn build(model: &Model, engines: &[&Engine], parts: &[(usize, Layers)]) -> Option<Line> {
+    let domain = engines.get(parts.first()?.0)?.domain.clone();
+    let mut line = Line { parts: Vec::new(), domain, crossings: 0, room: f64::INFINITY };
+    let mut last: Option<&Domain> = None;
+    for &(place, layers) in parts {
+        let engine = engines[place];
+        line.crossings += u32::from(last.is_some_and(|last| *last != engine.domain));
+        last = Some(&engine.domain);
+        if let Some(card) = model.card(&engine.card) {
+            // Layers that are held but not run in this chain take memory as well.
+            let held = engine.held.map_or(0, Layers::len).max(1);
+            let room = model.room(card, held) * f64::from(held) / f64::from(layers.len().max(1));
+            line.room = line.room.min(room);
+        }
+        line.parts.push(Part {
+            upstream: engine.upstream.clone(),
+            address: engine.address,
+            layers,
+        });
+    }
+    Some(line)
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/src/pipeline/rescue.rs
@@ -0,0 +1,60 @@
+//! What becomes of a stream whose chain has stopped.
+//!
+//! The load it answers: a stage dies under full traffic, and its streams wait until the stall ends,
+//! which is longer than callers wait. All of them must go on elsewhere within that time.
+
+use goldcrestvale_base::time::Instant;
+
+use super::{Engine, Line, Model, detour};
+
+/// What becomes of a stream whose chain has stopped.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Rescue {
+    /// Every engine of the chain is usable: the stream stays.
+    Stay,
+    /// The stream moves to another chain with the same first engine, which keeps what it read.
+    Repath(Line),
+    /// The stream starts again at another chain, after the last event that the caller has.
+    Resume,
+    /// Nothing can take the stream yet.
+    Wait,
+}
+
+impl Rescue {
+    /// Decides for one stream; `lines` are the chains that take new streams.
+    ///
+    /// A new path inside the domain reads only the lost layers again, so it goes first. A whole
+    /// other chain reads everything again, and goes before a path that crosses domains twice: a
+    /// hundred streams at once would fill the pipe for longer than callers wait.
+    pub fn new(
+        model: &Model,
+        engines: &[&Engine],
+        line: &Line,
+        lines: &[&Line],
+        now: Instant,
+    ) -> Self {
+        let usable = |part: &super::Part| {
+            let engine = engines.iter().find(|engine| engine.upstream == part.upstream);
+            engine.is_some_and(|engine| {
+                engine.is_usable(now) && engine.held.is_some_and(|held| held.covers(part.layers))
+            })
+        };
+        if line.parts.iter().all(usable) {
+            return Self::Stay;
+        }
+        if usable(line.head())
+            && let Some(path) = detour(model, engines, line, true, now)
+        {
+            return Self::Repath(path);
+        }
+        if lines.iter().any(|other| other.crossings == 0 && other.head() != line.head()) {
+            return Self::Resume;
+        }
+        if usable(line.head())
+            && let Some(path) = detour(model, engines, line, false, now)
+        {
+            return Self::Repath(path);
+        }
+        Self::Wait
+    }
+}
--- a/crates/goldcrestvale_route/src/retry.rs
+++ b/crates/goldcrestvale_route/src/retry.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod series;
+mod window;
 
 pub use budget::Budget;
 pub use series::{Refusal, Result, Series};
+pub use window::Window;
--- a/crates/goldcrestvale_upstream/src/connection.rs
+++ b/crates/goldcrestvale_upstream/src/connection.rs
@@ -8,6 +8,7 @@
     client::conn::{TrySendError, http1, http2},
 };
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use crate::carrier::Carrier;
@@ -18,6 +19,10 @@
 /// How long a probe may stay unanswered before the connection is closed.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How long sent bytes may stay unacknowledged before the connection counts as dead: several round
+/// trips of a lossy link, less than a caller waits for an event.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
 /// The protocol spoken on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Protocol {
@@ -38,6 +43,9 @@
     pub(crate) async fn open(address: SocketAddr, protocol: Protocol) -> Result<Self, String> {
         let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+            .map_err(|e| e.to_string())?;
         let io = TokioIo::new(stream);
         match protocol {
             Protocol::Http1 => {
--- a/crates/goldcrestvale_upstream/src/pool.rs
+++ b/crates/goldcrestvale_upstream/src/pool.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -28,6 +28,8 @@
     pub connect_timeout: Duration,
     /// Idle HTTP/1.1 connections kept per upstream.
     pub idle_per_upstream: usize,
+    /// How long an idle connection may still be used.
+    pub idle_life: Duration,
     /// Largest accepted answer, in bytes.
     pub answer_bytes: usize,
 }
@@ -37,19 +39,55 @@
         Self {
             connect_timeout: Duration::from_millis(500),
             idle_per_upstream: 64,
+            idle_life: Duration::from_secs(3_600),
             answer_bytes: 8 << 20,
         }
     }
 }
 
+/// An answer whose body is still arriving.
+#[derive(Debug)]
+pub struct Opened {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body; dropping it before its end closes the connection.
+    pub body: Incoming,
+    lease: Lease,
+}
+
+impl Opened {
+    /// Separates the body from the connection that it arrives on.
+    pub fn into_parts(self) -> (http::response::Parts, Incoming, Lease) {
+        (self.head, self.body, self.lease)
+    }
+}
+
+/// A connection that carries an answer. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Pool,
+    address: SocketAddr,
+    connection: Connection,
+}
+
+impl Lease {
+    /// Keeps the connection for reuse, once the whole body has arrived.
+    pub fn keep(self) {
+        self.pool.put(self.address, self.connection);
+    }
+}
+
 /// A whole answer of an upstream.
 #[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) head: http::response::Parts,
-    pub(crate) body: Bytes,
+pub struct Reply {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The whole body.
+    pub body: Bytes,
 }
 
-type Idle = HashMap<SocketAddr, Vec<Connection>>;
+/// Idle connections and when each was given back.
+type Idle = HashMap<SocketAddr, Vec<(Connection, Instant)>>;
 
 /// Connections of one protocol to any number of upstreams.
 ///
@@ -95,7 +133,11 @@
     ///
     /// The request is sent at most once: it moves to a fresh connection only if the transport
     /// handed it back unsent.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Unsent`] if no byte left, else with what was seen.
+    pub async fn call(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
@@ -110,10 +152,37 @@
         }
     }
 
-    async fn exchange(&self, address: SocketAddr, mut unsent: Unsendable) -> Result<Reply> {
+    async fn exchange(&self, address: SocketAddr, unsent: Unsendable) -> Result<Reply> {
+        let opened = self.open_unsent(address, unsent).await?;
+        let (head, body, lease) = opened.into_parts();
+        let reply = self.collect(address, Response::from_parts(head, body)).await?;
+        if self.protocol == Protocol::Http1 {
+            lease.keep();
+        }
+        Ok(reply)
+    }
+
+    /// Sends a request and returns its answer as soon as the head has arrived.
+    ///
+    /// The request is sent at most once, as with a whole answer. The caller bounds the time.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Unsent`] if no byte left, else with [`Error::Broken`].
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        exchange: Exchange<Unsent>,
+    ) -> Result<Opened> {
+        let (head, body) = request.into_parts();
+        self.open_unsent(address, Unsendable { head, body, exchange }).await
+    }
+
+    async fn open_unsent(&self, address: SocketAddr, mut unsent: Unsendable) -> Result<Opened> {
         while let Some(connection) = self.take(address) {
             match self.send(address, connection, unsent).await? {
-                Attempt::Answered(reply) => return Ok(reply),
+                Attempt::Answered(opened) => return Ok(opened),
                 Attempt::HandedBack(back, _) => unsent = back,
             }
         }
@@ -125,7 +194,7 @@
             }
         };
         match self.send(address, connection, unsent).await? {
-            Attempt::Answered(reply) => Ok(reply),
+            Attempt::Answered(opened) => Ok(opened),
             Attempt::HandedBack(back, detail) => {
                 UnsentSnafu { address, detail, verdict: back.exchange.refuse() }.fail()
             }
@@ -163,11 +232,9 @@
                 return Ok(Attempt::HandedBack(Unsendable { head, body, exchange }, detail));
             }
         };
-        let reply = self.collect(address, response).await?;
-        if self.protocol == Protocol::Http1 {
-            self.put(address, connection);
-        }
-        Ok(Attempt::Answered(reply))
+        let (head, body) = response.into_parts();
+        let lease = Lease { pool: self.clone(), address, connection };
+        Ok(Attempt::Answered(Opened { head, body, lease }))
     }
 
     async fn collect(&self, address: SocketAddr, response: Response<Incoming>) -> Result<Reply> {
@@ -183,8 +250,8 @@
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         self.with_idle(|idle| {
             let kept = idle.get_mut(&address)?;
-            while let Some(connection) = kept.pop() {
-                if connection.is_ready() {
+            while let Some((connection, since)) = kept.pop() {
+                if since.elapsed() <= self.limits.idle_life && connection.is_ready() {
                     return Some(connection);
                 }
             }
@@ -200,7 +267,7 @@
         self.with_idle(|idle| {
             let kept = idle.entry(address).or_default();
             if kept.len() < most {
-                kept.push(connection);
+                kept.push((connection, Instant::now()));
             }
         });
     }
@@ -211,7 +278,7 @@
 }
 
 enum Attempt {
-    Answered(Reply),
+    Answered(Opened),
     HandedBack(Unsendable, String),
 }
 
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,6 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::Args;
+use goldcrestvale_adapter::SETTINGS_VARIABLE;
 
 use super::{Exit, client::complain};
 use crate::settings::File;
@@ -11,7 +12,7 @@
 #[derive(Debug, Args)]
 pub struct Check {
     /// The settings file.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = SETTINGS_VARIABLE)]
     settings: PathBuf,
 }
 
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -3,15 +3,16 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::Args;
+use goldcrestvale_adapter::SETTINGS_VARIABLE;
 
 use super::{Exit, client::complain};
-use crate::{logging, serve::Instance, settings::File};
+use crate::{forwarding, logging, serve::Instance, settings::File};
 
 /// Runs an entry instance until it is told to stop.
 #[derive(Debug, Args)]
 pub struct Serve {
     /// The settings file.
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = SETTINGS_VARIABLE)]
     settings: PathBuf,
 }
 
@@ -29,11 +30,15 @@
             complain(&format!("cannot set up logging: {e}"));
             return Exit::Failed.into();
         }
-        match run(file) {
+        let clean = match file.gateway.store {
+            Some(_) => forwarding::run(&self.settings, &file).map_err(|e| e.to_string()),
+            None => run(file).map_err(|e| e.to_string()),
+        };
+        match clean {
             Ok(true) => Exit::Done.into(),
             Ok(false) => Exit::CutOff.into(),
             Err(e) => {
-                complain(&e.to_string());
+                complain(&e);
                 Exit::Failed.into()
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 //! The program `goldcrestvale` runs one entry instance; this crate holds its command line,
 //! settings, logs and life cycle, and re-exports the packages that others may embed.
 
+pub use goldcrestvale_adapter as adapter;
 pub use goldcrestvale_base as base;
 pub use goldcrestvale_config as config;
 pub use goldcrestvale_entry as entry;
+pub use goldcrestvale_gateway as gateway;
 pub use goldcrestvale_ledger as ledger;
 pub use goldcrestvale_member as member;
 pub use goldcrestvale_peer as peer;
@@ -15,6 +17,7 @@
 pub use goldcrestvale_wire as wire;
 
 pub mod cli;
+pub mod forwarding;
 pub mod logging;
 pub mod serve;
 pub mod settings;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,12 +1,20 @@
 //! Structured logs: one line an event, as key=value or JSON.
 
-use std::io;
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+};
 
 use log::{
     LevelFilter, Record,
     kv::{Key, Source, Value, VisitSource},
 };
-use serde_json::Map;
+use serde_json::{Map, json};
 
 /// The form of a log line.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -25,31 +33,73 @@
     pub level: LevelFilter,
     /// Form of a line.
     pub format: Format,
+    /// Where lines go.
+    pub output: Output,
+}
+
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Output {
+    /// Standard error, as it is written.
+    #[default]
+    Stderr,
+    /// Standard output, through a bounded queue: a reader that is too slow costs lines, which are
+    /// counted, and never holds up the program.
+    Stdout,
 }
 
+/// Lines that may wait to be written to standard output.
+const QUEUE: usize = 4_096;
+
 impl Default for Logging {
     fn default() -> Self {
-        Self { level: LevelFilter::Info, format: Format::Text }
+        Self { level: LevelFilter::Info, format: Format::Text, output: Output::Stderr }
     }
 }
 
-/// Starts logging to standard error.
+/// Starts logging.
 ///
 /// # Errors
 ///
 /// Fails if a logger is already set.
 pub fn init(logging: &Logging) -> Result<(), log::SetLoggerError> {
     let format = logging.format;
-    fern::Dispatch::new()
+    let dispatch = fern::Dispatch::new()
         .level(logging.level)
         .level_for("hyper", LevelFilter::Warn)
         .level_for("h2", LevelFilter::Warn)
         .format(move |out, _, record| match format {
             Format::Text => out.finish(format_args!("{}", text_line(record))),
             Format::Json => out.finish(format_args!("{}", json_line(record))),
-        })
-        .chain(io::stderr())
-        .apply()
+        });
+    match logging.output {
+        Output::Stderr => dispatch.chain(io::stderr()).apply(),
+        Output::Stdout => dispatch.chain(queue()).apply(),
+    }
+}
+
+/// Returns a sink that hands lines to a thread and drops them while too many wait.
+fn queue() -> fern::Output {
+    let (sender, receiver) = mpsc::sync_channel::<String>(QUEUE);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let missing = dropped.clone();
+    thread::spawn(move || {
+        let mut output = io::stdout();
+        for line in receiver {
+            let missing = missing.swap(0, Ordering::Relaxed);
+            if missing > 0 {
+                // Where standard output is closed there is nobody left to tell.
+                let _ = writeln!(output, "{}", json!({ "event": "log lines dropped", "lines": missing }));
+            }
+            let _ = output.write_all(line.as_bytes());
+        }
+    });
+    fern::Output::call(move |record| {
+        let line = format!("{}\n", record.args());
+        if sender.try_send(line).is_err() {
+            dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    })
 }
 
 /// Collects the key-value pairs of a record.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod field;
+mod gateway;
 mod parse;
 
 use std::path::Path;
@@ -11,6 +12,7 @@
 use snafu::{ResultExt, Snafu, ensure};
 
 pub use fault::Fault;
+pub use gateway::Gateway;
 use field::FIELDS;
 
 use crate::logging::Logging;
@@ -50,6 +52,8 @@
 pub struct File {
     /// Settings of the entry instance.
     pub entry: Settings,
+    /// Settings of a gateway instance, which forwards to a platform's upstreams.
+    pub gateway: Gateway,
     /// Settings of the logs.
     pub logging: Logging,
 }
@@ -131,6 +135,14 @@
                 faults.push(fault::missing(path, "instance", key, "a name, as in bole-1"));
             }
         }
+        if ini.section(Some("gateway")).is_some() {
+            for key in ["store", "ready", "metrics"] {
+                if ini.get_from(Some("gateway"), key).is_none() {
+                    let right = "an IP address and port, as in 127.0.0.1:8080";
+                    faults.push(fault::missing(path, "gateway", key, right));
+                }
+            }
+        }
         let operators = &self.entry.operators;
         if operators.token.is_none() && !operators.address.ip().is_loopback() {
             let right = "a token, since the operators' address is not a loopback address";
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -20,6 +20,8 @@
 const MILLIS: &str = "milliseconds from 1 to 86400000";
 const COUNT: &str = "a whole number from 1 to 1000000";
 const BYTES: &str = "bytes from 1024 to 1073741824";
+const RATIO: &str = "a number from 0 to 1000";
+const SECONDS: &str = "seconds from 0.001 to 86400";
 const HEADER_BYTES: &str = "bytes from 8192 to 1048576";
 
 const SECRET: &str = "64 hexadecimal digits";
@@ -47,6 +49,10 @@
     parse::number(value, T::from(1)..=most)
 }
 
+fn some<T>(parse: fn(&str) -> parse::Result<T>) -> impl Fn(&str) -> parse::Result<Option<T>> {
+    move |value| parse(value).map(Some)
+}
+
 fn bytes(value: &str) -> parse::Result<usize> {
     parse::number(value, 1_024..=1_073_741_824)
 }
@@ -126,5 +132,15 @@
     field!("stop", "notice_ms", MILLIS, entry.stop.notice, parse::millis),
     field!("stop", "timeout_ms", MILLIS, entry.stop.timeout, parse::millis),
     field!("log", "level", "off, error, warn, info, debug or trace", logging.level, parse::level),
+    field!("gateway", "store", ADDRESS, gateway.store, some(parse::from_str)),
+    field!("gateway", "ready", ADDRESS, gateway.ready, some(parse::from_str)),
+    field!("gateway", "metrics", ADDRESS, gateway.metrics, some(parse::from_str)),
+    field!("gateway", "threads", COUNT, gateway.threads, count),
+    field!("gateway", "retry_ratio", RATIO, gateway.retry.ratio, parse::ratio),
+    field!("gateway", "retry_floor", RATIO, gateway.retry.floor, parse::ratio),
+    field!("gateway", "retry_span_s", SECONDS, gateway.retry.span, parse::seconds),
+    field!("gateway", "heartbeat_ms", MILLIS, gateway.heartbeat, parse::millis),
+    field!("gateway", "grace_s", SECONDS, gateway.grace, parse::seconds),
     field!("log", "format", "text or json", logging.format, parse::format),
+    field!("log", "output", "stdout or stderr", logging.output, parse::output),
 ];
--- /dev/null
+++ b/src/settings/gateway.rs
@@ -0,0 +1,66 @@
+//! Section `gateway`: the program forwards to a platform's upstreams.
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_gateway::settings::{Retry, Settings};
+
+/// Time of a stop that is kept back for the end itself.
+const STOP_RESERVE: Duration = Duration::from_millis(700);
+
+/// Section `gateway`.
+#[derive(Debug, Clone)]
+pub struct Gateway {
+    /// Address of the platform's store. The section is in use if this is set.
+    pub store: Option<SocketAddr>,
+    /// Address of the readiness check.
+    pub ready: Option<SocketAddr>,
+    /// Address of the metrics and the state dump.
+    pub metrics: Option<SocketAddr>,
+    /// Threads that serve requests.
+    pub threads: usize,
+    /// Bounds of repeated arrivals at upstreams.
+    pub retry: Retry,
+    /// How often upstreams renew their registration.
+    pub heartbeat: Duration,
+    /// How long a stop may take.
+    pub grace: Duration,
+}
+
+impl Default for Gateway {
+    fn default() -> Self {
+        Self {
+            store: None,
+            ready: None,
+            metrics: None,
+            threads: 1,
+            retry: Retry { ratio: 0.1, floor: 50.0, span: Duration::from_secs(10) },
+            heartbeat: Duration::from_millis(1_200),
+            grace: Duration::from_secs(8),
+        }
+    }
+}
+
+impl Gateway {
+    /// Returns the settings of a gateway instance and the address of the store, if the section is
+    /// in use.
+    pub fn settings(
+        &self,
+        name: &Instance,
+        domain: &Domain,
+        callers: SocketAddr,
+        connections: usize,
+    ) -> Option<(Settings, SocketAddr)> {
+        let store = self.store?;
+        let mut settings = Settings::new(name.clone(), domain.clone());
+        settings.callers = callers;
+        settings.ready = self.ready?;
+        settings.metrics = self.metrics?;
+        settings.connections = connections;
+        settings.retry = self.retry;
+        settings.placement.settle = self.heartbeat + self.heartbeat / 6;
+        let stop = &mut settings.stop;
+        stop.timeout = self.grace.saturating_sub(stop.notice + STOP_RESERVE);
+        Some((settings, store))
+    }
+}
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -4,7 +4,7 @@
 
 use log::LevelFilter;
 
-use crate::logging::Format;
+use crate::logging::{Format, Output};
 
 /// The result of parsing one value.
 pub(super) type Result<T> = std::result::Result<T, String>;
@@ -46,6 +46,32 @@
     value.parse().map_err(|_| "is not a level".to_owned())
 }
 
+pub(super) fn output(value: &str) -> Result<Output> {
+    match value {
+        "stdout" => Ok(Output::Stdout),
+        "stderr" => Ok(Output::Stderr),
+        _ => Err("is not an output".to_owned()),
+    }
+}
+
+/// Parses a fraction from 0 to 1,000.
+pub(super) fn ratio(value: &str) -> Result<f64> {
+    match value.parse() {
+        Ok(ratio) if (0.0..=1_000.0).contains(&ratio) => Ok(ratio),
+        _ => Err("is not a number from 0 to 1000".to_owned()),
+    }
+}
+
+/// Parses a time in seconds, whole or with a fraction.
+pub(super) fn seconds(value: &str) -> Result<Duration> {
+    match value.parse() {
+        Ok(seconds) if (0.001..=86_400.0).contains(&seconds) => {
+            Ok(Duration::from_secs_f64(seconds))
+        }
+        _ => Err("is not a number of seconds from 0.001 to 86400".to_owned()),
+    }
+}
+
 pub(super) fn format(value: &str) -> Result<Format> {
     match value {
         "text" => Ok(Format::Text),
