Bound the steps in which a nearly full domain settles

Cause: with hardly more memory than the model takes, boundaries move one after the other, and the property test gave up after twelve steps. Ruled out: a cycle; the steps of the minimal case show each boundary moving once.

--- a/crates/goldcrestvale_route/tests/pipeline/layer_mend.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/layer_mend.rs
@@ -78,9 +78,12 @@
 }
 
 /// Orders until nothing is left to order; returns the least room of the chain after each step.
+///
+/// In a domain with hardly more memory than the model takes, boundaries move one after the other,
+/// each in two steps, so there are at most four steps an engine.
 fn settle(engines: &mut [Engine], name: &str) -> Vec<f64> {
     let mut rooms = Vec::new();
-    for _ in 0..12 {
+    for _ in 0..of(engines, name).len() * 4 {
         let mut orders = mend(&model(), &of(engines, name), |_| false);
         if orders.is_empty() {
             orders = widen(&model(), &of(engines, name));
