--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -58,6 +58,10 @@
             Notice::Leaving(mark) => {
                 info!(upstream:% = mark.upstream, source:? = mark.source; "upstream is leaving");
             }
+            // Relayed steps have health of their own.
+            Notice::Silent(silence) => {
+                debug!(upstream:% = silence.upstream; "a peer leaves an upstream alone");
+            }
             Notice::Config { instance, config } => {
                 self.offered(&instance, config.version, config.digest);
             }
--- a/crates/goldcrestvale_entry/src/peers/tasks.rs
+++ b/crates/goldcrestvale_entry/src/peers/tasks.rs
@@ -111,7 +111,7 @@
     let Offer { version, digest } = node.configuration.seen().offer;
     let config = (version.0 > 0).then(|| Config { version, digest: brief_of(&digest) });
     let draining = node.life.phase() >= Phase::Leaving;
-    Status { config, draining, schema: configuration::schema() }
+    Status { config, draining, schema: configuration::schema(), leads: false }
 }
 
 fn insert_gauges(node: &Arc<Node>, handle: &Handle) {
--- a/crates/goldcrestvale_gateway/src/catalog.rs
+++ b/crates/goldcrestvale_gateway/src/catalog.rs
@@ -44,6 +44,11 @@
         self.last_join
     }
 
+    /// Returns the registration of an upstream.
+    pub fn get(&self, upstream: &Upstream) -> Option<&Registration> {
+        self.rows.get(upstream).map(|row| &row.registration)
+    }
+
     /// Returns whether an upstream is listed.
     pub fn contains(&self, upstream: &Upstream) -> bool {
         self.rows.contains_key(upstream)
@@ -89,6 +94,29 @@
         }
     }
 
+    /// Returns the registrations, as they are passed on to other instances.
+    pub fn registrations(&self) -> impl Iterator<Item = Registration> {
+        self.rows.values().filter(|row| row.missing_until.is_none()).map(|row| {
+            let ready = row.registration.ready && row.leaving_since.is_none();
+            Registration { ready, ..row.registration.clone() }
+        })
+    }
+
+    /// Notes that an upstream is leaving, if it is still in the named life.
+    pub fn leave(&mut self, upstream: &Upstream, born: Option<&str>, now: Instant) -> bool {
+        let Some(row) = self.rows.get_mut(upstream) else { return false };
+        let is_same = match (born, row.registration.born_ms) {
+            (Some(born), Some(own)) => own.to_string() == born,
+            _ => true,
+        };
+        let news = is_same && row.registration.ready;
+        if news {
+            row.registration.ready = false;
+            row.leaving_since = Some(now);
+        }
+        news
+    }
+
     /// Drops the upstreams that did not come back in time.
     pub fn expire(&mut self, now: Instant) -> Vec<News> {
         let late: Vec<Upstream> = self
@@ -118,11 +146,8 @@
     fn register(&mut self, registration: &Registration, now: Instant) -> Option<News> {
         let upstream = registration.upstream.clone();
         let leaving_since = (!registration.ready).then_some(now);
-        let fresh = || Row {
-            registration: registration.clone(),
-            leaving_since,
-            missing_until: None,
-        };
+        let fresh =
+            || Row { registration: registration.clone(), leaving_since, missing_until: None };
         match self.rows.get_mut(&upstream) {
             Some(row) if row.registration.born_ms == registration.born_ms => {
                 row.missing_until = None;
@@ -150,12 +175,7 @@
         }
     }
 
-    fn lose(
-        &mut self,
-        upstream: &Upstream,
-        now: Instant,
-        grace: Option<Duration>,
-    ) -> Option<News> {
+    fn lose(&mut self, upstream: &Upstream, now: Instant, grace: Option<Duration>) -> Option<News> {
         match grace {
             Some(grace) => {
                 let row = self.rows.get_mut(upstream)?;
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::{
     catalog::Catalog,
     metrics::Metrics,
+    peers::Peers,
     registry::Registry,
     settings::{Retry, Settings},
     view::{Fleet, View},
@@ -47,6 +48,13 @@
 /// Instances that the retry budget is shared between, as long as their number is not known.
 const ASSUMED_INSTANCES: f64 = 7.0;
 
+/// How long it is remembered that an upstream was blamed.
+const BLAME_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// Part of its share of the retry budget that an instance uses, since the others may see fewer or
+/// more instances for a while.
+const OWN_SHARE: f64 = 0.9;
+
 /// The shared state of a gateway instance.
 #[derive(Debug)]
 pub(crate) struct Gateway<P> {
@@ -63,10 +71,12 @@
     /// Tells the placer that something changed.
     pub(crate) changed: Notify,
     known: Mutex<Known>,
+    pub(crate) peers: Peers,
     windows: Mutex<HashMap<Service, Window>>,
     retry: Mutex<Retry>,
     rng: Mutex<StdRng>,
     listed: AtomicBool,
+    reached: AtomicBool,
     leaving: AtomicBool,
     /// Until when this instance has the duty of placing layers, in microseconds of its clock.
     duty_until: AtomicU64,
@@ -78,19 +88,37 @@
     pub(crate) catalog: Catalog,
     /// Until when an upstream is left alone: it failed, or a chain through it did.
     avoided: HashMap<Upstream, Instant>,
-    /// Until when an engine counts as silent: streams in progress must leave it.
-    silent: HashMap<Upstream, Instant>,
+    /// When an upstream was blamed last.
+    blamed: HashMap<Upstream, Instant>,
+    /// Until when an upstream counts as in trouble, and since when.
+    troubled: HashMap<(Upstream, Trouble), Span>,
+}
+
+/// Trouble of an upstream that all instances know of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Trouble {
+    /// It does not answer: streams in progress leave it at once.
+    Silent,
+    /// It answers and takes no new work, as one that is leaving.
+    Refusing,
+}
+
+/// When a trouble began and when it is forgotten.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Span {
+    pub(crate) since: Instant,
+    pub(crate) until: Instant,
 }
 
 impl Known {
     fn view(&self, table: &Table, now: Instant) -> View {
-        View::build(table, &self.catalog, &self.avoided, &self.silent, now)
+        View::build(table, &self.catalog, &self.avoided, &self.troubled, now)
     }
 
     /// Uses an upstream again that came back in a new life.
     pub(crate) fn forgive(&mut self, upstream: &Upstream) {
         self.avoided.remove(upstream);
-        self.silent.remove(upstream);
+        self.troubled.retain(|(troubled, _), _| troubled != upstream);
     }
 }
 
@@ -112,10 +140,12 @@
             pool: Pool::new(Protocol::Http1, limits),
             changed: Notify::new(),
             known: Mutex::default(),
+            peers: Peers::default(),
             windows: Mutex::default(),
             retry: Mutex::new(settings.retry),
             rng: Mutex::new(StdRng::from_os_rng()),
             listed: AtomicBool::new(false),
+            reached: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             duty_until: AtomicU64::new(0),
             settings,
@@ -128,7 +158,7 @@
 
     /// Returns whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.listed.load(Ordering::Acquire) && self.is_configured()
+        !self.is_leaving() && self.is_listed() && self.is_configured()
     }
 
     pub(crate) fn is_configured(&self) -> bool {
@@ -143,6 +173,19 @@
         self.leaving.store(true, Ordering::Release);
     }
 
+    pub(crate) fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_directory_reached(&self) -> bool {
+        self.reached.load(Ordering::Acquire)
+    }
+
+    /// Notes whether the directory's list of upstreams can be read.
+    pub(crate) fn set_directory_reached(&self, reached: bool) {
+        self.reached.store(reached, Ordering::Release);
+    }
+
     pub(crate) fn set_listed(&self) {
         if !self.listed.swap(true, Ordering::AcqRel) {
             info!("upstreams are known");
@@ -168,25 +211,49 @@
         })
     }
 
-    /// Counts an engine as not answering: streams leave it, and its layers are placed elsewhere.
-    pub(crate) fn silence(&self, upstream: &Upstream, time: Duration, why: &str) {
+    /// Counts an upstream as in trouble, and tells the peers.
+    pub(crate) fn trouble(&self, upstream: &Upstream, trouble: Trouble, time: Duration, why: &str) {
+        if self.note(upstream, trouble, time, why) {
+            self.peers.tell(upstream, trouble, time);
+        }
+    }
+
+    /// Counts an upstream as in trouble; returns whether that is news.
+    pub(crate) fn note(
+        &self,
+        upstream: &Upstream,
+        trouble: Trouble,
+        time: Duration,
+        why: &str,
+    ) -> bool {
         let now = self.now();
+        let until = now + time;
+        let mut fresh = false;
         self.learn(|known| {
-            let before = known.silent.insert(upstream.clone(), now + time);
-            if before.is_none_or(|before| before <= now) {
-                warn!(upstream:% = upstream, millis = time.as_millis() as u64, why; "upstream counts as silent");
-                return true;
-            }
-            false
+            let key = (upstream.clone(), trouble);
+            let since = match known.troubled.get(&key) {
+                Some(span) if span.until > now => span.since,
+                _ => {
+                    fresh = true;
+                    now
+                }
+            };
+            known.troubled.insert(key, Span { since, until });
+            fresh
         });
+        if fresh {
+            let millis = time.as_millis() as u64;
+            warn!(upstream:% = upstream, trouble:? = trouble, millis, why; "upstream is in trouble");
+        }
+        fresh
     }
 
     /// Returns whether an upstream is gone, or counts as not answering.
     pub(crate) fn is_lost(&self, upstream: &Upstream) -> bool {
         let now = self.now();
         self.read(|known| {
-            known.silent.get(upstream).is_some_and(|until| *until > now)
-                || !known.catalog.contains(upstream)
+            let silent = known.troubled.get(&(upstream.clone(), Trouble::Silent));
+            silent.is_some_and(|span| span.until > now) || !known.catalog.contains(upstream)
         })
     }
 
@@ -221,6 +288,7 @@
         let until = now + time;
         let mut fresh = false;
         self.learn(|known| {
+            known.blamed.insert(upstream.clone(), now);
             let before = known.avoided.insert(upstream.clone(), until);
             if before.is_none_or(|before| before <= now) {
                 warn!(upstream:% = upstream, millis = time.as_millis() as u64, why; "upstream is left alone");
@@ -231,16 +299,24 @@
         fresh
     }
 
+    /// Returns whether an upstream was left alone until a moment ago.
+    pub(crate) fn was_avoided(&self, upstream: &Upstream) -> bool {
+        let now = self.now();
+        let until = self.read(|known| known.blamed.get(upstream).copied());
+        until.is_some_and(|until| now.since(until) < BLAME_MEMORY)
+    }
+
     /// Uses the upstreams again whose time of being left alone has passed.
     pub(crate) fn expire(&self) {
         let now = self.now();
         self.learn(|known| {
             let before = known.avoided.len();
             known.avoided.retain(|_, until| *until > now);
-            let silent = known.silent.len();
-            known.silent.retain(|_, until| *until > now);
+            known.blamed.retain(|_, at| now.since(*at) < BLAME_MEMORY);
+            let troubled = known.troubled.len();
+            known.troubled.retain(|_, span| span.until > now);
             let gone = known.catalog.expire(now);
-            before != known.avoided.len() || silent != known.silent.len() || !gone.is_empty()
+            before != known.avoided.len() || troubled != known.troubled.len() || !gone.is_empty()
         });
     }
 
@@ -270,16 +346,17 @@
     }
 
     /// Chooses a chain for a stream; `without` are first engines that it must not take.
-    pub(crate) fn choose(
-        &self,
-        fleet: &Fleet,
-        without: &[Upstream],
-    ) -> Result<Arc<Line>, Choice> {
+    pub(crate) fn choose(&self, fleet: &Fleet, without: &[Upstream]) -> Result<Arc<Line>, Choice> {
+        let peers = self.peers.snapshot();
         let candidates: Vec<(&Line, Load)> = fleet
             .lines
             .iter()
             .filter(|line| !without.contains(&line.head().upstream))
-            .map(|line| (line.as_ref(), self.registry.load(&line.head().upstream)))
+            .map(|line| {
+                let head = &line.head().upstream;
+                let others = peers.others.total(head);
+                (line.as_ref(), Load { others, ..self.registry.load(head) })
+            })
             .collect();
         let domain = &self.settings.domain;
         let draw = self.draw();
@@ -320,16 +397,14 @@
 
     fn with_window<T>(&self, service: &Service, with: impl FnOnce(&mut Window) -> T) -> T {
         let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(window) = windows.get_mut(service) {
-            return with(window);
-        }
         let retry = *self.retry.lock().unwrap_or_else(PoisonError::into_inner);
-        let floor = retry.floor / ASSUMED_INSTANCES;
-        with(
-            windows
-                .entry(service.clone())
-                .or_insert_with(|| Window::new(retry.span, retry.ratio, floor)),
-        )
+        let instances = self.peers.instances().map_or(ASSUMED_INSTANCES, f64::from);
+        let floor = retry.floor * OWN_SHARE / instances;
+        let window = windows
+            .entry(service.clone())
+            .or_insert_with(|| Window::new(retry.span, retry.ratio, floor));
+        window.set_floor(floor);
+        with(window)
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod gateway;
 mod metrics;
+mod peers;
 mod placer;
 mod plain;
 pub mod port;
--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -59,6 +59,7 @@
 async fn keep<P: Port>(gateway: Arc<Gateway<P>>, member: String, stop: CancellationToken) {
     let times = gateway.settings.placement;
     let mut tenure = Tenure { generation: 0, is_held: false };
+    let mut renewed_at = gateway.now();
     loop {
         // The tenure counts from before the call, so it ends here no later than at the platform.
         let asked = gateway.now();
@@ -69,9 +70,17 @@
                 }
                 tenure = renewed;
                 gateway.set_duty(tenure.is_held.then_some(asked + times.tenure));
+                renewed_at = asked;
             }
             Err(e) => {
                 gateway.metrics.count_store_failure("renew");
+                let unasked = gateway.now().since(renewed_at);
+                if steps_in(&gateway, tenure, unasked) {
+                    if !gateway.has_duty() {
+                        info!(unasked_ms = unasked.as_millis() as u64; "places layers without the platform");
+                    }
+                    gateway.set_duty(Some(gateway.now() + times.tenure));
+                }
                 log::debug!(error:% = e; "the duty was not renewed");
             }
         }
@@ -81,6 +90,20 @@
     }
 }
 
+/// Returns whether this instance places layers although the platform cannot be asked.
+///
+/// The last holder goes on, unless a peer says that it has the duty. Where nobody has it, the first
+/// instance by name does. Should only some instances be cut off, two place for a while: the engines
+/// refuse orders that do not expect their state, so that costs orders and breaks nothing.
+fn steps_in<P>(gateway: &Gateway<P>, tenure: Tenure, unasked: Duration) -> bool {
+    let times = gateway.settings.placement;
+    let peers = gateway.peers.snapshot();
+    if peers.is_led || gateway.is_leaving() {
+        return false;
+    }
+    (tenure.is_held && unasked < times.unattended) || (peers.is_first && unasked >= times.vacancy)
+}
+
 async fn place<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let pending: Pending = Arc::default();
     let mut calm: HashMap<Domain, Instant> = HashMap::new();
@@ -188,9 +211,8 @@
             gateway.learn(|known| known.catalog.set_layers(&engine.upstream, report.layers));
             return;
         }
-        let is_stale = ordered.is_some_and(|(expected, until)| {
-            report.orders == expected && gateway.now() < until
-        });
+        let is_stale = ordered
+            .is_some_and(|(expected, until)| report.orders == expected && gateway.now() < until);
         if report.busy || is_stale {
             tokio::time::sleep(ORDER_POLL).await;
             continue;
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -116,8 +116,9 @@
     fn clean_answer(&self, headers: &mut HeaderMap);
 }
 
+goldcrestvale_base::domain! {
+value
 /// What an engine holds, as its registration says.
-#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holding {
     /// Kind of card.
     pub card: String,
@@ -126,7 +127,6 @@
 }
 
 /// An upstream as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Registration {
     /// Name of this life of the upstream.
     pub upstream: Upstream,
@@ -145,6 +145,7 @@
     /// What it holds, for engines.
     pub holding: Option<Holding>,
 }
+}
 
 /// What a directory keeps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -206,7 +207,7 @@
 }
 
 /// The state of an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Report {
     /// Layers that it holds.
     pub layers: Option<Layers>,
@@ -214,6 +215,12 @@
     pub orders: u64,
     /// Whether it carries out an order.
     pub busy: bool,
+    /// Streams that run.
+    pub running: u32,
+    /// Streams that wait.
+    pub waiting: u32,
+    /// Share of its memory for streams that is taken, from 0 to 1.
+    pub memory_taken: f64,
     /// Streams that it heads and that are stalled.
     pub stalled: Vec<Stalled>,
 }
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -87,6 +87,7 @@
         let head = state.heads.get(head);
         head.map_or_else(Load::default, |head| Load {
             own: head.pulse.streams(),
+            others: 0,
             reported: head.reported,
         })
     }
@@ -120,12 +121,18 @@
         }
     }
 
+    /// Returns the streams in progress by first engine.
+    pub(crate) fn heads(&self) -> Vec<(Upstream, u32)> {
+        let state = self.lock();
+        let heads = state.heads.iter();
+        heads.map(|(upstream, head)| (upstream.clone(), head.pulse.streams())).collect()
+    }
+
     /// Returns the number of streams in progress.
     pub(crate) fn len(&self) -> usize {
         self.lock().streams.len()
     }
 
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -9,8 +9,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    gateway::Gateway,
-    port::Port,
+    gateway::{Gateway, Trouble},
+    port::{Port, Report},
     registry::Stream,
     stream::repath,
     view::{Fleet, View},
@@ -23,6 +23,12 @@
 /// outlives it.
 const SILENT: Duration = Duration::from_millis(4_500);
 
+/// How long an engine that takes no work with room left is left alone before it is tried again.
+const REFUSING: Duration = Duration::from_millis(3_000);
+
+/// Share of memory and places taken up to which an engine has room for any request.
+const ROOMY: f64 = 0.75;
+
 /// How long a stream may stay on an engine that is leaving: most streams end within that time, and
 /// the engine still serves.
 const LEAVING_STAY: Duration = Duration::from_millis(1_300);
@@ -52,23 +58,51 @@
                 report.stalled.iter().map(|stalled| stalled.address).collect();
             let engines = view.fleets.values().flat_map(|fleet| &fleet.engines);
             for engine in engines.filter(|engine| addresses.contains(&engine.address)) {
-                gateway.silence(&engine.upstream, SILENT, "a chain waits for it");
+                gateway.trouble(&engine.upstream, Trouble::Silent, SILENT, "a chain waits for it");
             }
         }
-        Err(e) => gateway.silence(head, SILENT, &format!("its chain stopped: {e}")),
+        Err(e) => {
+            let why = format!("its chain stopped: {e}");
+            gateway.trouble(head, Trouble::Silent, SILENT, &why);
+        }
     }
 }
 
-/// Finds out whether an engine that an answer blamed is dead or only full.
-pub(crate) async fn probe<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream) {
+/// Why an engine is probed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Blame {
+    /// It could not be reached, or broke off.
+    Failure,
+    /// It refused a stream.
+    Refusal,
+    /// It refused streams a moment ago as well.
+    Refusals,
+}
+
+/// Finds out whether an engine that is blamed is dead, leaving or only full.
+pub(crate) async fn probe<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream, blame: Blame) {
     let view = gateway.view.load_full();
     let engine = view.fleets.values().find_map(|fleet| fleet.engine(&upstream));
     let Some(engine) = engine.filter(|_| !gateway.is_lost(&upstream)) else { return };
-    if let Err(e) = gateway.port.report(engine.address).await {
-        gateway.silence(&upstream, SILENT, &e.to_string());
+    let slots = view.fleets.values().map(|fleet| fleet.model.slots).min().unwrap_or_default();
+    match gateway.port.report(engine.address).await {
+        Err(e) => gateway.trouble(&upstream, Trouble::Silent, SILENT, &e.to_string()),
+        // With room left and no order in progress, the only cause that is left is that it leaves.
+        Ok(report) if blame == Blame::Refusals && has_room(&report, slots) => {
+            gateway.trouble(&upstream, Trouble::Refusing, REFUSING, "it refuses with room left");
+        }
+        Ok(report) => {
+            info!(upstream:% = upstream, memory_taken = report.memory_taken, busy = report.busy; "blamed upstream answers");
+        }
     }
 }
 
+/// Returns whether an engine could take a stream, as far as its report tells.
+fn has_room(report: &Report, slots: u32) -> bool {
+    let streams = f64::from(report.running + report.waiting);
+    !report.busy && report.memory_taken < ROOMY && streams < f64::from(slots) * ROOMY
+}
+
 /// Moves the streams whose chains hold an engine that is lost or leaving.
 async fn move_streams<P: Port>(gateway: &Arc<Gateway<P>>) {
     let view = gateway.view.load_full();
@@ -83,7 +117,8 @@
         let lines: Vec<&Line> = fleet.lines.iter().map(Arc::as_ref).collect();
         let now = gateway.now();
         for (number, stream) in streams {
-            match Rescue::new(&fleet.model, &engines, &stream.line, &lines, stream.may_resume, now) {
+            match Rescue::new(&fleet.model, &engines, &stream.line, &lines, stream.may_resume, now)
+            {
                 Rescue::Stay | Rescue::Wait => {}
                 Rescue::Resume => {
                     info!(request = stream.id.as_str(), head:% = stream.line.head().upstream; "stream goes on elsewhere");
--- a/crates/goldcrestvale_gateway/src/serve.rs
+++ b/crates/goldcrestvale_gateway/src/serve.rs
@@ -18,7 +18,13 @@
 use tower::service_fn;
 
 use crate::{
-    forward, gateway::Gateway, metrics::Metrics, placer, port::Port, rescue, settings::{Retry, Settings},
+    forward,
+    gateway::Gateway,
+    metrics::Metrics,
+    peers, placer,
+    port::Port,
+    rescue,
+    settings::{Retry, Settings},
     watch,
 };
 
@@ -125,8 +131,14 @@
             let bounds = bounds(CONTROL_CONNECTIONS);
             listen(settings.metrics, bounds, "metrics", service, CONTROL_DRAIN).await?
         };
+        if let Some(peer) = &settings.peer {
+            let address = peer.address;
+            let context = ListenSnafu { address, interface: "peers" };
+            peers::start(&gateway, peer).await.context(context)?;
+        }
         let stop = CancellationToken::new();
         let tasks = vec![
+            tokio::spawn(peers::attend(gateway.clone(), stop.clone())),
             tokio::spawn(watch::configuration(gateway.clone(), stop.clone())),
             tokio::spawn(watch::upstreams(gateway.clone(), stop.clone())),
             tokio::spawn(rescue::watch(gateway.clone(), stop.clone())),
@@ -178,6 +190,7 @@
         if let Err(e) = self.duty.await {
             warn!(error:% = e; "the task of placing layers failed");
         }
+        self.gateway.peers.stop().await;
         for task in self.tasks {
             task.abort();
         }
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_wire::key::Secret;
 
 /// Settings of a gateway instance.
 #[derive(Debug, Clone)]
@@ -27,6 +28,21 @@
     pub directory: Directory,
     /// Placing of layers.
     pub placement: Placement,
+    /// The other instances; without it the instance stays alone.
+    pub peer: Option<Peer>,
+}
+
+/// The way to the other instances.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Address for peers.
+    pub address: SocketAddr,
+    /// Addresses to try first; stale ones do no harm.
+    pub seeds: Vec<SocketAddr>,
+    /// Secret that all instances share.
+    pub secret: Option<Secret>,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
 }
 
 /// Bounds of repeated arrivals at upstreams.
@@ -71,6 +87,10 @@
     pub tenure: Duration,
     /// Pause between renewals.
     pub renewal: Duration,
+    /// How long the last holder goes on while the platform cannot be asked.
+    pub unattended: Duration,
+    /// How long the platform may be silent before the first instance takes a duty nobody has.
+    pub vacancy: Duration,
     /// How long no engine may join before an empty domain is laid out: one heartbeat of the
     /// engines.
     pub settle: Duration,
@@ -111,8 +131,11 @@
             placement: Placement {
                 tenure: Duration::from_millis(2_500),
                 renewal: Duration::from_millis(800),
+                unattended: Duration::from_secs(15),
+                vacancy: Duration::from_millis(1_500),
                 settle: Duration::from_millis(1_400),
             },
+            peer: None,
         }
     }
 }
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -20,14 +20,16 @@
     body::{Body, Broken, full},
     event::Splitter,
     forward::Matched,
+    gateway::Gateway,
     port::{Dispatch, Head, Port},
     registry::Ticket,
-    rescue::probe,
+    rescue::{Blame, probe},
     send::{Sent, send},
 };
 
-/// How long a first engine is left alone that could not be reached or broke off.
-const AVOID_BROKEN: Duration = Duration::from_millis(2_000);
+/// How long a first engine is left alone that could not be reached or broke off: until a probe has
+/// told whether it is there.
+const AVOID_BROKEN: Duration = Duration::from_millis(500);
 
 /// How long an engine is left alone that lacks the layers it should hold: until its next record.
 const AVOID_MISSING: Duration = Duration::from_millis(1_500);
@@ -75,7 +77,8 @@
 }
 
 pub(crate) async fn serve<P: Port>(mut matched: Matched<P>) -> Response<Body> {
-    let service = matched.gateway.table.load().pick(&matched.route, matched.gateway.draw()).cloned();
+    let service =
+        matched.gateway.table.load().pick(&matched.route, matched.gateway.draw()).cloned();
     let Some(service) = service else {
         let refusal = Refusal::not_run("no service", "the route names no service", BACK_BROKEN);
         return end(&mut matched, &refusal);
@@ -201,12 +204,13 @@
                 without.push(head);
             }
             Some(Sent::Unsent(why)) => {
-                gateway.avoid(&head, AVOID_BROKEN, &why);
+                suspect(&gateway, &head, AVOID_BROKEN, Blame::Failure, &why);
                 without.push(head);
             }
             Some(Sent::Broken(why)) => {
                 *ran += 1;
-                gateway.avoid(&head, AVOID_BROKEN, &why);
+                // One lost answer says little of the engine: it is asked, and not left alone yet.
+                tokio::spawn(probe(gateway.clone(), head.clone(), Blame::Failure));
                 without.push(head);
                 if !may_run_again(matched, *ran) {
                     return Opening::Refused(Refusal::may_have_run("upstream failed", why));
@@ -287,8 +291,23 @@
         StatusCode::MISDIRECTED_REQUEST => AVOID_MISSING,
         _ => AVOID_FULL,
     };
-    if gateway.avoid(&blamed.upstream, time, &format!("refused with {status}")) {
-        tokio::spawn(probe(gateway.clone(), blamed.upstream.clone()));
+    suspect(gateway, &blamed.upstream, time, Blame::Refusal, &format!("refused with {status}"));
+}
+
+/// Leaves an engine alone, and finds out what is wrong with it.
+fn suspect<P: Port>(
+    gateway: &Arc<Gateway<P>>,
+    upstream: &Upstream,
+    time: Duration,
+    blame: Blame,
+    why: &str,
+) {
+    let blame = match blame {
+        Blame::Refusal if gateway.was_avoided(upstream) => Blame::Refusals,
+        blame => blame,
+    };
+    if gateway.avoid(upstream, time, why) {
+        tokio::spawn(probe(gateway.clone(), upstream.clone(), blame));
     }
 }
 
@@ -408,7 +427,7 @@
 
 /// Moves a running stream to another chain with the same first engine.
 pub(crate) async fn repath<P: Port>(
-    gateway: &crate::gateway::Gateway<P>,
+    gateway: &Gateway<P>,
     number: u64,
     id: &str,
     line: Line,
--- a/crates/goldcrestvale_gateway/src/view.rs
+++ b/crates/goldcrestvale_gateway/src/view.rs
@@ -11,7 +11,11 @@
     pipeline::{Engine, Line, Model, find_lines},
 };
 
-use crate::{catalog::Catalog, port::Registration};
+use crate::{
+    catalog::Catalog,
+    gateway::{Span, Trouble},
+    port::Registration,
+};
 
 /// An upstream of a plain service.
 #[derive(Debug, Clone)]
@@ -50,13 +54,13 @@
 }
 
 impl View {
-    /// Builds a snapshot. `avoided` says until when an upstream is to be left alone, `silent` until
-    /// when it counts as not answering.
+    /// Builds a snapshot. `avoided` says until when an upstream is to be left alone, `troubled` what
+    /// the instances found of it.
     pub(crate) fn build(
         table: &Table,
         catalog: &Catalog,
         avoided: &HashMap<Upstream, Instant>,
-        silent: &HashMap<Upstream, Instant>,
+        troubled: &HashMap<(Upstream, Trouble), Span>,
         now: Instant,
     ) -> Self {
         let mut view = Self { built: now, ..Self::default() };
@@ -64,7 +68,14 @@
         for (registration, leaving) in catalog.iter() {
             let upstream = &registration.upstream;
             let avoided_until = avoided.get(upstream).copied().unwrap_or_default();
+            let in_trouble = |trouble| {
+                let span = troubled.get(&(upstream.clone(), trouble));
+                span.filter(|span| span.until > now)
+            };
+            let refusing = in_trouble(Trouble::Refusing);
+            let leaving = leaving.or(refusing.map(|span| span.since));
             view.leaving.extend(leaving.map(|since| (upstream.clone(), since)));
+            let ready = registration.ready && refusing.is_none();
             match &registration.holding {
                 Some(holding) => {
                     engines.entry(registration.service.clone()).or_default().push(Engine {
@@ -73,12 +84,12 @@
                         domain: registration.domain.clone(),
                         card: holding.card.clone(),
                         held: holding.layers,
-                        ready: registration.ready,
-                        silent: silent.get(upstream).is_some_and(|until| *until > now),
+                        ready,
+                        silent: in_trouble(Trouble::Silent).is_some(),
                         avoided_until,
                     });
                 }
-                None if registration.ready => view
+                None if ready => view
                     .plain
                     .entry(registration.service.clone())
                     .or_default()
--- a/crates/goldcrestvale_gateway/src/watch.rs
+++ b/crates/goldcrestvale_gateway/src/watch.rs
@@ -104,7 +104,9 @@
     let mut away_until = None;
     loop {
         let was_reachable = reader.reachable;
-        let Some(read) = stop.run_until_cancelled(reader.read(Duration::ZERO)).await else { return };
+        let Some(read) = stop.run_until_cancelled(reader.read(Duration::ZERO)).await else {
+            return;
+        };
         let pause = match read {
             Some((page, whole)) => {
                 let now = gateway.now();
@@ -120,8 +122,12 @@
                     false => times.upstream_pause,
                 }
             }
-            None => FAILURE_PAUSE,
+            None => {
+                gateway.peers.ask_list().await;
+                FAILURE_PAUSE
+            }
         };
+        gateway.set_directory_reached(reader.reachable);
         if stop.run_until_cancelled(tokio::time::sleep(pause)).await.is_none() {
             return;
         }
@@ -144,7 +150,12 @@
                     known.forgive(upstream);
                     info!(upstream:% = upstream; "upstream joined");
                 }
-                News::Leaving(upstream) => info!(upstream:% = upstream; "upstream is leaving"),
+                News::Leaving(upstream) => {
+                    info!(upstream:% = upstream; "upstream is leaving");
+                    if let Some(registration) = known.catalog.get(upstream) {
+                        gateway.peers.tell_leaving(registration, gateway.clock.wall());
+                    }
+                }
                 News::Gone(upstream) => info!(upstream:% = upstream; "upstream is gone"),
                 News::Changed(_) => {}
             }
--- a/crates/goldcrestvale_member/src/action.rs
+++ b/crates/goldcrestvale_member/src/action.rs
@@ -11,6 +11,7 @@
     identity::Identity,
     leaving::Mark,
     message::{Config, Message},
+    silence::Silence,
 };
 
 domain! {
@@ -51,6 +52,8 @@
         },
         /// An upstream takes no new work.
         Leaving(Mark),
+        /// A peer found that an upstream is to be left alone.
+        Silent(Silence),
         /// A peer has a newer configuration, or another one under the same version.
         Config {
             /// The peer.
--- a/crates/goldcrestvale_member/src/event.rs
+++ b/crates/goldcrestvale_member/src/event.rs
@@ -14,6 +14,7 @@
     limit::Parts,
     message::{Message, Status},
     sends::Sent,
+    silence::Silence,
 };
 
 domain! {
@@ -56,6 +57,8 @@
         },
         /// A source of this instance says that an upstream leaves.
         Leaving(Mark),
+        /// This instance found that an upstream is to be left alone.
+        Silent(Silence),
         /// An upstream is no longer on the platform's list.
         Removed(Upstream),
         /// The demand of a customer at this instance, in parts of its limit.
--- a/crates/goldcrestvale_member/src/lib.rs
+++ b/crates/goldcrestvale_member/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod sends;
 pub mod settings;
+pub mod silence;
 pub mod view;
 
 /// Re-exports the types that a daemon needs.
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -17,6 +17,7 @@
     message::{Heartbeat, Message, Status},
     sends::{Others, Own},
     settings::Settings,
+    silence::{Silence, Silences},
     view::{Notices, Peer, View},
 };
 
@@ -62,6 +63,8 @@
     own_sends: Own,
     #[serde(skip)]
     others: Others,
+    #[serde(skip)]
+    silences: Silences,
     dials: Schedule,
     #[serde(skip)]
     duties: Duties,
@@ -79,6 +82,7 @@
             sharing: Sharing::new(settings.instances, settings.hold),
             own_sends: Own::default(),
             others: Others::default(),
+            silences: Silences::default(),
             dials: Schedule::default(),
             duties: Duties::new(&settings),
             settings,
@@ -144,6 +148,7 @@
                 self.leaving.see(now, at, &upstream, &incarnation);
             }
             Event::Leaving(mark) => self.mark(now, &mark, None, &mut actions),
+            Event::Silent(silence) => self.silence(now, &silence, None, &mut actions),
             Event::Removed(upstream) => self.leaving.remove(now, &upstream),
             Event::Demand { customer, parts } => self.sharing.set_demand(&customer, parts),
             Event::Sent(sent) => self.own_sends.set(&sent),
@@ -193,6 +198,11 @@
             }
             Message::Use(told) => self.sharing.receive(now, from, &told),
             Message::Sends(totals) => self.others.hear(now, from, &totals),
+            Message::Silent(silences) => {
+                for silence in silences {
+                    self.silence(now, &silence, Some(from), actions);
+                }
+            }
         }
     }
 
@@ -207,6 +217,27 @@
         actions.push(Action::Notify(Notice::Leaving(mark)));
     }
 
+    /// Passes the news of a silence on, and tells the daemon if it comes from a peer.
+    fn silence(
+        &mut self,
+        now: Instant,
+        silence: &Silence,
+        from: Option<&Instance>,
+        actions: &mut Actions,
+    ) {
+        if !self.silences.note(now, silence) {
+            return;
+        }
+        for peer in self.view.linked() {
+            if Some(&peer.seed.instance) != from {
+                send(actions, &peer.seed.instance, Message::Silent(vec![silence.clone()]));
+            }
+        }
+        if from.is_some() {
+            actions.push(Action::Notify(Notice::Silent(silence.clone())));
+        }
+    }
+
     fn tell_leaving(&self, to: &Instance, actions: &mut Actions) {
         let marks: Vec<Mark> = self.leaving.marks().collect();
         for marks in marks.chunks(MAX_MARKS) {
--- a/crates/goldcrestvale_member/src/message.rs
+++ b/crates/goldcrestvale_member/src/message.rs
@@ -5,7 +5,7 @@
     id::{Incarnation, Offset},
 };
 
-use crate::{identity::Identity, leaving::Mark, limit, sends};
+use crate::{identity::Identity, leaving::Mark, limit, sends, silence::Silence};
 
 domain! {
     copy
@@ -26,6 +26,8 @@
         pub draining: bool,
         /// Newest major schema version that it reads.
         pub schema: u32,
+        /// Whether it has the duty of placing layers.
+        pub leads: bool,
     }
 
     /// A sign of life.
@@ -64,5 +66,7 @@
         Use(limit::Use),
         /// Work that the sender has in progress at upstreams.
         Sends(sends::Totals),
+        /// Upstreams that are to be left alone for a while.
+        Silent(Vec<Silence>),
     }
 }
--- a/crates/goldcrestvale_member/src/sends.rs
+++ b/crates/goldcrestvale_member/src/sends.rs
@@ -154,6 +154,13 @@
         self.peers.shift_remove(instance);
     }
 
+    /// Returns what the others said last that they have in progress at an upstream.
+    pub fn total(&self, upstream: &Upstream) -> u32 {
+        let short = Short::of(upstream);
+        let told = self.peers.values().filter_map(|upstreams| upstreams.get(&short)?.last());
+        told.map(|sample| sample.units).sum()
+    }
+
     /// Returns by how much the work of the others at an upstream has grown since a time; less
     /// than zero if it has shrunk.
     pub fn since(&self, upstream: &Upstream, since: Instant) -> i64 {
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -139,6 +139,18 @@
         live.map(|peer| peer.status.schema).fold(own, u32::min)
     }
 
+    /// Returns whether a live peer says that it has the duty of placing layers.
+    pub fn is_led(&self) -> bool {
+        self.peers().any(|peer| peer.state == State::Live && peer.status.leads)
+    }
+
+    /// Returns whether this instance is the first by name of those that live and stay.
+    pub fn is_first(&self) -> bool {
+        let mut staying =
+            self.peers().filter(|peer| peer.state == State::Live && !peer.status.draining);
+        staying.all(|peer| self.own.instance < peer.seed.instance)
+    }
+
     /// Takes the platform's list.
     pub fn list(&mut self, now: Instant, seeds: &[Seed]) {
         self.listed = true;
--- a/crates/goldcrestvale_peer/examples/control_cost.rs
+++ b/crates/goldcrestvale_peer/examples/control_cost.rs
@@ -54,7 +54,7 @@
     let mut cluster = Cluster::start(seed, &names, same);
     let config = Some(Config { version: Offset(5_000_000), digest: 1 << 60 });
     for place in 0..size {
-        cluster.feed(place, Event::Status(Status { config, draining: false, schema: 1 }));
+        cluster.feed(place, Event::Status(Status { config, schema: 1, ..Status::default() }));
     }
     cluster
 }
--- a/crates/goldcrestvale_peer/src/convert.rs
+++ b/crates/goldcrestvale_peer/src/convert.rs
@@ -7,6 +7,7 @@
     limit::{self, Parts},
     message::{Config, Heartbeat, Known, Message, Status},
     sends::{Short, Total, Totals},
+    silence::Silence,
 };
 use goldcrestvale_wire::{
     field::{self, Result},
@@ -50,6 +51,9 @@
         }
         Message::Use(told) => put_use(told).into(),
         Message::Sends(told) => put_sends(told).into(),
+        Message::Silent(told) => {
+            wire::Silent { upstreams: told.iter().map(put_silence).collect() }.into()
+        }
     }
 }
 
@@ -70,25 +74,30 @@
         }
         wire::Message::Use(told) => Message::Use(used(told)?),
         wire::Message::Sends(told) => Message::Sends(sends(told)),
+        wire::Message::Silent(told) => {
+            Message::Silent(told.upstreams.iter().map(silence).collect::<Result<_>>()?)
+        }
         _ => return Ok(None),
     }))
 }
 
 fn put_heartbeat(heartbeat: &Heartbeat) -> wire::Heartbeat {
-    let Status { config, draining, schema } = heartbeat.status;
+    let Status { config, draining, schema, leads } = heartbeat.status;
     wire::Heartbeat {
         sequence: heartbeat.sequence,
         config_version: config.map_or(0, |config| config.version.0.saturating_add(1)),
         config_digest: config.map_or(0, |config| config.digest),
         draining,
         schema,
+        leads,
     }
 }
 
 fn heartbeat(told: &wire::Heartbeat) -> Heartbeat {
     let version = told.config_version.checked_sub(1).map(Offset);
     let config = version.map(|version| Config { version, digest: told.config_digest });
-    let status = Status { config, draining: told.draining, schema: told.schema };
+    let (draining, schema, leads) = (told.draining, told.schema, told.leads);
+    let status = Status { config, draining, schema, leads };
     Heartbeat { sequence: told.sequence, status }
 }
 
@@ -177,3 +186,16 @@
     });
     Totals { totals: totals.collect() }
 }
+
+fn put_silence(silence: &Silence) -> wire::Silence {
+    wire::Silence {
+        upstream: silence.upstream.to_string(),
+        left_ms: silence.left_ms,
+        refuses: silence.refuses,
+    }
+}
+
+fn silence(told: &wire::Silence) -> Result<Silence> {
+    let upstream = field::text("upstream", &told.upstream)?;
+    Ok(Silence { upstream, left_ms: told.left_ms, refuses: told.refuses })
+}
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -343,6 +343,8 @@
             instances: self.member.view().instances(configured),
             has_heard: self.member.view().has_heard(),
             schema: self.member.schema(),
+            is_led: self.member.view().is_led(),
+            is_first: self.member.view().is_first(),
         });
         self.snapshot.store(Arc::clone(&snapshot));
         self.events.published(&snapshot);
--- a/crates/goldcrestvale_peer/src/snapshot.rs
+++ b/crates/goldcrestvale_peer/src/snapshot.rs
@@ -25,6 +25,10 @@
     pub has_heard: bool,
     /// Lowest schema version that this instance and its live peers read.
     pub schema: u32,
+    /// Whether a live peer says that it has the duty of placing layers.
+    pub is_led: bool,
+    /// Whether this instance is the first by name of those that live and stay.
+    pub is_first: bool,
 }
 
 impl Snapshot {
--- a/crates/goldcrestvale_route/src/forward/table.rs
+++ b/crates/goldcrestvale_route/src/forward/table.rs
@@ -38,12 +38,13 @@
     hosts: HashMap<String, Vec<Arc<Route>>>,
     pools: HashMap<Service, Arc<Pool>>,
     customers: Option<HashMap<String, Arc<Customer>>>,
-    bounds: Option<Bounds>,
+    source: Option<Arc<Configuration>>,
 }
 
 impl Table {
     /// Indexes a version of the configuration.
     pub fn new(configuration: Configuration) -> Self {
+        let source = Arc::new(configuration.clone());
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in configuration.routes {
             hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
@@ -65,13 +66,18 @@
             hosts,
             pools: pools.map(|pool| (pool.service.clone(), Arc::new(pool))).collect(),
             customers,
-            bounds: Some(configuration.bounds),
+            source: Some(source),
         }
     }
 
+    /// Returns the configuration that is indexed; `None` before the first version.
+    pub fn source(&self) -> Option<&Configuration> {
+        self.source.as_deref()
+    }
+
     /// Returns what callers may send; `None` before the first version.
     pub fn bounds(&self) -> Option<&Bounds> {
-        self.bounds.as_ref()
+        self.source.as_ref().map(|source| &source.bounds)
     }
 
     /// Returns the version.
--- a/crates/goldcrestvale_route/src/pipeline/choice.rs
+++ b/crates/goldcrestvale_route/src/pipeline/choice.rs
@@ -36,6 +36,8 @@
 pub struct Load {
     /// Streams that this instance has in progress.
     pub own: u32,
+    /// Streams that other instances said they have in progress.
+    pub others: u32,
     /// The first engine's last report.
     pub reported: Option<Held>,
 }
@@ -52,13 +54,15 @@
 }
 
 impl Load {
-    /// Returns the streams of all instances: those reported, corrected by what was sent since.
+    /// Returns the streams of all instances: those reported, corrected by what was sent since, or
+    /// what the instances told each other, whichever is more.
     pub fn streams(&self, now: Instant) -> u32 {
+        let told = self.own + self.others;
         match self.reported {
             Some(held) if now.since(held.at) < REPORT_LIFE => {
-                (held.streams + self.own).saturating_sub(held.own).max(self.own)
+                (held.streams + self.own).saturating_sub(held.own).max(told)
             }
-            _ => self.own,
+            _ => told,
         }
     }
 }
--- a/crates/goldcrestvale_route/src/pipeline/layout.rs
+++ b/crates/goldcrestvale_route/src/pipeline/layout.rs
@@ -56,9 +56,8 @@
 
 fn layout_domain(model: &Model, mut engines: Vec<&Engine>) -> Vec<Placement> {
     let memory = |engine: &Engine| model.card(&engine.card).map_or(0.0, |card| card.memory_mb);
-    engines.sort_by(|a, b| {
-        memory(b).total_cmp(&memory(a)).then_with(|| a.upstream.cmp(&b.upstream))
-    });
+    engines
+        .sort_by(|a, b| memory(b).total_cmp(&memory(a)).then_with(|| a.upstream.cmp(&b.upstream)));
     let count = replicas(model, &engines);
     let mut chains: Vec<Vec<&Engine>> = vec![Vec::new(); count];
     for (place, engine) in engines.into_iter().enumerate() {
--- a/crates/goldcrestvale_route/src/pipeline/line.rs
+++ b/crates/goldcrestvale_route/src/pipeline/line.rs
@@ -92,12 +92,7 @@
 ///
 /// A running stream keeps what its first engine holds of it, so only the engines behind the first
 /// one are replaced.
-pub fn detour(
-    model: &Model,
-    engines: &[&Engine],
-    line: &Line,
-    inside: bool,
-) -> Option<Line> {
+pub fn detour(model: &Model, engines: &[&Engine], line: &Line, inside: bool) -> Option<Line> {
     let head = line.head();
     let clip = |engine: &&Engine| {
         let held = engine.held?;
@@ -219,9 +214,10 @@
         from = to;
     }
     cuts.push(Layers { from, to: model.layers });
-    let covered = cuts.iter().zip(&members).all(|(cut, engine)| {
-        cut.is_empty() || engine.held.is_some_and(|held| held.covers(*cut))
-    });
+    let covered = cuts
+        .iter()
+        .zip(&members)
+        .all(|(cut, engine)| cut.is_empty() || engine.held.is_some_and(|held| held.covers(*cut)));
     // An engine that is left without layers is no part of the chain.
     match covered {
         true => parts
--- a/crates/goldcrestvale_route/src/pipeline/mend.rs
+++ b/crates/goldcrestvale_route/src/pipeline/mend.rs
@@ -173,7 +173,10 @@
         .copied()
         .filter(|engine| !in_line(engine))
         .max_by(|a, b| memory(model, a).total_cmp(&memory(model, b)));
-    lines.iter().map(|line| relieve(model, &present, line, spare)).find(|loads| !loads.is_empty())
+    lines
+        .iter()
+        .map(|line| relieve(model, &present, line, spare))
+        .find(|loads| !loads.is_empty())
         .unwrap_or_default()
 }
 
@@ -184,9 +187,7 @@
         let engine = engines.iter().find(|engine| engine.upstream == part.upstream);
         engine.is_some_and(|engine| engine.held != Some(part.layers))
     });
-    surplus
-        .map(|part| Placement { upstream: part.upstream.clone(), layers: part.layers })
-        .collect()
+    surplus.map(|part| Placement { upstream: part.upstream.clone(), layers: part.layers }).collect()
 }
 
 /// Loads layers towards an even split of a chain, with an engine that is in no chain if there is
@@ -223,10 +224,9 @@
     for (engine, goal) in order.iter().zip(ideal).filter(|(_, goal)| !goal.is_empty()) {
         let part = line.parts.iter().find(|part| part.upstream == engine.upstream);
         let mut layers = match part {
-            Some(part) => Layers {
-                from: part.layers.from.min(goal.from),
-                to: part.layers.to.max(goal.to),
-            },
+            Some(part) => {
+                Layers { from: part.layers.from.min(goal.from), to: part.layers.to.max(goal.to) }
+            }
             None => goal,
         };
         // What does not fit beside the layers that are still in use comes with the next step.
--- a/crates/goldcrestvale_route/src/pipeline/rescue.rs
+++ b/crates/goldcrestvale_route/src/pipeline/rescue.rs
@@ -50,7 +50,9 @@
         {
             return Self::Repath(path);
         }
-        if may_resume && lines.iter().any(|other| other.crossings == 0 && other.head() != line.head()) {
+        if may_resume
+            && lines.iter().any(|other| other.crossings == 0 && other.head() != line.head())
+        {
             return Self::Resume;
         }
         if usable(line.head())
--- a/crates/goldcrestvale_route/tests/pipeline/chain_choice.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/chain_choice.rs
@@ -14,7 +14,7 @@
 }
 
 fn own(streams: u32) -> Load {
-    Load { own: streams, reported: None }
+    Load { own: streams, others: 0, reported: None }
 }
 
 fn choose(lines: &[Line], loads: [Load; 3], domain: &str) -> Choice {
@@ -64,9 +64,12 @@
 #[test]
 fn reports_count_other_instances() {
     // Several instances send to one chain; each sees its own streams at once, the others' by report.
-    let load = Load { own: 30, reported: Some(Held { streams: 100, own: 20, at: NOW }) };
+    let reported = Some(Held { streams: 100, own: 20, at: NOW });
+    let load = Load { own: 30, others: 0, reported };
     assert_eq!(load.streams(NOW), 110);
     assert_eq!(load.streams(NOW + Duration::from_secs(10)), 30);
+    let told = Load { others: 90, ..load };
+    assert_eq!(told.streams(NOW), 120);
 }
 
 #[test]
--- a/crates/goldcrestvale_wire/src/message.rs
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod list;
 mod membership;
+mod silent;
 mod traffic;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
     leaving::{Leaving, Mark, Source},
     list::{List, ListAsk},
     membership::{Goodbye, Heartbeat, Hello, Known, Members},
+    silent::{Silence, Silent},
     traffic::{CustomerUse, Sends, Use},
 };
 
@@ -117,4 +119,6 @@
     ListAsk = 13,
     /// The platform's list, as the sender read it last.
     List = 14,
+    /// Upstreams that do not answer, or take no work.
+    Silent = 15,
 }
--- a/crates/goldcrestvale_wire/src/message/membership.rs
+++ b/crates/goldcrestvale_wire/src/message/membership.rs
@@ -40,6 +40,9 @@
     /// Newest major schema version that the sender reads.
     #[prost(uint32, tag = "5")]
     pub schema: u32,
+    /// Whether the sender has the duty of placing layers.
+    #[prost(bool, tag = "6")]
+    pub leads: bool,
 }
 
 /// The end of an incarnation.
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -60,6 +60,7 @@
             config_digest: 0x0102_0304_0506_0708,
             draining: true,
             schema: 2,
+            leads: false,
         }
         .into(),
         Goodbye { incarnation: bytes(3, 16) }.into(),
@@ -75,5 +76,9 @@
         Sends { upstreams: vec![1, 0xffff_ffff], units: vec![10, 300] }.into(),
         ListAsk {}.into(),
         List { as_of_ms: 1_700_000_000_000, bytes: bytes(b'{', 1) }.into(),
+        Silent {
+            upstreams: vec![Silence { upstream: "engine-4".into(), left_ms: 3_000, refuses: true }],
+        }
+        .into(),
     ]
 }
--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -78,13 +78,13 @@
             &entry.instance.domain,
             entry.callers.address,
             entry.callers.connections,
+            &entry.peer,
         )
         .context(SectionSnafu)?;
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
-    let instance =
-        Instance::start(settings, Adapter::new(store)).await.context(InstanceSnafu)?;
+    let instance = Instance::start(settings, Adapter::new(store)).await.context(InstanceSnafu)?;
     let mut reload = Reload::new(path);
     let mut ticks = interval(RELOAD_PERIOD);
     loop {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -89,7 +89,11 @@
             let missing = missing.swap(0, Ordering::Relaxed);
             if missing > 0 {
                 // Where standard output is closed there is nobody left to tell.
-                let _ = writeln!(output, "{}", json!({ "event": "log lines dropped", "lines": missing }));
+                let _ = writeln!(
+                    output,
+                    "{}",
+                    json!({ "event": "log lines dropped", "lines": missing })
+                );
             }
             let _ = output.write_all(line.as_bytes());
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,8 +12,8 @@
 use snafu::{ResultExt, Snafu, ensure};
 
 pub use fault::Fault;
-pub use gateway::Gateway;
 use field::FIELDS;
+pub use gateway::Gateway;
 
 use crate::logging::Logging;
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
-use goldcrestvale_gateway::settings::{Retry, Settings};
+use goldcrestvale_gateway::settings::{Peer, Retry, Settings};
 
 /// Time of a stop that is kept back for the end itself.
 const STOP_RESERVE: Duration = Duration::from_millis(700);
@@ -50,6 +50,7 @@
         domain: &Domain,
         callers: SocketAddr,
         connections: usize,
+        peer: &goldcrestvale_entry::settings::Peer,
     ) -> Option<(Settings, SocketAddr)> {
         let store = self.store?;
         let mut settings = Settings::new(name.clone(), domain.clone());
@@ -58,6 +59,12 @@
         settings.metrics = self.metrics?;
         settings.connections = connections;
         settings.retry = self.retry;
+        settings.peer = peer.secret.is_some().then(|| Peer {
+            address: peer.address,
+            seeds: peer.seeds.clone(),
+            secret: peer.secret.clone(),
+            heartbeat: peer.heartbeat,
+        });
         settings.placement.settle = self.heartbeat + self.heartbeat / 6;
         let stop = &mut settings.stop;
         stop.timeout = self.grace.saturating_sub(stop.notice + STOP_RESERVE);
