Spread a lost range over the chain, and merge what instances know by its age

Cause: with the store out, a peer's older list of holdings replaced newer ones, so the placer ordered the same layers again and again; a lost large stage moved the whole chain; a silent engine came back into use by time alone. Ruled out: a bound on the number of orders, which would leave holes open. Change: a split by dynamic programming weighs room against the longest load; registrations carry a revision; engines of broken domains are asked while the directory is away, silent ones before use.

--- a/crates/goldcrestvale_gateway/src/catalog.rs
+++ b/crates/goldcrestvale_gateway/src/catalog.rs
@@ -117,6 +117,27 @@
         news
     }
 
+    /// Takes over what another instance knows, where it is newer. Nothing is dropped: the other one
+    /// may be out of touch as well.
+    pub fn merge(&mut self, registrations: &[Registration], now: Instant) -> Vec<News> {
+        let mut news = Vec::new();
+        for registration in registrations {
+            let known = self.rows.get(&registration.upstream).map(|row| &row.registration);
+            let is_newer = known.is_none_or(|known| {
+                (registration.born_ms, registration.revision, registration.amended)
+                    > (known.born_ms, known.revision, known.amended)
+            });
+            if is_newer {
+                let leaves = known
+                    .is_some_and(|known| !known.ready && known.born_ms == registration.born_ms);
+                let ready = registration.ready && !leaves;
+                let registration = Registration { ready, ..registration.clone() };
+                news.extend(self.register(&registration, now));
+            }
+        }
+        news
+    }
+
     /// Drops the upstreams that did not come back in time.
     pub fn expire(&mut self, now: Instant) -> Vec<News> {
         let late: Vec<Upstream> = self
@@ -134,11 +155,12 @@
         upstream: &Upstream,
         layers: Option<goldcrestvale_base::engine::Layers>,
     ) -> bool {
-        let row = self.rows.get_mut(upstream);
-        let holding = row.and_then(|row| row.registration.holding.as_mut());
-        holding.is_some_and(|holding| {
+        let Some(row) = self.rows.get_mut(upstream) else { return false };
+        let registration = &mut row.registration;
+        registration.holding.as_mut().is_some_and(|holding| {
             let changed = holding.layers != layers;
             holding.layers = layers;
+            registration.amended += 1;
             changed
         })
     }
@@ -151,10 +173,16 @@
         match self.rows.get_mut(&upstream) {
             Some(row) if row.registration.born_ms == registration.born_ms => {
                 row.missing_until = None;
-                if row.registration == *registration {
+                let heartbeat = Registration {
+                    revision: row.registration.revision,
+                    amended: row.registration.amended,
+                    ..registration.clone()
+                };
+                let is_same = row.registration == heartbeat;
+                row.registration = registration.clone();
+                if is_same {
                     return None;
                 }
-                row.registration = registration.clone();
                 if !registration.ready && row.leaving_since.is_none() {
                     row.leaving_since = Some(now);
                     return Some(News::Leaving(upstream));
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -108,6 +108,8 @@
 pub(crate) struct Span {
     pub(crate) since: Instant,
     pub(crate) until: Instant,
+    /// Whether it was asked again before the end.
+    pub(crate) rechecked: bool,
 }
 
 impl Known {
@@ -238,7 +240,7 @@
                     now
                 }
             };
-            known.troubled.insert(key, Span { since, until });
+            known.troubled.insert(key, Span { since, until, rechecked: false });
             fresh
         });
         if fresh {
@@ -248,6 +250,34 @@
         fresh
     }
 
+    /// Returns the silent upstreams whose silence ends within a time, each once.
+    pub(crate) fn due_rechecks(&self, within: Duration) -> Vec<Upstream> {
+        let now = self.now();
+        let mut due = Vec::new();
+        self.learn(|known| {
+            for ((upstream, trouble), span) in &mut known.troubled {
+                if *trouble == Trouble::Silent && !span.rechecked && span.until.since(now) < within
+                {
+                    span.rechecked = true;
+                    due.push(upstream.clone());
+                }
+            }
+            false
+        });
+        due
+    }
+
+    /// Uses an upstream again that answers.
+    pub(crate) fn clear(&self, upstream: &Upstream) {
+        self.learn(|known| {
+            let cleared = known.troubled.remove(&(upstream.clone(), Trouble::Silent)).is_some();
+            if cleared {
+                info!(upstream:% = upstream; "upstream answers again");
+            }
+            cleared
+        });
+    }
+
     /// Returns whether an upstream is gone, or counts as not answering.
     pub(crate) fn is_lost(&self, upstream: &Upstream) -> bool {
         let now = self.now();
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -38,7 +38,7 @@
 
 use crate::{
     gateway::{Gateway, Trouble},
-    port::{Change, Port, Registration},
+    port::{Port, Registration},
     rescue::{Blame, probe},
     settings::Peer,
 };
@@ -275,8 +275,7 @@
         match serde_json::from_slice::<Vec<Registration>>(&list) {
             Ok(list) => {
                 let now = gateway.now();
-                let changes: Vec<Change> = list.into_iter().map(Change::Registered).collect();
-                gateway.learn(|known| !known.catalog.replace(&changes, now, None).is_empty());
+                gateway.learn(|known| !known.catalog.merge(&list, now).is_empty());
                 gateway.set_listed();
             }
             Err(e) => warn!(instance:% = from, error:% = e; "a peer's list is malformed"),
--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -18,6 +18,7 @@
 use crate::{
     gateway::Gateway,
     port::{Obedience, Port, Tenure},
+    rescue::refresh,
     view::Fleet,
 };
 
@@ -43,6 +44,9 @@
 /// meet those of a repair.
 const CALM: Duration = Duration::from_millis(1_200);
 
+/// How often the engines of broken domains are asked what they hold while the directory is away.
+const REFRESH_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// The orders in progress, by engine.
 type Pending = Arc<Mutex<HashMap<Upstream, Placement>>>;
 
@@ -107,6 +111,7 @@
 async fn place<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let pending: Pending = Arc::default();
     let mut calm: HashMap<Domain, Instant> = HashMap::new();
+    let mut refreshed = Instant(0);
     loop {
         let news = timeout(PERIOD, gateway.changed.notified());
         if stop.run_until_cancelled(news).await.is_none() {
@@ -117,11 +122,24 @@
         }
         let view = gateway.view.load_full();
         for fleet in view.fleets.values() {
+            if !gateway.is_directory_reached() && refreshed + REFRESH_PAUSE <= gateway.now() {
+                refreshed = gateway.now();
+                refresh(gateway.clone(), broken(fleet)).await;
+                continue;
+            }
             step(&gateway, fleet, &pending, &mut calm);
         }
     }
 }
 
+/// The engines of the domains that have no whole chain.
+fn broken(fleet: &Fleet) -> Vec<Engine> {
+    let is_whole = |domain: &Domain| {
+        fleet.lines.iter().any(|line| line.domain == *domain && line.crossings == 0)
+    };
+    fleet.engines.iter().filter(|engine| !is_whole(&engine.domain)).cloned().collect()
+}
+
 /// Gives the orders that are due in each domain.
 fn step<P: Port>(
     gateway: &Arc<Gateway<P>>,
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -142,8 +142,12 @@
     pub slots: u32,
     /// When it started, in milliseconds since the Unix epoch.
     pub born_ms: Option<u64>,
+    /// Counts its registrations in this life; a higher one is newer.
+    pub revision: u64,
     /// What it holds, for engines.
     pub holding: Option<Holding>,
+    /// Counts what was learned of it since that registration.
+    pub amended: u32,
 }
 }
 
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -23,8 +23,12 @@
 /// outlives it.
 const SILENT: Duration = Duration::from_millis(4_500);
 
-/// How long an engine that takes no work with room left is left alone before it is tried again.
-const REFUSING: Duration = Duration::from_millis(3_000);
+/// How long an engine that takes no work with room left is left alone before it is tried again:
+/// about as long as one that is leaving still serves.
+const REFUSING: Duration = Duration::from_millis(6_000);
+
+/// How long before the end of a silence the engine is asked again.
+const RECHECK: Duration = Duration::from_millis(700);
 
 /// Share of memory and places taken up to which an engine has room for any request.
 const ROOMY: f64 = 0.75;
@@ -42,10 +46,45 @@
         for head in gateway.registry.stopped(gateway.now()) {
             diagnose(&gateway, &head).await;
         }
+        for upstream in gateway.due_rechecks(RECHECK) {
+            tokio::spawn(recheck(gateway.clone(), upstream));
+        }
         move_streams(&gateway).await;
     }
 }
 
+/// Asks a silent engine whether it is back, before it is used again.
+async fn recheck<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream) {
+    let view = gateway.view.load_full();
+    let engine = view.fleets.values().find_map(|fleet| fleet.engine(&upstream));
+    let Some(engine) = engine else { return };
+    match gateway.port.report(engine.address).await {
+        Ok(report) => {
+            gateway.learn(|known| known.catalog.set_layers(&upstream, report.layers));
+            gateway.clear(&upstream);
+        }
+        Err(e) => {
+            gateway.note(&upstream, Trouble::Silent, SILENT, &e.to_string());
+        }
+    }
+}
+
+/// Reads what the engines of a domain hold, while the directory cannot be read.
+pub(crate) async fn refresh<P: Port>(gateway: Arc<Gateway<P>>, engines: Vec<Engine>) {
+    for engine in engines {
+        let gateway = gateway.clone();
+        tokio::spawn(async move {
+            let upstream = &engine.upstream;
+            match gateway.port.report(engine.address).await {
+                Ok(report) => {
+                    gateway.learn(|known| known.catalog.set_layers(upstream, report.layers));
+                }
+                Err(e) => gateway.trouble(upstream, Trouble::Silent, SILENT, &e.to_string()),
+            }
+        });
+    }
+}
+
 /// Asks the first engine of a stopped chain which engine it waits for. Reports lag, so it is asked
 /// again at the next look if it names none.
 async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
--- a/crates/goldcrestvale_route/src/pipeline/layout.rs
+++ b/crates/goldcrestvale_route/src/pipeline/layout.rs
@@ -96,7 +96,7 @@
 }
 
 /// Places a whole chain on engines in a given order.
-pub(super) fn fill(model: &Model, chain: &[&Engine]) -> Vec<Placement> {
+fn fill(model: &Model, chain: &[&Engine]) -> Vec<Placement> {
     let ranges = balance(model, chain).unwrap_or_default();
     let placed = chain.iter().zip(ranges).filter(|(_, layers)| !layers.is_empty());
     placed.map(|(engine, layers)| Placement { upstream: engine.upstream.clone(), layers }).collect()
--- a/crates/goldcrestvale_route/src/pipeline/mend.rs
+++ b/crates/goldcrestvale_route/src/pipeline/mend.rs
@@ -2,21 +2,23 @@
 //!
 //! The load it answers: an engine is gone, and the traffic of its chain falls on the others until
 //! its layers are held again. A load takes time with its share of the model, so the missing range
-//! goes to several engines at once: the neighbours in the chain, and one without layers.
+//! goes to several engines at once, and those that have no room for it pass layers on.
 
 use goldcrestvale_base::engine::Layers;
 
-use super::{
-    Engine, Line, Model, Part, Placement, balance, find_lines,
-    layout::{fill, layout},
-    replicas,
-};
+use super::{Engine, Line, Model, Part, Placement, balance, find_lines, layout, replicas};
 
 /// Tokens of usual streams that an engine must keep room for.
 const LEAST_STREAMS: f64 = 12.0;
 
-/// Seconds of loading that weigh as much as losing two thirds of the room.
-const PATIENCE_S: f64 = 2.0;
+/// Seconds of loading that weigh as much as losing two thirds of the room: callers leave after two.
+const PATIENCE_S: f64 = 1.0;
+
+/// Shares of the room of an even split that are tried as bounds.
+const SHARES_OF_ROOM: [f64; 6] = [0.9, 0.7, 0.5, 0.3, 0.15, 0.05];
+
+/// Cost of releasing a layer, against loading one: streams that pass through it read again.
+const RELEASE: f64 = 0.3;
 
 /// A stage with less than this share of the room that a new layout would give is narrow.
 const NARROW: f64 = 0.8;
@@ -44,111 +46,117 @@
     if rest.iter().any(|engine| pending(engine)) {
         return Vec::new();
     }
-    let holes = holes(model, &rest);
-    let missing: u32 = holes.iter().map(|hole| hole.len()).sum();
-    if missing == model.layers {
-        return layout(model, &rest);
+    match first_hole(model, &rest) {
+        Some(hole) if hole == model.span() => layout(model, &rest),
+        Some(hole) => reflow(model, &rest, hole),
+        None => Vec::new(),
     }
-    let mut placed: Vec<Placement> = Vec::new();
-    for hole in &holes {
-        match split(model, &rest, &placed, *hole) {
-            Some(loads) => placed.extend(loads),
-            None => return shift(model, &rest, *hole),
-        }
-    }
-    placed
 }
 
 fn whole_lines(model: &Model, engines: &[&Engine]) -> Vec<Line> {
     find_lines(model, engines).into_iter().filter(|line| line.crossings == 0).collect()
 }
 
-/// Moves the layers of a whole chain along its engines, which keep their order.
-fn shift(model: &Model, engines: &[&Engine], hole: Layers) -> Vec<Placement> {
+/// The first range that none of the engines holds.
+fn first_hole(model: &Model, engines: &[&Engine]) -> Option<Layers> {
+    let is_held = |layer: u32| {
+        let mut held = engines.iter().filter_map(|engine| engine.held);
+        held.any(|held| (held.from..held.to).contains(&layer))
+    };
+    let from = (0..model.layers).find(|&layer| !is_held(layer))?;
+    let to = (from..model.layers).find(|&layer| is_held(layer)).unwrap_or(model.layers);
+    Some(Layers { from, to })
+}
+
+/// Spreads the layers of a broken chain over its engines, which keep their order, so that little is
+/// loaded and every stage keeps room.
+///
+/// Of several bounds on the room, the split with the best trade between the room that is left and
+/// the time of the longest load is taken.
+fn reflow(model: &Model, engines: &[&Engine], hole: Layers) -> Vec<Placement> {
     let mut order = engines.to_vec();
     order.sort_by_key(|engine| {
         let from = engine.held.filter(|held| !held.is_empty()).map_or(hole.from, |held| held.from);
         (from, engine.upstream.clone())
     });
-    let held = |placement: &Placement| {
-        order.iter().any(|e| e.upstream == placement.upstream && e.held == Some(placement.layers))
-    };
-    fill(model, &order).into_iter().filter(|placement| !held(placement)).collect()
+    let Some(even) = balance(model, &order) else { return Vec::new() };
+    let even = least_room(model, &order, &even);
+    let splits = SHARES_OF_ROOM.iter().filter_map(|share| {
+        let split = cheapest(model, &order, even * share)?;
+        let loads = order.iter().zip(&split).map(|(engine, layers)| load(engine, *layers));
+        let longest = loads.max().map_or(0.0, f64::from) / f64::from(model.layers);
+        let longest = model.load.as_secs_f64() * longest;
+        Some((least_room(model, &order, &split).max(1.0).ln() - longest / PATIENCE_S, split))
+    });
+    let best = splits.max_by(|a, b| a.0.total_cmp(&b.0));
+    let Some((_, split)) = best else { return Vec::new() };
+    let placed = order.iter().zip(split).filter(|(_, layers)| !layers.is_empty());
+    let changed = placed.filter(|(engine, layers)| engine.held != Some(*layers));
+    changed
+        .map(|(engine, layers)| Placement { upstream: engine.upstream.clone(), layers })
+        .collect()
 }
 
-/// The ranges that none of the engines holds.
-fn holes(model: &Model, engines: &[&Engine]) -> Vec<Layers> {
-    let mut holes: Vec<Layers> = Vec::new();
-    for layer in 0..model.layers {
-        let held = engines
-            .iter()
-            .filter_map(|engine| engine.held)
-            .any(|held| (held.from..held.to).contains(&layer));
-        match holes.last_mut() {
-            _ if held => {}
-            Some(hole) if hole.to == layer => hole.to += 1,
-            _ => holes.push(Layers { from: layer, to: layer + 1 }),
+/// Finds the split with the least loads in which every stage keeps `room` tokens.
+///
+/// Loads count by their square, since they run side by side and the longest one is waited for.
+fn cheapest(model: &Model, order: &[&Engine], room: f64) -> Option<Vec<Layers>> {
+    let layers = model.layers as usize;
+    let mut cost = vec![f64::INFINITY; layers + 1];
+    cost[0] = 0.0;
+    let mut starts: Vec<Vec<usize>> = Vec::with_capacity(order.len());
+    for engine in order {
+        let card = model.card(&engine.card)?;
+        let most = (0..=model.most_layers(card)).rev().find(|&n| model.room(card, n) >= room)?;
+        let mut next = cost.clone();
+        let mut start: Vec<usize> = (0..=layers).collect();
+        for (from, &before) in cost.iter().enumerate().filter(|(_, before)| before.is_finite()) {
+            for to in from + 1..=layers.min(from + most as usize) {
+                let range = Layers { from: from as u32, to: to as u32 };
+                let loaded = f64::from(load(engine, range));
+                let kept = f64::from(range.len()) - loaded;
+                let released = engine.held.map_or(0.0, |held| f64::from(held.len())) - kept;
+                let total = before + loaded * loaded + released * RELEASE;
+                if total < next[to] {
+                    next[to] = total;
+                    start[to] = from;
+                }
+            }
         }
+        starts.push(start);
+        cost = next;
     }
-    holes
+    if !cost[layers].is_finite() {
+        return None;
+    }
+    let mut to = layers;
+    let mut split: Vec<Layers> = starts
+        .iter()
+        .rev()
+        .map(|start| {
+            let range = Layers { from: start[to] as u32, to: to as u32 };
+            to = start[to];
+            range
+        })
+        .collect();
+    split.reverse();
+    Some(split)
 }
 
-/// Splits a hole over the engine before it, one without layers, and the engine after it.
-fn split(
-    model: &Model,
-    engines: &[&Engine],
-    taken: &[Placement],
-    hole: Layers,
-) -> Option<Vec<Placement>> {
-    let free = |engine: &&&Engine| !taken.iter().any(|t| t.upstream == engine.upstream);
-    let left = engines.iter().filter(free).find(|e| e.held.is_some_and(|h| h.to == hole.from));
-    let right = engines.iter().filter(free).find(|e| e.held.is_some_and(|h| h.from == hole.to));
-    let spare = engines
-        .iter()
-        .filter(free)
-        .filter(|engine| engine.held.is_none_or(Layers::is_empty))
-        .max_by(|a, b| memory(model, a).total_cmp(&memory(model, b)));
-    let mut best: Option<(f64, Vec<Placement>)> = None;
-    for first in hole.from..=hole.to {
-        for second in first..=hole.to {
-            let shares = [
-                (left, Layers { from: hole.from, to: first }),
-                (spare, Layers { from: first, to: second }),
-                (right, Layers { from: second, to: hole.to }),
-            ];
-            let Some((score, loads)) = rate(model, &shares) else { continue };
-            if best.as_ref().is_none_or(|(most, _)| score > *most) {
-                best = Some((score, loads));
-            }
-        }
-    }
-    best.map(|(_, loads)| loads)
+/// The layers that an engine would have to load.
+fn load(engine: &Engine, layers: Layers) -> u32 {
+    let kept = engine
+        .held
+        .map_or(0, |held| held.to.min(layers.to).saturating_sub(held.from.max(layers.from)));
+    layers.len() - kept
 }
 
-/// Rates a split by the least room that is left and the longest load.
-fn rate(model: &Model, shares: &[(Option<&&Engine>, Layers)]) -> Option<(f64, Vec<Placement>)> {
-    let mut room = f64::INFINITY;
-    let mut longest: f64 = 0.0;
-    let mut loads = Vec::new();
-    for (engine, share) in shares.iter().filter(|(_, share)| !share.is_empty()) {
-        let engine = (*engine)?;
-        let layers = match engine.held.filter(|held| !held.is_empty()) {
-            Some(held) => Layers { from: held.from.min(share.from), to: held.to.max(share.to) },
-            None => *share,
-        };
-        let card = model.card(&engine.card)?;
-        if layers.len() > model.most_layers(card) {
-            return None;
-        }
-        room = room.min(model.room(card, layers.len()));
-        let load = model.load.as_secs_f64() * f64::from(share.len()) / f64::from(model.layers);
-        longest = longest.max(load);
-        loads.push(Placement { upstream: engine.upstream.clone(), layers });
-    }
-    if room < LEAST_STREAMS * model.stream_tokens() {
-        return None;
-    }
-    Some((room.ln() - longest / PATIENCE_S, loads))
+/// The room of the narrowest stage of a split.
+fn least_room(model: &Model, order: &[&Engine], split: &[Layers]) -> f64 {
+    let rooms = order.iter().zip(split).map(|(engine, layers)| {
+        model.card(&engine.card).map_or(0.0, |card| model.room(card, layers.len()))
+    });
+    rooms.fold(f64::INFINITY, f64::min)
 }
 
 fn memory(model: &Model, engine: &Engine) -> f64 {
@@ -219,7 +227,8 @@
     if line.room >= even * NARROW {
         return Vec::new();
     }
-    let least = LEAST_STREAMS * model.stream_tokens();
+    // No stage gets narrower on the way than the narrowest one is.
+    let least = line.room.max(LEAST_STREAMS * model.stream_tokens());
     let mut loads = Vec::new();
     for (engine, goal) in order.iter().zip(ideal).filter(|(_, goal)| !goal.is_empty()) {
         let part = line.parts.iter().find(|part| part.upstream == engine.upstream);
