--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -22,6 +22,9 @@
     view::Fleet,
 };
 
+/// Instances that ask for the duty, the first ones by name.
+const CANDIDATES: usize = 4;
+
 /// How often the chains are looked at without news.
 const PERIOD: Duration = Duration::from_millis(250);
 
@@ -65,6 +68,13 @@
     let mut tenure = Tenure { generation: 0, is_held: false };
     let mut renewed_at = gateway.now();
     loop {
+        // A few candidates are enough for a duty that one holds, and each asks at a price.
+        if gateway.peers.snapshot().rank >= CANDIDATES && !tenure.is_held {
+            if stop.run_until_cancelled(tokio::time::sleep(times.renewal)).await.is_none() {
+                return;
+            }
+            continue;
+        }
         // The tenure counts from before the call, so it ends here no later than at the platform.
         let asked = gateway.now();
         match gateway.port.renew(&member, tenure.generation, times.tenure).await {
@@ -105,7 +115,7 @@
     if peers.is_led || gateway.is_leaving() {
         return false;
     }
-    (tenure.is_held && unasked < times.unattended) || (peers.is_first && unasked >= times.vacancy)
+    (tenure.is_held && unasked < times.unattended) || (peers.rank == 0 && unasked >= times.vacancy)
 }
 
 async fn place<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use goldcrestvale_base::id::Upstream;
-use goldcrestvale_route::pipeline::{Engine, Line, Rescue};
+use goldcrestvale_base::{id::Upstream, time::Instant};
+use goldcrestvale_route::pipeline::{Engine, Line, Rescue, paced};
 use log::info;
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -33,9 +33,15 @@
 /// Share of memory and places taken up to which an engine has room for any request.
 const ROOMY: f64 = 0.75;
 
-/// How long a stream may stay on an engine that is leaving: most streams end within that time, and
-/// the engine still serves.
-const LEAVING_STAY: Duration = Duration::from_millis(1_300);
+/// How long a stream may stay on an engine that is leaving before some move: the time in which its
+/// layers are held elsewhere.
+const LEAVING_STAY: Duration = Duration::from_millis(500);
+
+/// Time over which streams move off an engine that is leaving: within the time that it still serves.
+const LEAVING_WINDOW: Duration = Duration::from_millis(1_300);
+
+/// Time over which streams move off an engine that is lost: well within a caller's patience.
+const SILENT_WINDOW: Duration = Duration::from_millis(500);
 
 /// Watches until the token is cancelled.
 pub(crate) async fn watch<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
@@ -142,56 +148,63 @@
     !report.busy && report.memory_taken < ROOMY && streams < f64::from(slots) * ROOMY
 }
 
-/// Moves the streams whose chains hold an engine that is lost or leaving.
+/// Moves the streams whose chains hold an engine that is lost or leaving, a part at each look.
 async fn move_streams<P: Port>(gateway: &Arc<Gateway<P>>) {
     let view = gateway.view.load_full();
     for (service, fleet) in &view.fleets {
-        let lost = lost(gateway, &view, fleet);
-        let streams =
-            gateway.registry.find(|stream| stream.service == *service && touches(stream, &lost));
-        if streams.is_empty() {
-            continue;
-        }
-        let engines: Vec<&Engine> = fleet.engines();
-        let lines: Vec<&Line> = fleet.lines.iter().map(Arc::as_ref).collect();
-        let now = gateway.now();
-        for (number, stream) in streams {
-            match Rescue::new(&fleet.model, &engines, &stream.line, &lines, stream.may_resume, now)
-            {
-                Rescue::Stay | Rescue::Wait => {}
-                Rescue::Resume => {
-                    info!(request = stream.id.as_str(), head:% = stream.line.head().upstream; "stream goes on elsewhere");
-                    stream.resume.notify_one();
-                }
-                Rescue::Repath(line) => {
-                    let gateway = gateway.clone();
-                    // Until the answer is known the stream counts as moved, so that it is ordered once.
-                    gateway.registry.repath(number, Arc::new(line.clone()));
-                    tokio::spawn(async move {
-                        if !repath(&gateway, number, &stream.id, line).await {
-                            stream.resume.notify_one();
-                        }
-                    });
-                }
+        for (upstream, window) in lost(&view, fleet, gateway.now()) {
+            let on_it =
+                |stream: &Stream| stream.service == *service && stream.line.contains(&upstream);
+            let mut streams = gateway.registry.find(on_it);
+            // The newest ones have most still to come; the others may end by themselves.
+            streams.sort_by_key(|(number, _)| std::cmp::Reverse(*number));
+            let elapsed = gateway.now().since(window.start);
+            streams.truncate(paced(streams.len(), elapsed, window.length, PERIOD));
+            for (number, stream) in streams {
+                move_stream(gateway, fleet, number, stream);
             }
         }
     }
 }
 
-/// The engines that streams in progress must leave.
-fn lost<P>(gateway: &Gateway<P>, view: &View, fleet: &Fleet) -> HashSet<Upstream> {
+fn move_stream<P: Port>(gateway: &Arc<Gateway<P>>, fleet: &Fleet, number: u64, stream: Stream) {
+    let engines: Vec<&Engine> = fleet.engines();
+    let lines: Vec<&Line> = fleet.lines.iter().map(Arc::as_ref).collect();
     let now = gateway.now();
-    let mut lost = HashSet::new();
-    for engine in &fleet.engines {
-        let left = view.leaving.get(&engine.upstream);
-        let is_leaving = left.is_some_and(|since| now.since(*since) >= LEAVING_STAY);
-        if is_leaving || engine.silent {
-            lost.insert(engine.upstream.clone());
+    match Rescue::new(&fleet.model, &engines, &stream.line, &lines, stream.may_resume, now) {
+        Rescue::Stay | Rescue::Wait => {}
+        Rescue::Resume => {
+            info!(request = stream.id.as_str(), head:% = stream.line.head().upstream; "stream goes on elsewhere");
+            stream.resume.notify_one();
+        }
+        Rescue::Repath(line) => {
+            // Until the answer is known the stream counts as moved, so that it is ordered once.
+            gateway.registry.repath(number, Arc::new(line.clone()));
+            let gateway = gateway.clone();
+            tokio::spawn(async move {
+                if !repath(&gateway, number, &stream.id, line).await {
+                    stream.resume.notify_one();
+                }
+            });
         }
     }
-    lost
 }
 
-fn touches(stream: &Stream, lost: &HashSet<Upstream>) -> bool {
-    stream.line.parts.iter().any(|part| lost.contains(&part.upstream))
+/// When streams move off an engine.
+struct Window {
+    start: Instant,
+    length: Duration,
+}
+
+/// The engines that streams in progress must leave.
+fn lost(view: &View, fleet: &Fleet, now: Instant) -> Vec<(Upstream, Window)> {
+    let window = |engine: &Engine| {
+        if let Some(start) = view.silent.get(&engine.upstream) {
+            return Some(Window { start: *start, length: SILENT_WINDOW });
+        }
+        let start = *view.leaving.get(&engine.upstream)? + LEAVING_STAY;
+        (start <= now).then_some(Window { start, length: LEAVING_WINDOW })
+    };
+    let lost = fleet.engines.iter();
+    lost.filter_map(|engine| Some((engine.upstream.clone(), window(engine)?))).collect()
 }
--- a/crates/goldcrestvale_gateway/src/serve.rs
+++ b/crates/goldcrestvale_gateway/src/serve.rs
@@ -74,6 +74,7 @@
     callers: Listening,
     ready: Listening,
     metrics: Listening,
+    peers: Option<SocketAddr>,
     stop: CancellationToken,
     tasks: Vec<JoinHandle<()>>,
     duty: JoinHandle<()>,
@@ -131,11 +132,14 @@
             let bounds = bounds(CONTROL_CONNECTIONS);
             listen(settings.metrics, bounds, "metrics", service, CONTROL_DRAIN).await?
         };
-        if let Some(peer) = &settings.peer {
-            let address = peer.address;
-            let context = ListenSnafu { address, interface: "peers" };
-            peers::start(&gateway, peer).await.context(context)?;
-        }
+        let peers = match &settings.peer {
+            Some(peer) => {
+                let address = peer.address;
+                let context = ListenSnafu { address, interface: "peers" };
+                Some(peers::start(&gateway, peer).await.context(context)?)
+            }
+            None => None,
+        };
         let stop = CancellationToken::new();
         let tasks = vec![
             tokio::spawn(peers::attend(gateway.clone(), stop.clone())),
@@ -153,7 +157,7 @@
             metrics:% = metrics.address;
             "listening"
         );
-        Ok(Self { gateway, callers, ready, metrics, stop, tasks, duty })
+        Ok(Self { gateway, callers, ready, metrics, peers, stop, tasks, duty })
     }
 
     /// Returns the address of the callers' interface.
@@ -171,6 +175,11 @@
         self.metrics.address
     }
 
+    /// Returns the address for peers, if this instance speaks to others.
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.peers
+    }
+
     /// Takes over changed bounds of repeated arrivals.
     pub fn reload(&self, retry: Retry) {
         self.gateway.set_retry(retry);
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -76,6 +76,11 @@
     pub upstream_pause: Duration,
     /// The same while a chain is incomplete.
     pub urgent_pause: Duration,
+    /// Longest pause between reads of the upstreams, with many instances.
+    pub longest_pause: Duration,
+    /// Longest wait of a read of the configuration, with many instances, which tell each other of a
+    /// new version.
+    pub longest_wait: Duration,
     /// How long upstreams that vanished while the directory was away may take to come back.
     pub return_grace: Duration,
 }
@@ -123,7 +128,9 @@
                 timeout: Duration::from_millis(4_800),
             },
             directory: Directory {
-                configuration_wait: Duration::from_millis(1_200),
+                longest_pause: Duration::from_millis(1_800),
+                longest_wait: Duration::from_millis(4_000),
+                configuration_wait: Duration::from_millis(1_500),
                 upstream_pause: Duration::from_millis(900),
                 urgent_pause: Duration::from_millis(300),
                 return_grace: Duration::from_millis(2_200),
--- a/crates/goldcrestvale_gateway/src/view.rs
+++ b/crates/goldcrestvale_gateway/src/view.rs
@@ -51,6 +51,8 @@
     pub(crate) fleets: HashMap<Service, Arc<Fleet>>,
     /// When each upstream that is leaving began to.
     pub(crate) leaving: HashMap<Upstream, Instant>,
+    /// Since when each upstream that does not answer is silent.
+    pub(crate) silent: HashMap<Upstream, Instant>,
 }
 
 impl View {
@@ -75,6 +77,8 @@
             let refusing = in_trouble(Trouble::Refusing);
             let leaving = leaving.or(refusing.map(|span| span.since));
             view.leaving.extend(leaving.map(|since| (upstream.clone(), since)));
+            let silent = in_trouble(Trouble::Silent).map(|span| span.since);
+            view.silent.extend(silent.map(|since| (upstream.clone(), since)));
             let ready = registration.ready && refusing.is_none();
             match &registration.holding {
                 Some(holding) => {
@@ -85,7 +89,7 @@
                         card: holding.card.clone(),
                         held: holding.layers,
                         ready,
-                        silent: in_trouble(Trouble::Silent).is_some(),
+                        silent: silent.is_some(),
                         avoided_until,
                     });
                 }
--- a/crates/goldcrestvale_gateway/src/watch.rs
+++ b/crates/goldcrestvale_gateway/src/watch.rs
@@ -12,6 +12,9 @@
     port::{Change, Error, Page, Port, Result, Subject},
 };
 
+/// Instances that each read as often as one alone would.
+const FEW_INSTANCES: u32 = 4;
+
 /// Pause after a read that failed: the directory may refuse calls beyond its rate.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -70,7 +73,10 @@
     let mut reader = Reader::new(gateway.clone(), Subject::Configuration);
     let wait = gateway.settings.directory.configuration_wait;
     let mut newest_unreadable = false;
-    while let Some(read) = stop.run_until_cancelled(reader.read(wait)).await {
+    let longest = gateway.settings.directory.longest_wait;
+    while let Some(read) =
+        stop.run_until_cancelled(reader.read(shared(&gateway, wait, longest))).await
+    {
         let Some((page, _)) = read else {
             tokio::time::sleep(FAILURE_PAUSE).await;
             continue;
@@ -117,10 +123,11 @@
                 let grace = away_until.filter(|until| *until > now).map(|until| until.since(now));
                 apply(&gateway, &page, whole, grace);
                 gateway.set_listed();
-                match gateway.is_degraded() {
+                let pause = match gateway.is_degraded() {
                     true => times.urgent_pause,
                     false => times.upstream_pause,
-                }
+                };
+                shared(&gateway, pause, times.longest_pause)
             }
             None => {
                 gateway.peers.ask_list().await;
@@ -134,6 +141,13 @@
     }
 }
 
+/// Stretches a pause between reads by the number of instances. They read at different times and tell
+/// each other which upstreams leave, so together they see a change as soon as a few would.
+fn shared<P>(gateway: &Gateway<P>, pause: Duration, longest: Duration) -> Duration {
+    let instances = gateway.peers.instances().unwrap_or(1).max(1);
+    (pause * instances / FEW_INSTANCES).clamp(pause, longest.max(pause))
+}
+
 fn apply<P>(gateway: &Gateway<P>, page: &Page, whole: bool, grace: Option<Duration>) {
     let now = gateway.now();
     gateway.learn(|known| {
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -144,11 +144,12 @@
         self.peers().any(|peer| peer.state == State::Live && peer.status.leads)
     }
 
-    /// Returns whether this instance is the first by name of those that live and stay.
-    pub fn is_first(&self) -> bool {
-        let mut staying =
-            self.peers().filter(|peer| peer.state == State::Live && !peer.status.draining);
-        staying.all(|peer| self.own.instance < peer.seed.instance)
+    /// Returns how many instances that live and stay come before this one by name.
+    pub fn rank(&self) -> usize {
+        let staying = self.peers().filter(|peer| {
+            matches!(peer.state, State::Live | State::Hearsay) && !peer.status.draining
+        });
+        staying.filter(|peer| peer.seed.instance < self.own.instance).count()
     }
 
     /// Takes the platform's list.
--- a/crates/goldcrestvale_peer/examples/control_cost.rs
+++ b/crates/goldcrestvale_peer/examples/control_cost.rs
@@ -67,6 +67,7 @@
         Message::Leaving(_) => "leaving",
         Message::Use(_) => "limits",
         Message::Sends(_) => "sends",
+        Message::Silent(_) => "silent",
     }
 }
 
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -344,7 +344,7 @@
             has_heard: self.member.view().has_heard(),
             schema: self.member.schema(),
             is_led: self.member.view().is_led(),
-            is_first: self.member.view().is_first(),
+            rank: self.member.view().rank(),
         });
         self.snapshot.store(Arc::clone(&snapshot));
         self.events.published(&snapshot);
--- a/crates/goldcrestvale_peer/src/snapshot.rs
+++ b/crates/goldcrestvale_peer/src/snapshot.rs
@@ -27,8 +27,8 @@
     pub schema: u32,
     /// Whether a live peer says that it has the duty of placing layers.
     pub is_led: bool,
-    /// Whether this instance is the first by name of those that live and stay.
-    pub is_first: bool,
+    /// How many instances that live and stay come before this one by name.
+    pub rank: usize,
 }
 
 impl Snapshot {
--- a/crates/goldcrestvale_route/src/pipeline.rs
+++ b/crates/goldcrestvale_route/src/pipeline.rs
@@ -20,4 +20,4 @@
 pub use mend::{mend, widen};
 pub use model::{Card, Model, Usual};
 pub use pulse::Pulse;
-pub use rescue::Rescue;
+pub use rescue::{Rescue, paced};
--- a/crates/goldcrestvale_route/src/pipeline/layout.rs
+++ b/crates/goldcrestvale_route/src/pipeline/layout.rs
@@ -64,7 +64,7 @@
         // Dealt back and forth, so that the chains get about the same memory.
         let round = place / count.max(1);
         let turn = place % count.max(1);
-        let chain = if round % 2 == 0 { turn } else { count.saturating_sub(1 + turn) };
+        let chain = if round.is_multiple_of(2) { turn } else { count.saturating_sub(1 + turn) };
         if let Some(chain) = chains.get_mut(chain).filter(|chain| chain.len() < LONGEST) {
             chain.push(engine);
         }
--- a/crates/goldcrestvale_route/src/pipeline/mend.rs
+++ b/crates/goldcrestvale_route/src/pipeline/mend.rs
@@ -17,6 +17,12 @@
 /// Shares of the room of an even split that are tried as bounds.
 const SHARES_OF_ROOM: [f64; 6] = [0.9, 0.7, 0.5, 0.3, 0.15, 0.05];
 
+/// Further cost of releasing a layer while the chain still serves: more than any loss of room.
+const GENTLE_RELEASE: f64 = 50.0;
+
+/// Narrowness that a step must leave at most, against what was before.
+const PROGRESS: f64 = 0.99;
+
 /// Cost of releasing a layer, against loading one: streams that pass through it read again.
 const RELEASE: f64 = 0.3;
 
@@ -48,7 +54,13 @@
     }
     match first_hole(model, &rest) {
         Some(hole) if hole == model.span() => layout(model, &rest),
-        Some(hole) => reflow(model, &rest, hole),
+        Some(hole) => {
+            // While the engine that leaves still serves, its chain runs, and engines that were to
+            // release layers would wait for the streams that pass through them.
+            let mut leaving = engines.iter().filter(|engine| !engine.ready && !engine.silent);
+            let is_served = leaving.any(|engine| engine.held.is_some_and(|h| h.covers(hole)));
+            reflow(model, &rest, hole, if is_served { GENTLE_RELEASE } else { 0.0 })
+        }
         None => Vec::new(),
     }
 }
@@ -73,7 +85,7 @@
 ///
 /// Of several bounds on the room, the split with the best trade between the room that is left and
 /// the time of the longest load is taken.
-fn reflow(model: &Model, engines: &[&Engine], hole: Layers) -> Vec<Placement> {
+fn reflow(model: &Model, engines: &[&Engine], hole: Layers, release: f64) -> Vec<Placement> {
     let mut order = engines.to_vec();
     order.sort_by_key(|engine| {
         let from = engine.held.filter(|held| !held.is_empty()).map_or(hole.from, |held| held.from);
@@ -82,11 +94,13 @@
     let Some(even) = balance(model, &order) else { return Vec::new() };
     let even = least_room(model, &order, &even);
     let splits = SHARES_OF_ROOM.iter().filter_map(|share| {
-        let split = cheapest(model, &order, even * share)?;
+        let split = cheapest(model, &order, even * share, release)?;
         let loads = order.iter().zip(&split).map(|(engine, layers)| load(engine, *layers));
         let longest = loads.max().map_or(0.0, f64::from) / f64::from(model.layers);
         let longest = model.load.as_secs_f64() * longest;
-        Some((least_room(model, &order, &split).max(1.0).ln() - longest / PATIENCE_S, split))
+        let released = order.iter().zip(&split).map(|(engine, layers)| released(engine, *layers));
+        let room = least_room(model, &order, &split).max(1.0).ln();
+        Some((room - longest / PATIENCE_S - released.sum::<f64>() * release, split))
     });
     let best = splits.max_by(|a, b| a.0.total_cmp(&b.0));
     let Some((_, split)) = best else { return Vec::new() };
@@ -100,7 +114,7 @@
 /// Finds the split with the least loads in which every stage keeps `room` tokens.
 ///
 /// Loads count by their square, since they run side by side and the longest one is waited for.
-fn cheapest(model: &Model, order: &[&Engine], room: f64) -> Option<Vec<Layers>> {
+fn cheapest(model: &Model, order: &[&Engine], room: f64, release: f64) -> Option<Vec<Layers>> {
     let layers = model.layers as usize;
     let mut cost = vec![f64::INFINITY; layers + 1];
     cost[0] = 0.0;
@@ -114,9 +128,8 @@
             for to in from + 1..=layers.min(from + most as usize) {
                 let range = Layers { from: from as u32, to: to as u32 };
                 let loaded = f64::from(load(engine, range));
-                let kept = f64::from(range.len()) - loaded;
-                let released = engine.held.map_or(0.0, |held| f64::from(held.len())) - kept;
-                let total = before + loaded * loaded + released * RELEASE;
+                let given_up = released(engine, range) * (RELEASE + release);
+                let total = before + loaded * loaded + given_up;
                 if total < next[to] {
                     next[to] = total;
                     start[to] = from;
@@ -151,6 +164,12 @@
     layers.len() - kept
 }
 
+/// The layers that an engine would give up.
+fn released(engine: &Engine, layers: Layers) -> f64 {
+    let held = engine.held.map_or(0, Layers::len);
+    f64::from(held) - f64::from(layers.len() - load(engine, layers))
+}
+
 /// The room of the narrowest stage of a split.
 fn least_room(model: &Model, order: &[&Engine], split: &[Layers]) -> f64 {
     let rooms = order.iter().zip(split).map(|(engine, layers)| {
@@ -252,5 +271,39 @@
             loads.push(Placement { upstream: engine.upstream.clone(), layers });
         }
     }
-    loads
+    if is_progress(model, engines, line, &loads) { loads } else { Vec::new() }
+}
+
+/// Returns whether loads, once the layers that they make needless are released, take some of the
+/// narrowness of a chain. It only ever falls, so that no steps go in a circle.
+fn is_progress(model: &Model, engines: &[&Engine], line: &Line, loads: &[Placement]) -> bool {
+    let loaded: Vec<Engine> = engines
+        .iter()
+        .map(|engine| {
+            let load = loads.iter().find(|load| load.upstream == engine.upstream);
+            let held = load.map_or(engine.held, |load| Some(load.layers));
+            Engine { held, ..(*engine).clone() }
+        })
+        .collect();
+    let loaded: Vec<&Engine> = loaded.iter().collect();
+    let members: Vec<&Engine> = loaded
+        .iter()
+        .copied()
+        .filter(|engine| {
+            line.contains(&engine.upstream) || loads.iter().any(|l| l.upstream == engine.upstream)
+        })
+        .collect();
+    let after = whole_lines(model, &members);
+    let Some(after) = after.first() else { return false };
+    narrowness(model, &loaded, after) < narrowness(model, engines, line) * PROGRESS
+}
+
+/// The sum of the inverse rooms of a chain's stages, were each to hold what it runs.
+fn narrowness(model: &Model, engines: &[&Engine], line: &Line) -> f64 {
+    let stages = line.parts.iter().map(|part| {
+        let engine = engines.iter().find(|engine| engine.upstream == part.upstream);
+        let card = engine.and_then(|engine| model.card(&engine.card));
+        1.0 / card.map_or(1.0, |card| model.room(card, part.layers.len()).max(1.0))
+    });
+    stages.sum()
 }
--- a/crates/goldcrestvale_route/src/pipeline/rescue.rs
+++ b/crates/goldcrestvale_route/src/pipeline/rescue.rs
@@ -3,6 +3,8 @@
 //! The load it answers: a stage dies under full traffic, and its streams wait until the stall ends,
 //! which is longer than callers wait. All of them must go on elsewhere within that time.
 
+use std::time::Duration;
+
 use goldcrestvale_base::time::Instant;
 
 use super::{Engine, Line, Model, detour};
@@ -63,3 +65,25 @@
         Self::Wait
     }
 }
+
+/// Returns how many of `count` streams are to move now, so that all have moved within `window`.
+///
+/// The load it answers: all streams of a chain move at once, and every one of them reads its prompt
+/// again. The chains that take them would pause for all their own streams as well.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use goldcrestvale_route::pipeline::paced;
+///
+/// let (window, period) = (Duration::from_millis(500), Duration::from_millis(100));
+/// assert_eq!(paced(50, Duration::ZERO, window, period), 10);
+/// assert_eq!(paced(20, Duration::from_millis(400), window, period), 20);
+/// ```
+pub fn paced(count: usize, elapsed: Duration, window: Duration, period: Duration) -> usize {
+    let left = window.saturating_sub(elapsed).as_secs_f64();
+    let rounds = (left / period.as_secs_f64()).max(1.0);
+    (count as f64 / rounds).ceil() as usize
+}
--- /dev/null
+++ b/crates/goldcrestvale_route/tests/forward_table.rs
@@ -0,0 +1,110 @@
+//! Lookup of routes, customers and services.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use goldcrestvale_route::forward::{
+    Bounds, Configuration, Customer, Kind, Refusal, Route, Share, Table,
+};
+use proptest::prelude::*;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Safe,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        target_gap: None,
+        priority: 1,
+        split: [Share { service: "desk".parse().unwrap(), weight: 1 }].into_iter().collect(),
+        attempts: 2,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn table(routes: Vec<Route>, customers: Option<Vec<Customer>>) -> Table {
+    Table::new(Configuration {
+        version: 3,
+        routes,
+        pools: Vec::new(),
+        bounds: Bounds {
+            header_bytes: 1,
+            body_bytes: 2,
+            header_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+        customers,
+    })
+}
+
+fn found<'t>(table: &'t Table, host: &str, path: &str) -> Option<&'t str> {
+    table.find(host, path).ok().map(|route| route.name.as_str())
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let table = table(
+        vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/"),
+        ],
+        None,
+    );
+    assert_eq!(found(&table, "a.example", "/x/y/z"), Some("long"));
+    assert_eq!(found(&table, "a.example", "/x/z"), Some("short"));
+    assert_eq!(found(&table, "a.example", "/x"), None);
+    assert_eq!(found(&table, "A.Example:8080", "/x/z"), Some("short"));
+    assert_eq!(found(&table, "b.example", "/x/z"), Some("other"));
+    assert_eq!(found(&table, "c.example", "/x/z"), None);
+}
+
+#[test]
+fn credentials_are_needed() {
+    let customer =
+        Customer { name: "family".into(), credentials: vec!["k".into()], priority: None };
+    let open = Route { public: true, ..route("open", "a.example", "/o/") };
+    let closed = route("closed", "a.example", "/c/");
+    let table = table(vec![open.clone(), closed.clone()], Some(vec![customer]));
+    assert_eq!(table.customer(&closed, None).unwrap_err(), Refusal::Credential);
+    assert_eq!(table.customer(&closed, Some("z")).unwrap_err(), Refusal::Credential);
+    assert_eq!(table.customer(&closed, Some("k")).unwrap().unwrap().name, "family");
+    assert!(table.customer(&open, None).unwrap().is_none());
+    // A known credential names its customer also where none is needed.
+    assert_eq!(table.customer(&open, Some("k")).unwrap().unwrap().name, "family");
+}
+
+#[test]
+fn no_customers_no_credentials() {
+    let closed = route("closed", "a.example", "/c/");
+    assert!(table(vec![closed.clone()], None).customer(&closed, None).unwrap().is_none());
+    let nobody = table(vec![closed.clone()], Some(Vec::new()));
+    assert!(nobody.customer(&closed, Some("k")).is_err());
+}
+
+proptest! {
+    #[test]
+    fn split_follows_weights(weights in prop::collection::vec(0_u32..100, 1..4), point in 0.0..1.0) {
+        let mut split = route("r", "a.example", "/");
+        split.split = weights
+            .iter()
+            .enumerate()
+            .map(|(n, &weight)| Share { service: format!("s{n}").parse().unwrap(), weight })
+            .collect();
+        let table = table(Vec::new(), None);
+        let picked = table.pick(&split, point).unwrap();
+        let total: u32 = weights.iter().sum();
+        let at = point * f64::from(total);
+        let mut below = 0.0;
+        for share in &split.split {
+            let upto = below + f64::from(share.weight);
+            if total > 0 && (below..upto).contains(&at) {
+                prop_assert_eq!(picked, &share.service);
+            }
+            below = upto;
+        }
+    }
+}
--- a/crates/goldcrestvale_route/tests/pipeline/layer_mend.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/layer_mend.rs
@@ -175,3 +175,22 @@
         }
     }
 }
+
+#[test]
+fn leaving_engine_releases_nothing() {
+    // Its chain still runs. An engine that gives layers up waits for the streams passing through
+    // them, so only loads are ordered.
+    for name in ["kirkos-55", "yeka-108", "bole-6"] {
+        let mut engines = fleet();
+        engines.iter_mut().find(|engine| engine.upstream.as_str() == name).unwrap().ready = false;
+        let domain = name.split('-').next().unwrap();
+        let orders = mend(&model(), &of(&engines, domain), |_| false);
+        assert!(!orders.is_empty(), "{name}");
+        for order in &orders {
+            let engine = engines.iter().find(|e| e.upstream == order.upstream).unwrap();
+            assert!(engine.held.is_none_or(|held| order.layers.covers(held)), "{name}: {order:?}");
+        }
+        place(&mut engines, &orders);
+        assert_eq!(whole(&engines, domain), 1, "{name}");
+    }
+}
--- a/crates/goldcrestvale_route/tests/pipeline/main.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/main.rs
@@ -1,7 +1,10 @@
 //! Placement of layers, chains over them, and what becomes of streams after a loss.
 
+#![allow(clippy::unwrap_used, unreachable_pub)]
+
 mod cards;
 mod chain_choice;
 mod chain_cover;
 mod layer_mend;
+mod paced_moves;
 mod stream_rescue;
--- /dev/null
+++ b/crates/goldcrestvale_route/tests/retry_window.rs
@@ -0,0 +1,61 @@
+//! Repeats stay a share of first tries over any span, at the load at which everything fails.
+
+use std::time::Duration;
+
+use goldcrestvale_base::time::Instant;
+use goldcrestvale_route::retry::Window;
+use proptest::prelude::*;
+
+const SPAN: Duration = Duration::from_secs(10);
+
+proptest! {
+    // However first tries and repeats come, no span of the length holds more repeats than the share
+    // of the first tries of that span and of one as long before it, and the floor.
+    #[test]
+    fn any_span_is_bounded(
+        steps in prop::collection::vec((1_u64..400, 0_u32..6, 0_u32..30), 1..200),
+        ratio in 0.0_f64..0.5,
+        floor in 0.0_f64..20.0,
+    ) {
+        let mut window = Window::new(SPAN, ratio, floor);
+        let mut now = Instant(0);
+        let mut events: Vec<(Instant, bool)> = Vec::new();
+        for (millis, firsts, asks) in steps {
+            now = now + Duration::from_millis(millis);
+            for _ in 0..firsts {
+                window.count_first(now);
+                events.push((now, true));
+            }
+            for _ in 0..asks {
+                if window.try_repeat(now) {
+                    events.push((now, false));
+                }
+            }
+        }
+        for &(end, _) in &events {
+            let within = |span: Duration| {
+                events.iter().filter(move |(at, _)| *at <= end && end.since(*at) < span)
+            };
+            let repeats = within(SPAN).filter(|(_, first)| !first).count() as f64;
+            let firsts = within(SPAN * 2).filter(|(_, first)| *first).count() as f64;
+            prop_assert!(repeats <= firsts * ratio + floor + 1e-9, "{repeats} {firsts}");
+        }
+    }
+}
+
+#[test]
+fn quiet_instance_may_repeat() {
+    let mut window = Window::new(SPAN, 0.0, 3.0);
+    let allowed = (0..10).filter(|_| window.try_repeat(Instant(0))).count();
+    assert_eq!(allowed, 3);
+    assert!(window.try_repeat(Instant(0) + SPAN * 2));
+}
+
+#[test]
+fn floor_follows_the_instances() {
+    let mut window = Window::new(SPAN, 0.0, 1.0);
+    assert!(window.try_repeat(Instant(0)));
+    assert!(!window.try_repeat(Instant(0)));
+    window.set_floor(2.0);
+    assert!(window.try_repeat(Instant(0)));
+}
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -36,6 +36,10 @@
         ("[log]\nlevel = loud", "[log] level: \"loud\"", "trace"),
         ("[log]\nformat = xml", "[log] format: \"xml\"", "json"),
         ("[draft]\nmax_tokens = 1\nmax_tokens = 2", "[draft] max_tokens: stands more", "one value"),
+        ("[gateway]\nstore = 127.0.0.1:1", "[gateway] ready: is missing", "127.0.0.1:8080"),
+        ("[gateway]\nretry_ratio = lots", "[gateway] retry_ratio: \"lots\"", "0 to 1000"),
+        ("[gateway]\ngrace_s = 0", "[gateway] grace_s: \"0\"", "0.001 to 86400"),
+        ("[log]\noutput = file", "[log] output: \"file\"", "stdout or stderr"),
         ("", "[instance] name: is missing", "bole-1"),
         ("[instance]\nname = a b", "[instance] name: \"a b\"", "letters"),
     ];
@@ -62,3 +66,32 @@
     assert!(error.contains("[peer] secret: "), "{error}");
     assert!(!error.contains("0123456789abcdef"), "{error}");
 }
+
+/// The template that the platform fills in, with values as it has them.
+#[test]
+fn template_is_right() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/node.ini");
+    let mut text = std::fs::read_to_string(path).expect("the template");
+    for (name, value) in [
+        ("node", "front-bole-1"),
+        ("zone", "bole"),
+        ("ip", "10.1.0.40"),
+        ("listen.front", "10.1.0.40:8227"),
+        ("listen.ready", "10.1.0.40:8220"),
+        ("listen.control", "10.1.0.40:8229"),
+        ("innerPortRange.1", "7355"),
+        ("seeds", "10.1.0.40:8229,10.2.0.29:8229,10.3.0.19:8229"),
+        ("heartbeatMs", "1200"),
+        ("platform.address", "10.200.1.7:8223"),
+        ("bounds.retryBudgetRatio", "0.2"),
+        ("bounds.retryBudgetMin", "200"),
+        ("bounds.budgetWindowS", "10"),
+        ("bounds.graceS", "8"),
+    ] {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    let file = File::parse("node.ini", &text).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(file.gateway.metrics.map(|metrics| metrics.port()), Some(7355));
+    assert_eq!(file.entry.peer.seeds.len(), 3);
+}
