Learn from refusals what a chain holds, and explain requests from logs

Ruled out: slow reading of the store after a restart: chains were known 20 ms after it. In chain_choice a replay serves more than with chains left alone.

--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
     metrics::Metrics,
     peers::Peers,
     registry::Registry,
+    rescue::Blame,
     settings::{Retry, Settings},
     view::{Fleet, View},
 };
@@ -48,6 +49,9 @@
 /// Instances that the retry budget is shared between, as long as their number is not known.
 const ASSUMED_INSTANCES: f64 = 7.0;
 
+/// Pause between two questions to an upstream that refuses streams.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
 /// How long it is remembered that an upstream was blamed.
 const BLAME_MEMORY: Duration = Duration::from_millis(1_500);
 
@@ -318,7 +322,6 @@
         let until = now + time;
         let mut fresh = false;
         self.learn(|known| {
-            known.blamed.insert(upstream.clone(), now);
             let before = known.avoided.insert(upstream.clone(), until);
             if before.is_none_or(|before| before <= now) {
                 warn!(upstream:% = upstream, millis = time.as_millis() as u64, why; "upstream is left alone");
@@ -329,11 +332,33 @@
         fresh
     }
 
-    /// Returns whether an upstream was left alone until a moment ago.
-    pub(crate) fn was_avoided(&self, upstream: &Upstream) -> bool {
+    /// Notes that an upstream refused a stream; returns whether it is to be probed, and as what.
+    pub(crate) fn blame(&self, upstream: &Upstream) -> Option<Blame> {
         let now = self.now();
-        let until = self.read(|known| known.blamed.get(upstream).copied());
-        until.is_some_and(|until| now.since(until) < BLAME_MEMORY)
+        let mut blame = None;
+        self.learn(|known| {
+            let before = known.blamed.get(upstream).map(|at| now.since(*at));
+            if before.is_some_and(|before| before < PROBE_PAUSE) {
+                return false;
+            }
+            known.blamed.insert(upstream.clone(), now);
+            blame = Some(match before {
+                Some(before) if before < BLAME_MEMORY => Blame::Refusals,
+                _ => Blame::Refusal,
+            });
+            false
+        });
+        blame
+    }
+
+    /// Returns the streams on a chain, as far as this instance knows.
+    pub(crate) fn streams(&self, head: &Upstream) -> u32 {
+        self.load(head).streams(self.now())
+    }
+
+    fn load(&self, head: &Upstream) -> Load {
+        let others = self.peers.snapshot().others.total(head);
+        Load { others, ..self.registry.load(head) }
     }
 
     /// Uses the upstreams again whose time of being left alone has passed.
@@ -377,16 +402,11 @@
 
     /// Chooses a chain for a stream; `without` are first engines that it must not take.
     pub(crate) fn choose(&self, fleet: &Fleet, without: &[Upstream]) -> Result<Arc<Line>, Choice> {
-        let peers = self.peers.snapshot();
         let candidates: Vec<(&Line, Load)> = fleet
             .lines
             .iter()
             .filter(|line| !without.contains(&line.head().upstream))
-            .map(|line| {
-                let head = &line.head().upstream;
-                let others = peers.others.total(head);
-                (line.as_ref(), Load { others, ..self.registry.load(head) })
-            })
+            .map(|line| (line.as_ref(), self.load(&line.head().upstream)))
             .collect();
         let domain = &self.settings.domain;
         let draw = self.draw();
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -9,7 +9,7 @@
     id::{Service, Upstream},
     time::Instant,
 };
-use goldcrestvale_route::pipeline::{Held, Line, Load, Pulse};
+use goldcrestvale_route::pipeline::{Held, Limit, Line, Load, Pulse};
 use tokio::sync::Notify;
 
 /// The streams in progress.
@@ -42,6 +42,7 @@
 #[derive(Debug, Default)]
 struct Head {
     reported: Option<Held>,
+    limit: Option<Limit>,
     pulse: Pulse,
 }
 
@@ -89,6 +90,7 @@
             own: head.pulse.streams(),
             others: 0,
             reported: head.reported,
+            limit: head.limit,
         })
     }
 
@@ -100,6 +102,13 @@
         head.reported = Some(Held { streams: load.running + load.waiting, own, at: now });
     }
 
+    /// Learns from a refusal how many streams a chain holds.
+    pub(crate) fn limit(&self, head: &Upstream, streams: u32, now: Instant) {
+        let mut state = self.lock();
+        let head = state.heads.entry(head.clone()).or_default();
+        head.limit = Some(Limit { streams, at: now });
+    }
+
     /// Returns the first engines whose chains have stopped.
     pub(crate) fn stopped(&self, now: Instant) -> Vec<Upstream> {
         let state = self.lock();
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use http::{Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use log::warn;
+use log::{info, warn};
 
 use crate::{
     answer::Refusal,
@@ -34,9 +34,6 @@
 /// How long an engine is left alone that lacks the layers it should hold: until its next record.
 const AVOID_MISSING: Duration = Duration::from_millis(1_500);
 
-/// How long an engine is left alone that is short of memory.
-const AVOID_FULL: Duration = Duration::from_millis(300);
-
 /// Sends of one request that ended in "not run" before it is refused.
 const MOST_REFUSED: u32 = 3;
 
@@ -204,7 +201,9 @@
                 without.push(head);
             }
             Some(Sent::Unsent(why)) => {
-                suspect(&gateway, &head, AVOID_BROKEN, Blame::Failure, &why);
+                if gateway.avoid(&head, AVOID_BROKEN, &why) {
+                    tokio::spawn(probe(gateway.clone(), head.clone(), Blame::Failure));
+                }
                 without.push(head);
             }
             Some(Sent::Broken(why)) => {
@@ -276,7 +275,7 @@
     }
 }
 
-/// Leaves the engine alone that an answer blames.
+/// Learns from a refusal: what the chain holds, and what is wrong with the engine that is blamed.
 fn blame<P: Port>(matched: &Matched<P>, line: &Line, status: StatusCode, answer: &Head) {
     let gateway = &matched.gateway;
     if status == StatusCode::BAD_REQUEST {
@@ -287,27 +286,17 @@
         .at_fault
         .and_then(|address| line.parts.iter().find(|part| part.address == address))
         .unwrap_or_else(|| line.head());
-    let time = match status {
-        StatusCode::MISDIRECTED_REQUEST => AVOID_MISSING,
-        _ => AVOID_FULL,
-    };
-    suspect(gateway, &blamed.upstream, time, Blame::Refusal, &format!("refused with {status}"));
-}
-
-/// Leaves an engine alone, and finds out what is wrong with it.
-fn suspect<P: Port>(
-    gateway: &Arc<Gateway<P>>,
-    upstream: &Upstream,
-    time: Duration,
-    blame: Blame,
-    why: &str,
-) {
-    let blame = match blame {
-        Blame::Refusal if gateway.was_avoided(upstream) => Blame::Refusals,
-        blame => blame,
-    };
-    if gateway.avoid(upstream, time, why) {
-        tokio::spawn(probe(gateway.clone(), upstream.clone(), blame));
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        gateway.avoid(&blamed.upstream, AVOID_MISSING, "it lacks layers");
+        return;
+    }
+    let head = &line.head().upstream;
+    // The refused stream is counted.
+    let streams = gateway.streams(head).saturating_sub(1);
+    gateway.registry.limit(head, streams, gateway.now());
+    if let Some(blame) = gateway.blame(&blamed.upstream) {
+        info!(upstream:% = blamed.upstream, head:% = head, streams; "chain refused a stream");
+        tokio::spawn(probe(gateway.clone(), blamed.upstream.clone(), blame));
     }
 }
 
--- a/crates/goldcrestvale_route/src/pipeline.rs
+++ b/crates/goldcrestvale_route/src/pipeline.rs
@@ -13,7 +13,7 @@
 mod pulse;
 mod rescue;
 
-pub use choice::{Choice, Held, Load};
+pub use choice::{Choice, Held, Limit, Load};
 pub use engine::Engine;
 pub use layout::{Placement, balance, layout, replicas};
 pub use line::{Line, Part, detour, find_lines};
--- a/crates/goldcrestvale_route/src/pipeline/choice.rs
+++ b/crates/goldcrestvale_route/src/pipeline/choice.rs
@@ -16,6 +16,10 @@
 /// Load that a chain counts as having for each boundary between domains that it crosses.
 const CROSSING: f64 = 0.25;
 
+/// Streams by which a learned limit rises in a second: about a third of those that end on a full
+/// chain in that time, since several instances learn limits of one chain.
+const REGAIN_PER_S: f64 = 10.0;
+
 /// Share of a chain's room that may be taken by streams of the usual size.
 const FULL: f64 = 0.95;
 
@@ -40,6 +44,41 @@
     pub others: u32,
     /// The first engine's last report.
     pub reported: Option<Held>,
+    /// What was learned when the chain refused a stream last.
+    pub limit: Option<Limit>,
+}
+
+/// A bound on the streams of a chain, learned from a refusal.
+///
+/// The load it answers: callers come back all at once, and every chain is short of memory for a
+/// moment. A chain that refused holds what it holds, so it takes no more than that at first, and
+/// then more with time. Were it left alone instead, all would go to the next one, until none is left.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use goldcrestvale_base::time::Instant;
+/// use goldcrestvale_route::pipeline::Limit;
+///
+/// let limit = Limit { streams: 60, at: Instant(0) };
+/// assert_eq!(limit.streams(Instant(0)), 60.0);
+/// assert!(limit.streams(Instant(0) + Duration::from_secs(1)) > 65.0);
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct Limit {
+    /// Streams on the chain when it refused one.
+    pub streams: u32,
+    /// When it refused.
+    pub at: Instant,
+}
+
+impl Limit {
+    /// Returns the streams that the chain may hold by now.
+    pub fn streams(&self, now: Instant) -> f64 {
+        f64::from(self.streams) + now.since(self.at).as_secs_f64() * REGAIN_PER_S
+    }
 }
 
 /// What a first engine reported.
@@ -95,7 +134,8 @@
             let memory = streams * model.stream_tokens() / line.room.max(1.0);
             let slots = streams / f64::from(model.slots.max(1));
             let taken = memory.max(slots);
-            if taken > FULL {
+            let is_limited = load.limit.is_some_and(|limit| streams > limit.streams(now));
+            if taken > FULL || is_limited {
                 continue;
             }
             let away = if line.domain == *domain { 0.0 } else { OWN_DOMAIN };
--- a/crates/goldcrestvale_route/tests/pipeline/chain_choice.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/chain_choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use goldcrestvale_base::{id::Domain, time::Instant};
-use goldcrestvale_route::pipeline::{Choice, Held, Line, Load, find_lines};
+use goldcrestvale_route::pipeline::{Choice, Held, Limit, Line, Load, find_lines};
 
 use crate::cards::{fleet, model};
 
@@ -14,7 +14,7 @@
 }
 
 fn own(streams: u32) -> Load {
-    Load { own: streams, others: 0, reported: None }
+    Load { own: streams, others: 0, reported: None, limit: None }
 }
 
 fn choose(lines: &[Line], loads: [Load; 3], domain: &str) -> Choice {
@@ -65,7 +65,7 @@
 fn reports_count_other_instances() {
     // Several instances send to one chain; each sees its own streams at once, the others' by report.
     let reported = Some(Held { streams: 100, own: 20, at: NOW });
-    let load = Load { own: 30, others: 0, reported };
+    let load = Load { own: 30, others: 0, reported, limit: None };
     assert_eq!(load.streams(NOW), 110);
     assert_eq!(load.streams(NOW + Duration::from_secs(10)), 30);
     let told = Load { others: 90, ..load };
@@ -83,3 +83,50 @@
     };
     assert!(back(1.0) > back(0.0) + Duration::from_secs(2));
 }
+
+/// Plays callers that all come at once to chains that hold 40 streams each, and asks how many are
+/// served within two seconds. Streams end at an even rate.
+fn served(learn: impl Fn(u32, Instant) -> Option<Limit>, leave_alone: Duration) -> u32 {
+    const HELD: u32 = 40;
+    const CALLERS: u32 = 400;
+    let lines = lines();
+    let domain: Domain = "bole".parse().unwrap();
+    let mut loads = [own(0); 3];
+    let mut alone_until = [Instant(0); 3];
+    let mut served = 0;
+    let mut refused = 0;
+    for step in 0..CALLERS {
+        let now = NOW + Duration::from_millis(5) * step;
+        // About ten streams a second end on each chain.
+        if step % 20 == 0 {
+            loads.iter_mut().for_each(|load| load.own = load.own.saturating_sub(1));
+        }
+        let open: Vec<usize> = (0..3).filter(|&place| alone_until[place] <= now).collect();
+        let candidates: Vec<(&Line, Load)> =
+            open.iter().map(|&place| (&lines[place], loads[place])).collect();
+        match Choice::new(&model(), &candidates, &domain, now, 0.5) {
+            Choice::Take(choice) if loads[open[choice]].own < HELD => {
+                loads[open[choice]].own += 1;
+                served += 1;
+            }
+            Choice::Take(choice) => {
+                let place = open[choice];
+                refused += 1;
+                loads[place].limit = learn(loads[place].own, now);
+                alone_until[place] = now + leave_alone;
+            }
+            Choice::Full(_) | Choice::Broken(_) => {}
+        }
+    }
+    assert!(refused < CALLERS / 2, "{refused} sends were refused");
+    served
+}
+
+#[test]
+fn full_chains_serve_on() {
+    let learned = served(|streams, at| Some(Limit { streams, at }), Duration::ZERO);
+    let left_alone = served(|_, _| None, Duration::from_millis(300));
+    // 120 streams fit at once, and 60 end meanwhile.
+    assert!(learned >= 170, "{learned}");
+    assert!(learned > left_alone, "{learned} {left_alone}");
+}
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,109 @@
+//! `goldcrestvale explain`.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    io::{self, BufRead, BufReader, Write},
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use clap::Args;
+use jiff::{SignedDuration, Timestamp};
+use serde_json::Value;
+
+use super::{Exit, client::complain};
+
+/// How long before a request the events of its upstreams are shown.
+const BEFORE: SignedDuration = SignedDuration::from_secs(5);
+
+/// Keys of a log line that name an upstream.
+const UPSTREAM_KEYS: [&str; 3] = ["upstream", "engine", "head"];
+
+/// Shows from logs what became of a request, and why.
+#[derive(Debug, Args)]
+pub struct Explain {
+    /// Identifier of the request's attempt.
+    #[arg(value_name = "ID")]
+    request: String,
+    /// Log files, with lines as JSON.
+    #[arg(value_name = "FILE", required = true)]
+    files: Vec<PathBuf>,
+}
+
+/// A line of a log.
+#[derive(Debug, Clone)]
+struct Line {
+    time: Timestamp,
+    fields: Value,
+    text: String,
+}
+
+impl Explain {
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        let mut lines = Vec::new();
+        for path in &self.files {
+            if let Err(e) = read(path, &mut lines) {
+                complain(&format!("cannot read {}: {e}", path.display()));
+                return Exit::Usage.into();
+            }
+        }
+        let story = tell(&self.request, &lines);
+        if story.is_empty() {
+            complain(&format!("no line names request {:?}", self.request));
+            return Exit::Failed.into();
+        }
+        let mut output = io::stdout().lock();
+        for line in story {
+            if let Err(e) = writeln!(output, "{}", line.text) {
+                complain(&format!("cannot write: {e}"));
+                return Exit::Failed.into();
+            }
+        }
+        Exit::Done.into()
+    }
+}
+
+fn read(path: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
+    for text in BufReader::new(fs::File::open(path)?).lines() {
+        let text = text?;
+        // A collector may have put words of its own before the line.
+        let Some(start) = text.find('{') else { continue };
+        let Ok(fields) = serde_json::from_str::<Value>(&text[start..]) else { continue };
+        let time = fields["time"].as_str().and_then(|time| time.parse().ok());
+        if let Some(time) = time {
+            lines.push(Line { time, fields, text });
+        }
+    }
+    Ok(())
+}
+
+/// The lines of a request, and those of its upstreams and of the dependencies around it, by time.
+fn tell<'l>(request: &str, lines: &'l [Line]) -> Vec<&'l Line> {
+    let own: Vec<&Line> = lines.iter().filter(|line| line.fields["request"] == request).collect();
+    let (Some(first), Some(last)) =
+        (own.iter().map(|line| line.time).min(), own.iter().map(|line| line.time).max())
+    else {
+        return Vec::new();
+    };
+    let taken = own.iter().filter_map(|line| line.fields["millis"].as_i64()).max().unwrap_or(0);
+    let start = first - SignedDuration::from_millis(taken) - BEFORE;
+    let mut upstreams = BTreeSet::new();
+    for line in &own {
+        let tried = line.fields["tried"].as_str().unwrap_or_default();
+        upstreams.extend(tried.split(',').filter(|name| !name.is_empty()));
+        upstreams.extend(UPSTREAM_KEYS.iter().filter_map(|key| line.fields[*key].as_str()));
+    }
+    let concerns = |line: &&Line| {
+        let names = UPSTREAM_KEYS.iter().filter_map(|key| line.fields[*key].as_str());
+        let mut names = names.filter(|name| upstreams.contains(name));
+        let is_general = line.fields.get("request").is_none()
+            && UPSTREAM_KEYS.iter().all(|key| line.fields.get(*key).is_none());
+        line.fields["request"] == request
+            || ((start..=last).contains(&line.time) && (names.next().is_some() || is_general))
+    };
+    let mut story: Vec<&Line> = lines.iter().filter(concerns).collect();
+    story.sort_by_key(|line| line.time);
+    story
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod customer;
 mod exit;
+mod explain;
 mod operate;
 mod serve;
 mod service;
@@ -15,6 +16,7 @@
 pub use config::Config;
 pub use customer::Customer;
 pub use exit::Exit;
+pub use explain::Explain;
 pub use operate::{Drain, Dump};
 pub use serve::Serve;
 pub use service::Service;
@@ -47,6 +49,8 @@
     Service(Service),
     /// Prints the state of an instance as JSON.
     Dump(Dump),
+    /// Shows from logs what became of a request, and why.
+    Explain(Explain),
     /// Tells an instance to leave, or one upstream to be given no new work.
     Drain(Drain),
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,5 +14,6 @@
         Command::Service(command) => command.run(),
         Command::Dump(command) => command.run(),
         Command::Drain(command) => command.run(),
+        Command::Explain(command) => command.run(),
     }
 }
