Move lost streams at once, and find dark engines sooner

Ruled out: that prompts read again hold up the streams of the other chains: engines read them in pieces between steps, and p99 of untouched windows did not move.

--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -74,6 +74,8 @@
     pub(crate) pool: Pool,
     /// Tells the placer that something changed.
     pub(crate) changed: Notify,
+    /// Tells the task that moves streams of an upstream in trouble.
+    pub(crate) alarm: Notify,
     known: Mutex<Known>,
     pub(crate) peers: Peers,
     windows: Mutex<HashMap<Service, Window>>,
@@ -145,6 +147,7 @@
             registry: Arc::default(),
             pool: Pool::new(Protocol::Http1, limits),
             changed: Notify::new(),
+            alarm: Notify::new(),
             known: Mutex::default(),
             peers: Peers::default(),
             windows: Mutex::default(),
@@ -250,6 +253,7 @@
         if fresh {
             let millis = time.as_millis() as u64;
             warn!(upstream:% = upstream, trouble:? = trouble, millis, why; "upstream is in trouble");
+            self.alarm.notify_one();
         }
         fresh
     }
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -40,14 +40,24 @@
 /// Time over which streams move off an engine that is leaving: within the time that it still serves.
 const LEAVING_WINDOW: Duration = Duration::from_millis(1_300);
 
-/// Time over which streams move off an engine that is lost: well within a caller's patience.
-const SILENT_WINDOW: Duration = Duration::from_millis(500);
+/// Time over which streams move off an engine that is lost. They have paused already, and prompts are
+/// read between the steps of other streams, so all move at once.
+const SILENT_WINDOW: Duration = Duration::ZERO;
 
 /// Watches until the token is cancelled.
 pub(crate) async fn watch<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+    loop {
+        let due = async {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = gateway.alarm.notified() => {}
+            }
+        };
+        if stop.run_until_cancelled(due).await.is_none() {
+            return;
+        }
         gateway.expire();
         for head in gateway.registry.stopped(gateway.now()) {
             diagnose(&gateway, &head).await;
