--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -58,6 +58,7 @@
     let member = format!("{}-{}", gateway.settings.name, uuid::Uuid::now_v7().simple());
     let keeper = keep(gateway.clone(), member.clone(), stop.clone());
     tokio::join!(keeper, place(gateway.clone(), stop));
+    gateway.set_duty(None);
     if let Err(e) = gateway.port.release(&member).await {
         warn!(error:% = e; "the duty was not given up and lapses");
     }
--- a/crates/goldcrestvale_gateway/src/serve.rs
+++ b/crates/goldcrestvale_gateway/src/serve.rs
@@ -78,6 +78,7 @@
     stop: CancellationToken,
     tasks: Vec<JoinHandle<()>>,
     duty: JoinHandle<()>,
+    duty_stop: CancellationToken,
 }
 
 /// A server that runs in a task.
@@ -148,7 +149,7 @@
             tokio::spawn(rescue::watch(gateway.clone(), stop.clone())),
         ];
         let duty_stop = stop.child_token();
-        let duty = tokio::spawn(placer::attend(gateway.clone(), duty_stop));
+        let duty = tokio::spawn(placer::attend(gateway.clone(), duty_stop.clone()));
         info!(
             instance:% = settings.name,
             domain:% = settings.domain,
@@ -157,7 +158,7 @@
             metrics:% = metrics.address;
             "listening"
         );
-        Ok(Self { gateway, callers, ready, metrics, peers, stop, tasks, duty })
+        Ok(Self { gateway, callers, ready, metrics, peers, stop, tasks, duty, duty_stop })
     }
 
     /// Returns the address of the callers' interface.
@@ -193,6 +194,8 @@
         let settings = self.gateway.settings.stop;
         self.gateway.leave();
         info!(streams = self.gateway.registry.len(); "leaving");
+        // Another instance takes the duty while this one drains.
+        self.duty_stop.cancel();
         tokio::time::sleep(settings.notice).await;
         let clean = self.callers.finish().await;
         self.stop.cancel();
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -145,10 +145,12 @@
     }
 
     /// Returns how many instances that live and stay come before this one by name.
+    ///
+    /// Hearsay does not count: it outlives an instance that was replaced, and then nobody would be
+    /// the first.
     pub fn rank(&self) -> usize {
-        let staying = self.peers().filter(|peer| {
-            matches!(peer.state, State::Live | State::Hearsay) && !peer.status.draining
-        });
+        let staying =
+            self.peers().filter(|peer| peer.state == State::Live && !peer.status.draining);
         staying.filter(|peer| peer.seed.instance < self.own.instance).count()
     }
 
