--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     gateway::Gateway,
-    port::{Obedience, Port, Tenure},
+    port::{Obedience, Port, Release, Tenure},
     rescue::refresh,
     view::Fleet,
 };
@@ -172,6 +172,8 @@
         let in_progress = lock(pending).clone();
         let is_pending = |engine: &Engine| in_progress.contains_key(&engine.upstream);
         let mut orders = mend(&fleet.model, &engines, is_pending);
+        // A chain that lost a stage is down: its streams move, and must not hold up its repair.
+        let release = if orders.is_empty() { Release::Wait } else { Release::Cut };
         if orders.is_empty() {
             let since = *calm.entry(domain.clone()).or_insert(now + CALM);
             if since <= now && !engines.iter().any(|engine| is_pending(engine)) {
@@ -201,7 +203,7 @@
             let engine = engine.clone();
             let load = fleet.model.load;
             tokio::spawn(async move {
-                order(&gateway, &engine, &placement, load).await;
+                order(&gateway, &engine, &placement, release, load).await;
                 lock(&pending).remove(&placement.upstream);
                 gateway.changed.notify_one();
             });
@@ -220,6 +222,7 @@
     gateway: &Arc<Gateway<P>>,
     engine: &Engine,
     placement: &Placement,
+    release: Release,
     load: Duration,
 ) {
     let limit = gateway.now() + load + ORDER_SLACK;
@@ -254,7 +257,7 @@
         ordered = Some((report.orders, gateway.now() + REPORT_LAG));
         // An order that got no answer may be carried out late; the count of orders that it expects
         // no longer fits by then, if another one was accepted in between.
-        match gateway.port.place(engine.address, placement.layers, report.orders).await {
+        match gateway.port.place(engine.address, placement.layers, release, report.orders).await {
             Ok(Obedience::Begun | Obedience::Done) => {}
             Ok(outcome) => {
                 warn!(engine:% = engine.upstream, outcome:? = outcome; "engine did not take the order");
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -229,6 +229,15 @@
     pub stalled: Vec<Stalled>,
 }
 
+/// What an engine does with the streams that pass through layers that it releases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Release {
+    /// It waits for their end.
+    Wait,
+    /// It cuts them off.
+    Cut,
+}
+
 /// What became of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Obedience {
@@ -252,6 +261,7 @@
         &self,
         address: SocketAddr,
         layers: Layers,
+        release: Release,
         expected: u64,
     ) -> impl Future<Output = Result<Obedience>> + Send;
 
