--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -1,7 +1,6 @@
 //! What every task of a gateway instance shares.
 
 use std::{
-    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -18,7 +17,6 @@
 use goldcrestvale_route::{
     forward::{Configuration, Table},
     pipeline::{Choice, Engine, Line, Load},
-    retry::Window,
 };
 use goldcrestvale_upstream::pool::{Limits, Pool, Protocol};
 use log::{info, warn};
@@ -26,11 +24,12 @@
 use tokio::sync::Notify;
 
 use crate::{
-    catalog::Catalog,
+    blame::Blame,
+    known::{Known, Span, Trouble},
     metrics::Metrics,
     peers::Peers,
     registry::Registry,
-    rescue::Blame,
+    repeats::Repeats,
     settings::{Retry, Settings},
     view::{Fleet, View},
 };
@@ -46,19 +45,12 @@
 /// Largest answer of a plain service, in bytes.
 const ANSWER_BYTES: usize = 8 << 20;
 
-/// Instances that the retry budget is shared between, as long as their number is not known.
-const ASSUMED_INSTANCES: f64 = 7.0;
-
 /// Pause between two questions to an upstream that refuses streams.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
 
 /// How long it is remembered that an upstream was blamed.
 const BLAME_MEMORY: Duration = Duration::from_millis(1_500);
 
-/// Part of its share of the retry budget that an instance uses, since the others may see fewer or
-/// more instances for a while.
-const OWN_SHARE: f64 = 0.9;
-
 /// The shared state of a gateway instance.
 #[derive(Debug)]
 pub(crate) struct Gateway<P> {
@@ -78,8 +70,7 @@
     pub(crate) alarm: Notify,
     known: Mutex<Known>,
     pub(crate) peers: Peers,
-    windows: Mutex<HashMap<Service, Window>>,
-    retry: Mutex<Retry>,
+    repeats: Repeats,
     rng: Mutex<StdRng>,
     listed: AtomicBool,
     reached: AtomicBool,
@@ -88,48 +79,6 @@
     duty_until: AtomicU64,
 }
 
-/// What the snapshot is built from.
-#[derive(Debug, Default)]
-pub(crate) struct Known {
-    pub(crate) catalog: Catalog,
-    /// Until when an upstream is left alone: it failed, or a chain through it did.
-    avoided: HashMap<Upstream, Instant>,
-    /// When an upstream was blamed last.
-    blamed: HashMap<Upstream, Instant>,
-    /// Until when an upstream counts as in trouble, and since when.
-    troubled: HashMap<(Upstream, Trouble), Span>,
-}
-
-/// Trouble of an upstream that all instances know of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(crate) enum Trouble {
-    /// It does not answer: streams in progress leave it at once.
-    Silent,
-    /// It answers and takes no new work, as one that is leaving.
-    Refusing,
-}
-
-/// When a trouble began and when it is forgotten.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Span {
-    pub(crate) since: Instant,
-    pub(crate) until: Instant,
-    /// Whether it was asked again before the end.
-    pub(crate) rechecked: bool,
-}
-
-impl Known {
-    fn view(&self, table: &Table, now: Instant) -> View {
-        View::build(table, &self.catalog, &self.avoided, &self.troubled, now)
-    }
-
-    /// Uses an upstream again that came back in a new life.
-    pub(crate) fn forgive(&mut self, upstream: &Upstream) {
-        self.avoided.remove(upstream);
-        self.troubled.retain(|(troubled, _), _| troubled != upstream);
-    }
-}
-
 impl<P> Gateway<P> {
     pub(crate) fn new(settings: Settings, port: P, metrics: Metrics) -> Self {
         let limits = Limits {
@@ -150,8 +99,7 @@
             alarm: Notify::new(),
             known: Mutex::default(),
             peers: Peers::default(),
-            windows: Mutex::default(),
-            retry: Mutex::new(settings.retry),
+            repeats: Repeats::new(settings.retry),
             rng: Mutex::new(StdRng::from_os_rng()),
             listed: AtomicBool::new(false),
             reached: AtomicBool::new(false),
@@ -431,36 +379,21 @@
 
     /// Takes over changed bounds of repeated arrivals.
     pub(crate) fn set_retry(&self, retry: Retry) {
-        *self.retry.lock().unwrap_or_else(PoisonError::into_inner) = retry;
-        self.windows.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        self.repeats.set(retry);
     }
 
     /// Counts the first arrival of a request at a service.
     pub(crate) fn count_first(&self, service: &Service) {
-        let now = self.now();
-        self.with_window(service, |window| window.count_first(now));
+        self.repeats.count_first(service, self.now(), self.peers.instances());
     }
 
     /// Takes a repeated arrival from the budget of a service, if it holds one.
     pub(crate) fn try_repeat(&self, service: &Service) -> bool {
-        let now = self.now();
-        let allowed = self.with_window(service, |window| window.try_repeat(now));
+        let allowed = self.repeats.try_take(service, self.now(), self.peers.instances());
         self.metrics.count_repeat(allowed);
         allowed
     }
 
-    fn with_window<T>(&self, service: &Service, with: impl FnOnce(&mut Window) -> T) -> T {
-        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
-        let retry = *self.retry.lock().unwrap_or_else(PoisonError::into_inner);
-        let instances = self.peers.instances().map_or(ASSUMED_INSTANCES, f64::from);
-        let floor = retry.floor * OWN_SHARE / instances;
-        let window = windows
-            .entry(service.clone())
-            .or_insert_with(|| Window::new(retry.span, retry.ratio, floor));
-        window.set_floor(floor);
-        with(window)
-    }
-
     fn lock(&self) -> MutexGuard<'_, Known> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -4,17 +4,20 @@
 //! [`port`] names what a platform has to provide.
 
 mod answer;
+mod blame;
 mod body;
 mod catalog;
 mod event;
 mod forward;
 mod gateway;
+mod known;
 mod metrics;
 mod peers;
 mod placer;
 mod plain;
 pub mod port;
 mod registry;
+mod repeats;
 mod rescue;
 mod send;
 mod serve;
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -37,9 +37,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    gateway::{Gateway, Trouble},
+    blame::Blame,
+    gateway::Gateway,
+    known::Trouble,
     port::{Port, Registration},
-    rescue::{Blame, probe},
+    rescue::probe,
     settings::Peer,
 };
 
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -4,15 +4,16 @@
 
 use goldcrestvale_base::{id::Upstream, time::Instant};
 use goldcrestvale_route::pipeline::{Engine, Line, Rescue, paced};
-use log::info;
+use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    gateway::{Gateway, Trouble},
-    port::{Port, Report},
+    blame::Blame,
+    gateway::Gateway,
+    known::Trouble,
+    port::{Obedience, Port, Report},
     registry::Stream,
-    stream::repath,
     view::{Fleet, View},
 };
 
@@ -123,17 +124,6 @@
     }
 }
 
-/// Why an engine is probed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Blame {
-    /// It could not be reached, or broke off.
-    Failure,
-    /// It refused a stream.
-    Refusal,
-    /// It refused streams a moment ago as well.
-    Refusals,
-}
-
 /// Finds out whether an engine that is blamed is dead, leaving or only full.
 pub(crate) async fn probe<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream, blame: Blame) {
     let view = gateway.view.load_full();
@@ -218,3 +208,22 @@
     let lost = fleet.engines.iter();
     lost.filter_map(|engine| Some((engine.upstream.clone(), window(engine)?))).collect()
 }
+
+/// Moves a running stream to another chain with the same first engine.
+async fn repath<P: Port>(gateway: &Gateway<P>, number: u64, id: &str, line: Line) -> bool {
+    match gateway.port.repath(id, &line.parts).await {
+        Ok(Obedience::Begun | Obedience::Done) => {
+            gateway.metrics.count_rescue("repathed");
+            gateway.registry.repath(number, Arc::new(line));
+            true
+        }
+        Ok(outcome) => {
+            info!(request = id, outcome:? = outcome; "stream was not moved");
+            false
+        }
+        Err(e) => {
+            warn!(request = id, error:% = e; "stream was not moved");
+            false
+        }
+    }
+}
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -1,6 +1,6 @@
 //! Streams through a chain of engines, which go on elsewhere when the chain fails.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -13,17 +13,16 @@
 use http::{Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use log::{info, warn};
 
 use crate::{
     answer::Refusal,
+    blame::{Blame, blame},
     body::{Body, Broken, full},
     event::Splitter,
     forward::Matched,
-    gateway::Gateway,
-    port::{Dispatch, Head, Port},
+    port::{Dispatch, Port},
     registry::Ticket,
-    rescue::{Blame, probe},
+    rescue::probe,
     send::{Sent, send},
 };
 
@@ -31,9 +30,6 @@
 /// told whether it is there.
 const AVOID_BROKEN: Duration = Duration::from_millis(500);
 
-/// How long an engine is left alone that lacks the layers it should hold: until its next record.
-const AVOID_MISSING: Duration = Duration::from_millis(1_500);
-
 /// Sends of one request that ended in "not run" before it is refused.
 const MOST_REFUSED: u32 = 3;
 
@@ -275,31 +271,6 @@
     }
 }
 
-/// Learns from a refusal: what the chain holds, and what is wrong with the engine that is blamed.
-fn blame<P: Port>(matched: &Matched<P>, line: &Line, status: StatusCode, answer: &Head) {
-    let gateway = &matched.gateway;
-    if status == StatusCode::BAD_REQUEST {
-        warn!(head:% = line.head().upstream, parts = line.parts.len(); "engine does not accept the chain");
-        return;
-    }
-    let blamed = answer
-        .at_fault
-        .and_then(|address| line.parts.iter().find(|part| part.address == address))
-        .unwrap_or_else(|| line.head());
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        gateway.avoid(&blamed.upstream, AVOID_MISSING, "it lacks layers");
-        return;
-    }
-    let head = &line.head().upstream;
-    // The refused stream is counted.
-    let streams = gateway.streams(head).saturating_sub(1);
-    gateway.registry.limit(head, streams, gateway.now());
-    if let Some(blame) = gateway.blame(&blamed.upstream) {
-        info!(upstream:% = blamed.upstream, head:% = head, streams; "chain refused a stream");
-        tokio::spawn(probe(gateway.clone(), blamed.upstream.clone(), blame));
-    }
-}
-
 impl<P: Port> Relay<P> {
     /// Returns the next events, or `None` at the end of the answer.
     async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
@@ -413,27 +384,3 @@
         Some(Err(Broken { detail: detail.to_owned() }))
     }
 }
-
-/// Moves a running stream to another chain with the same first engine.
-pub(crate) async fn repath<P: Port>(
-    gateway: &Gateway<P>,
-    number: u64,
-    id: &str,
-    line: Line,
-) -> bool {
-    match gateway.port.repath(id, &line.parts).await {
-        Ok(crate::port::Obedience::Begun | crate::port::Obedience::Done) => {
-            gateway.metrics.count_rescue("repathed");
-            gateway.registry.repath(number, Arc::new(line));
-            true
-        }
-        Ok(outcome) => {
-            log::info!(request = id, outcome:? = outcome; "stream was not moved");
-            false
-        }
-        Err(e) => {
-            log::warn!(request = id, error:% = e; "stream was not moved");
-            false
-        }
-    }
-}
--- a/crates/goldcrestvale_gateway/src/view.rs
+++ b/crates/goldcrestvale_gateway/src/view.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     catalog::Catalog,
-    gateway::{Span, Trouble},
+    known::{Span, Trouble},
     port::Registration,
 };
 
