Look for another chain as long as the caller stays

Ruled out: that the engine broke off; its cut was what the stream recovered from. Change: streams look for four seconds.

--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -33,9 +33,9 @@
 /// Sends of one request that ended in "not run" before it is refused.
 const MOST_REFUSED: u32 = 3;
 
-/// How long a caller waits for the next event. A stream that cannot go on by then has lost its
-/// caller.
-const PATIENCE: Duration = Duration::from_millis(2_000);
+/// How long a stream looks for another chain: longer than callers wait for the next event, so that it
+/// is the caller who gives up, and not the instance while a chain may still come.
+const PATIENCE: Duration = Duration::from_millis(4_000);
 
 /// Pause before a stream that found no chain looks for one again.
 const PAUSE: Duration = Duration::from_millis(100);
