--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -182,8 +182,14 @@
             gateway.registry.repath(number, Arc::new(line.clone()));
             let gateway = gateway.clone();
             tokio::spawn(async move {
-                if !repath(&gateway, number, &stream.id, line).await {
+                if repath(&gateway, number, &stream.id, line).await {
+                    return;
+                }
+                if stream.may_resume {
                     stream.resume.notify_one();
+                } else {
+                    // It may not run again, so it stays and is looked at anew.
+                    gateway.registry.repath(number, stream.line);
                 }
             });
         }
