Count every upstream that a stream ran on, also a lost one

Ruled out: the retry window, which bounds arrivals and not upstreams a request. Change: the count never falls.

--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -148,11 +148,6 @@
 }
 
 impl Ticket {
-    /// Returns the first engine of the chain.
-    pub(crate) fn head(&self) -> &Upstream {
-        &self.head
-    }
-
     /// Notes an event of the stream.
     pub(crate) fn beat(&self, now: Instant) {
         let mut state = self.registry.lock();
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -292,7 +292,7 @@
             let frame = tokio::select! {
                 frame = running.body.frame() => frame,
                 () = running.ticket.resume.notified() => {
-                    self.move_on();
+                    self.running = None;
                     continue;
                 }
                 () = tokio::time::sleep(left) => continue,
@@ -302,7 +302,7 @@
                     let Ok(data) = frame.into_data() else { continue };
                     let events = self.splitter.push(&data);
                     if self.splitter.is_out_of_order() {
-                        self.move_on();
+                        self.running = None;
                         continue;
                     }
                     if !events.is_empty() {
@@ -310,8 +310,8 @@
                         return Some(Ok(events));
                     }
                 }
-                Some(Err(_)) => self.move_on(),
-                None if self.splitter.is_midway() => self.move_on(),
+                Some(Err(_)) => self.running = None,
+                None if self.splitter.is_midway() => self.running = None,
                 None => {
                     if let Some(running) = self.running.take() {
                         running.lease.keep();
@@ -323,15 +323,6 @@
         }
     }
 
-    /// Leaves the chain. A first engine that is lost does not count against the upstreams on which
-    /// the request may run.
-    fn move_on(&mut self) {
-        let Some(running) = self.running.take() else { return };
-        if self.matched.gateway.is_lost(running.ticket.head()) {
-            self.ran = self.ran.saturating_sub(1);
-        }
-    }
-
     fn note_events(&mut self) {
         let now = self.matched.gateway.now();
         let trace = &mut self.matched.trace;
