Give what stood twice one place, and build missing stand-ins

Cause: faults found on rereading: the check for a whole domain, the look-up of an engine over all services, the server that runs in a task, the reading of a ledger stream and its retry pause each stood two or three times; `claims::log` also served leases; `body` and `refusal` of the entry package imported each other; process tests failed when run alone, since their stand-ins were not built. Ruled out: a second binary in the root package: it cannot use what only tests depend on. Change: `Fleet::is_whole`, `View::engine`, `server::Listening`, `records::Cursor`; request bodies are read by `receive`; `Programs::beside` builds the stand-ins if they are missing.

--- a/crates/goldcrestvale_entry/src/body.rs
+++ b/crates/goldcrestvale_entry/src/body.rs
@@ -1,14 +1,12 @@
-//! Bodies of requests and responses.
+//! Bodies of responses.
 
-use std::{convert::Infallible, time::Duration};
+use std::convert::Infallible;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::BoxBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::body::Frame;
 use tokio::sync::mpsc;
 
-use crate::refusal::{Cause, Refusal, Result};
-
 /// The body of a response.
 pub type Body = BoxBody<Bytes, Infallible>;
 
@@ -29,25 +27,3 @@
     });
     (sender, BodyExt::boxed(StreamBody::new(frames)))
 }
-
-/// Reads a whole request body within a size and a time.
-///
-/// # Errors
-///
-/// Refuses the request with [`Cause::Oversized`], [`Cause::SlowBody`] or [`Cause::Malformed`].
-pub async fn read(body: Incoming, most: usize, limit: Duration) -> Result<Bytes> {
-    let collect = Limited::new(body, most).collect();
-    match tokio::time::timeout(limit, collect).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(Refusal::early(Cause::Oversized, format!("the body is larger than {most} bytes")))
-        }
-        Ok(Err(e)) => {
-            Err(Refusal::early(Cause::Malformed, format!("the body cannot be read: {e}")))
-        }
-        Err(_) => Err(Refusal::early(
-            Cause::SlowBody,
-            format!("the body did not arrive within {} ms", limit.as_millis()),
-        )),
-    }
-}
--- a/crates/goldcrestvale_entry/src/callers/draft.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft.rs
@@ -21,6 +21,7 @@
     body::{self, Body},
     gate::Pass,
     node::Node,
+    receive,
     refusal::Result,
 };
 use answer::{Answer, End};
@@ -36,7 +37,7 @@
     mut pass: Pass,
 ) -> Result<Response<Body>> {
     let limits = &node.settings.callers;
-    let body = body::read(request.into_body(), limits.body_bytes, limits.body_timeout).await?;
+    let body = receive::whole(request.into_body(), limits.body_bytes, limits.body_timeout).await?;
     let ask = Ask::parse(&body, &caller, &node)?;
     let until = trace.started() + ask.deadline;
     let need = Need { priority: ask.priority, until, cost: ask.cost() };
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -27,6 +27,7 @@
     gate::Pass,
     header as names,
     node::Node,
+    receive,
     refusal::{Cause, Refusal, Result},
     table::Row,
 };
@@ -60,7 +61,7 @@
     let key = read_key(&service.body, &target, &request)?;
     let (head, incoming) = request.into_parts();
     let limits = &node.settings.callers;
-    let body = body::read(incoming, limits.body_bytes, limits.body_timeout).await?;
+    let body = receive::whole(incoming, limits.body_bytes, limits.body_timeout).await?;
     let until = trace.started() + deadline(&caller, &service.body);
     let need = Need { priority: binding.body.priority, until, cost: 1 };
     pass.hold(admit::enter(&node, &node.calls, &caller, need).await?);
--- a/crates/goldcrestvale_entry/src/claims.rs
+++ b/crates/goldcrestvale_entry/src/claims.rs
@@ -4,7 +4,6 @@
 //! and reads. Requests reach it by a channel; their number is bounded by the callers' gate.
 
 mod answers;
-pub(crate) mod log;
 mod owner;
 mod right;
 mod shard;
--- a/crates/goldcrestvale_entry/src/claims/shard.rs
+++ b/crates/goldcrestvale_entry/src/claims/shard.rs
@@ -1,8 +1,8 @@
-use std::{collections::HashMap, future::Future, pin::Pin, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use goldcrestvale_base::time::Instant;
 use goldcrestvale_ledger::{
-    batch::{Adaptive, Control},
+    batch::{Adaptive, Batch, Control},
     claim::Window,
     desk::{Action, Desk, Event, Settings, Ticket},
     prefix::Prefix,
@@ -19,24 +19,18 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{
-    Command, Reply, Right,
-    log::{Appended, append, read, views},
+use super::{Command, Reply, Right};
+use crate::{
+    node::Node,
+    records::{Cursor, RETRY_PAUSE, Read, entry, views},
 };
-use crate::node::Node;
 
-/// Pause after a failed read of the log.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Failed appends in a row after which the log counts as out.
 const APPEND_FAILURES: u32 = 2;
 /// Time after which a log that takes no appends is tried again.
 const APPEND_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time without a look at the clock.
 const IDLE_TICK: Duration = Duration::from_secs(1);
-/// Reads between two checks that the last record is still in its place.
-const CHECK_EVERY: u32 = 64;
-
-type Read = Pin<Box<dyn Future<Output = Result<Page>> + Send>>;
 
 /// Runs the desk of one claim stream until the instance stops.
 pub(super) async fn run(
@@ -78,7 +72,7 @@
     appends: JoinSet<Appended>,
     drained: Vec<oneshot::Sender<()>>,
     flushed: Vec<oneshot::Sender<()>>,
-    reads: u32,
+    cursor: Cursor,
     read_failed: bool,
     append_failures: u32,
     /// Time at which appends are tried again.
@@ -107,7 +101,7 @@
             appends: JoinSet::new(),
             drained: Vec::new(),
             flushed: Vec::new(),
-            reads: 0,
+            cursor: Cursor::new(shard.stream()),
             read_failed: false,
             append_failures: 0,
             appends_from: None,
@@ -143,19 +137,8 @@
     fn start_read(&mut self) -> Read {
         let prefix = self.desk.fold().prefix();
         let check = self.read_failed || self.desk.is_log_doubted();
-        self.reads = if check { 0 } else { (self.reads + 1) % CHECK_EVERY };
-        let (from, wait) = if self.reads == 0 {
-            (prefix.read_from(), Duration::ZERO)
-        } else {
-            (prefix.next(), self.node.settings.platform.poll)
-        };
-        let (node, stream) = (self.node.clone(), self.stream.clone());
-        Box::pin(async move {
-            if check {
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-            read(node, stream, from, wait).await
-        })
+        let pause = if check { RETRY_PAUSE } else { Duration::ZERO };
+        self.cursor.read(&self.node, prefix, check, pause)
     }
 
     fn take_page(&mut self, page: Result<Page>) {
@@ -283,6 +266,19 @@
     }
 }
 
+/// What became of an append.
+struct Appended {
+    number: u64,
+    result: Result<()>,
+}
+
+/// Appends records together.
+async fn append(node: Arc<Node>, stream: String, batch: Batch) -> Appended {
+    let records = batch.records.into_iter().filter_map(entry).collect();
+    let result = node.log.append(&stream, records).await.map(|_| ());
+    Appended { number: batch.number, result }
+}
+
 fn answer_all(waiting: &mut Vec<oneshot::Sender<()>>) {
     for done in waiting.drain(..) {
         // One that no longer waits needs no answer.
--- a/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
+++ b/crates/goldcrestvale_entry/src/configuration/checkpoint.rs
@@ -25,8 +25,8 @@
 use super::State;
 use crate::node::Node;
 
-/// Pause after a failed read of the log.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Pause after a failed read of checkpoints, which nothing waits for but a start.
+const READ_PAUSE: Duration = Duration::from_secs(1);
 
 /// Longest random wait before a schema version is raised.
 const RAISE_SPREAD: Duration = Duration::from_secs(3);
@@ -46,7 +46,7 @@
             }
             // The tail reports that the log is out.
             Err(_) => {
-                stop.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await;
+                stop.run_until_cancelled(tokio::time::sleep(READ_PAUSE)).await;
                 continue;
             }
         }
--- a/crates/goldcrestvale_entry/src/configuration/tail.rs
+++ b/crates/goldcrestvale_entry/src/configuration/tail.rs
@@ -10,10 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::State;
-use crate::{node::Node, phase::Known};
-
-/// Pause after a failed read of the log.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+use crate::{node::Node, phase::Known, records::RETRY_PAUSE};
 
 /// Reads the configuration stream and folds it, from the newest checkpoint on.
 pub(super) async fn follow(node: Arc<Node>, stop: CancellationToken) {
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod peers;
 pub mod phase;
 pub mod plans;
+pub mod receive;
+mod records;
 pub mod refusal;
 pub mod server;
 pub mod settings;
--- a/crates/goldcrestvale_entry/src/operators/config.rs
+++ b/crates/goldcrestvale_entry/src/operators/config.rs
@@ -20,8 +20,9 @@
 
 use super::{BODY_BYTES, json};
 use crate::{
-    body::{self, Body},
+    body::Body,
     node::Node,
+    receive,
     refusal::{Cause, Refusal, Result},
 };
 
@@ -57,7 +58,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>> {
     let limit = node.settings.callers.body_timeout;
-    let text = body::read(request.into_body(), BODY_BYTES, limit).await?;
+    let text = receive::whole(request.into_body(), BODY_BYTES, limit).await?;
     let malformed = |e| Refusal::early(Cause::Malformed, format!("the change: {e}"));
     let change: Change = serde_json::from_slice(&text).map_err(malformed)?;
     let answer = node.configuration.change(node, id, &change, origin).await;
--- a/crates/goldcrestvale_entry/src/orders/lease.rs
+++ b/crates/goldcrestvale_entry/src/orders/lease.rs
@@ -1,4 +1,4 @@
-use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_base::id::Instance;
 use goldcrestvale_ledger::{
@@ -10,7 +10,10 @@
 use log::debug;
 use tokio::task::JoinSet;
 
-use crate::{claims::log as stream, node::Node};
+use crate::{
+    node::Node,
+    records::{Cursor, RETRY_PAUSE, Read, entry, views},
+};
 
 /// Name of the stream of leases.
 pub(super) const STREAM: &str = "leases";
@@ -18,12 +21,6 @@
 /// Number of the range of record identities of the stream of leases.
 const SEQUENCE: u16 = u16::MAX;
 
-/// Pause after a failed read of the log.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// Reads between two checks that the last record is still in its place.
-const CHECK_EVERY: u32 = 64;
-
 /// What an event changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Change {
@@ -35,8 +32,6 @@
     Lost,
 }
 
-type Read = Pin<Box<dyn Future<Output = Result<Page>> + Send>>;
-
 /// Keeps the lease of the orders of one failure domain.
 pub(super) struct Tenure {
     node: Arc<Node>,
@@ -44,7 +39,7 @@
     name: String,
     read: Read,
     appends: JoinSet<bool>,
-    reads: u32,
+    cursor: Cursor,
     was_held: bool,
 }
 
@@ -60,9 +55,10 @@
         };
         let sequence = Sequence::new(node.incarnation, SEQUENCE);
         let keeper = Keeper::new(duty, Prefix::whole(), sequence);
-        let read = read(&node, &keeper, true, Duration::ZERO);
+        let mut cursor = Cursor::new(STREAM);
+        let read = cursor.read(&node, keeper.fold().prefix(), true, Duration::ZERO);
         let appends = JoinSet::new();
-        Self { node, keeper, name, read, appends, reads: 0, was_held: false }
+        Self { node, keeper, name, read, appends, cursor, was_held: false }
     }
 
     /// Waits for the next page or append and takes it.
@@ -115,15 +111,15 @@
         let failed = page.is_err();
         match page {
             Ok(page) => {
-                let records = stream::views(&page.records);
+                let records = views(&page.records);
                 let page = record::Page { oldest: page.oldest, end: page.end, records: &records };
                 self.handle(Event::Read(page));
             }
             Err(e) => debug!(error:% = e; "leases cannot be read"),
         }
-        self.reads = if failed { 0 } else { (self.reads + 1) % CHECK_EVERY };
         let pause = if failed { RETRY_PAUSE } else { Duration::ZERO };
-        self.read = read(&self.node, &self.keeper, self.reads == 0, pause);
+        let prefix = self.keeper.fold().prefix();
+        self.read = self.cursor.read(&self.node, prefix, failed, pause);
     }
 
     fn handle(&mut self, event: Event<'_>) {
@@ -134,24 +130,9 @@
     }
 }
 
-/// Starts to read on, or to read the last record again to see that it is still in its place.
-fn read(node: &Arc<Node>, keeper: &Keeper, check: bool, pause: Duration) -> Read {
-    let prefix = keeper.fold().prefix();
-    let (from, wait) = if check {
-        (prefix.read_from(), Duration::ZERO)
-    } else {
-        (prefix.next(), node.settings.platform.poll)
-    };
-    let node = node.clone();
-    Box::pin(async move {
-        tokio::time::sleep(pause).await;
-        stream::read(node, STREAM.to_owned(), from, wait).await
-    })
-}
-
 /// Appends a record; returns whether the log acknowledged it.
 async fn append(node: Arc<Node>, draft: Draft) -> bool {
-    let Some(entry) = stream::entry(draft) else {
+    let Some(entry) = entry(draft) else {
         return false;
     };
     match node.log.append(STREAM, vec![entry]).await {
--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -12,10 +12,11 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
 };
-use log::debug;
+use log::{debug, error};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinHandle,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tower::{BoxError, Service, ServiceExt};
@@ -90,6 +91,22 @@
         self.listener.local_addr()
     }
 
+    /// Serves in a task, with `drain` for the requests in progress at the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell the bound address.
+    pub fn start<S>(self, service: S, drain: Duration) -> std::io::Result<Listening>
+    where
+        S: Handler,
+        S::Future: Send,
+    {
+        let address = self.address()?;
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(self.run(service, stop.clone(), drain));
+        Ok(Listening { address, stop, task })
+    }
+
     /// Serves until the token is cancelled, then lets the requests in progress finish.
     ///
     /// Returns whether all of them finished within `drain`; those that did not are cut off.
@@ -134,6 +151,30 @@
     }
 }
 
+/// A server that runs in a task.
+#[derive(Debug)]
+pub struct Listening {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<bool>,
+}
+
+impl Listening {
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting; returns whether every request in progress could finish.
+    pub async fn finish(self) -> bool {
+        self.stop.cancel();
+        self.task.await.unwrap_or_else(|e| {
+            error!(error:% = e; "server ended by itself");
+            false
+        })
+    }
+}
+
 async fn serve<S>(stream: TcpStream, bounds: Bounds, service: S, stop: CancellationToken)
 where
     S: Handler,
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use goldcrestvale_entry::clock::Clock;
 use goldcrestvale_route::{
     forward::{Configuration, Table},
-    pipeline::{Choice, Engine, Line, Load},
+    pipeline::{Choice, Line, Load},
 };
 use goldcrestvale_upstream::pool::{Limits, Pool, Protocol};
 use log::{info, warn};
@@ -160,12 +160,7 @@
 
     /// Returns whether some domain with engines has no chain of its own.
     pub(crate) fn is_degraded(&self) -> bool {
-        self.view.load().fleets.values().any(|fleet| {
-            let whole = |engine: &&Engine| {
-                fleet.lines.iter().any(|line| line.domain == engine.domain && line.crossings == 0)
-            };
-            fleet.engines.iter().any(|engine| !whole(&engine))
-        })
+        self.view.load().fleets.values().any(|fleet| fleet.broken().next().is_some())
     }
 
     /// Counts an upstream as in trouble, and tells the peers.
@@ -354,20 +349,15 @@
 
     /// Chooses a chain for a stream; `without` are first engines that it must not take.
     pub(crate) fn choose(&self, fleet: &Fleet, without: &[Upstream]) -> Result<Arc<Line>, Choice> {
-        let candidates: Vec<(&Line, Load)> = fleet
-            .lines
-            .iter()
-            .filter(|line| !without.contains(&line.head().upstream))
-            .map(|line| (line.as_ref(), self.load(&line.head().upstream)))
-            .collect();
+        let lines: Vec<&Arc<Line>> =
+            fleet.lines.iter().filter(|l| !without.contains(&l.head().upstream)).collect();
+        let load = |line: &Line| self.load(&line.head().upstream);
+        let candidates: Vec<(&Line, Load)> =
+            lines.iter().map(|line| (line.as_ref(), load(line))).collect();
         let domain = &self.settings.domain;
         let draw = self.draw();
         match Choice::new(&fleet.model, &candidates, domain, self.now(), draw) {
-            Choice::Take(place) => {
-                let head = candidates[place].0.head();
-                let line = fleet.lines.iter().find(|line| line.head() == head);
-                line.cloned().ok_or(Choice::Broken(Duration::ZERO))
-            }
+            Choice::Take(place) => Ok(lines[place].clone()),
             other => Err(other),
         }
     }
--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -135,7 +135,7 @@
         for fleet in view.fleets.values() {
             if !gateway.is_directory_reached() && refreshed + REFRESH_PAUSE <= gateway.now() {
                 refreshed = gateway.now();
-                refresh(gateway.clone(), broken(fleet)).await;
+                refresh(&gateway, fleet.broken());
                 continue;
             }
             step(&gateway, fleet, &pending, &mut calm);
@@ -143,14 +143,6 @@
     }
 }
 
-/// The engines of the domains that have no whole chain.
-fn broken(fleet: &Fleet) -> Vec<Engine> {
-    let is_whole = |domain: &Domain| {
-        fleet.lines.iter().any(|line| line.domain == *domain && line.crossings == 0)
-    };
-    fleet.engines.iter().filter(|engine| !is_whole(&engine.domain)).cloned().collect()
-}
-
 /// Gives the orders that are due in each domain.
 fn step<P: Port>(
     gateway: &Arc<Gateway<P>>,
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -73,8 +73,7 @@
 /// Asks a silent engine whether it is back, before it is used again.
 async fn recheck<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream) {
     let view = gateway.view.load_full();
-    let engine = view.fleets.values().find_map(|fleet| fleet.engine(&upstream));
-    let Some(engine) = engine else { return };
+    let Some(engine) = view.engine(&upstream) else { return };
     match gateway.port.report(engine.address).await {
         Ok(report) => {
             gateway.learn(|known| known.catalog.set_layers(&upstream, report.layers));
@@ -87,9 +86,12 @@
 }
 
 /// Reads what the engines of a domain hold, while the directory cannot be read.
-pub(crate) async fn refresh<P: Port>(gateway: Arc<Gateway<P>>, engines: Vec<Engine>) {
+pub(crate) fn refresh<'a, P: Port>(
+    gateway: &Arc<Gateway<P>>,
+    engines: impl Iterator<Item = &'a Engine>,
+) {
     for engine in engines {
-        let gateway = gateway.clone();
+        let (gateway, engine) = (gateway.clone(), engine.clone());
         tokio::spawn(async move {
             let upstream = &engine.upstream;
             match gateway.port.report(engine.address).await {
@@ -106,8 +108,7 @@
 /// again at the next look if it names none.
 async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
     let view = gateway.view.load_full();
-    let engine = view.fleets.values().find_map(|fleet| fleet.engine(head));
-    let Some(engine) = engine.filter(|_| !gateway.is_lost(head)) else { return };
+    let Some(engine) = view.engine(head).filter(|_| !gateway.is_lost(head)) else { return };
     match gateway.port.report(engine.address).await {
         Ok(report) => {
             let addresses: HashSet<SocketAddr> =
@@ -127,8 +128,9 @@
 /// Finds out whether an engine that is blamed is dead, leaving or only full.
 pub(crate) async fn probe<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream, blame: Blame) {
     let view = gateway.view.load_full();
-    let engine = view.fleets.values().find_map(|fleet| fleet.engine(&upstream));
-    let Some(engine) = engine.filter(|_| !gateway.is_lost(&upstream)) else { return };
+    let Some(engine) = view.engine(&upstream).filter(|_| !gateway.is_lost(&upstream)) else {
+        return;
+    };
     let slots = view.fleets.values().map(|fleet| fleet.model.slots).min().unwrap_or_default();
     match gateway.port.report(engine.address).await {
         Err(e) => gateway.trouble(&upstream, Trouble::Silent, SILENT, &e.to_string()),
@@ -182,7 +184,7 @@
             gateway.registry.repath(number, Arc::new(line.clone()));
             let gateway = gateway.clone();
             tokio::spawn(async move {
-                if repath(&gateway, number, &stream.id, line).await {
+                if repath(&gateway, &stream.id, &line).await {
                     return;
                 }
                 if stream.may_resume {
@@ -216,11 +218,10 @@
 }
 
 /// Moves a running stream to another chain with the same first engine.
-async fn repath<P: Port>(gateway: &Gateway<P>, number: u64, id: &str, line: Line) -> bool {
+async fn repath<P: Port>(gateway: &Gateway<P>, id: &str, line: &Line) -> bool {
     match gateway.port.repath(id, &line.parts).await {
         Ok(Obedience::Begun | Obedience::Done) => {
             gateway.metrics.count_rescue("repathed");
-            gateway.registry.repath(number, Arc::new(line));
             true
         }
         Ok(outcome) => {
--- a/crates/goldcrestvale_gateway/src/serve.rs
+++ b/crates/goldcrestvale_gateway/src/serve.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use goldcrestvale_entry::{
     metrics::{self, Recorder},
-    server::{Bounds, Handler, Server},
+    server::{Bounds, Handler, Listening, Server},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -81,21 +81,6 @@
     duty_stop: CancellationToken,
 }
 
-/// A server that runs in a task.
-#[derive(Debug)]
-struct Listening {
-    address: SocketAddr,
-    stop: CancellationToken,
-    task: JoinHandle<bool>,
-}
-
-impl Listening {
-    async fn finish(self) -> bool {
-        self.stop.cancel();
-        self.task.await.unwrap_or(false)
-    }
-}
-
 impl<P: Port> Instance<P> {
     /// Binds the addresses and starts the tasks.
     ///
@@ -153,9 +138,9 @@
         info!(
             instance:% = settings.name,
             domain:% = settings.domain,
-            callers:% = callers.address,
-            ready:% = ready.address,
-            metrics:% = metrics.address;
+            callers:% = callers.address(),
+            ready:% = ready.address(),
+            metrics:% = metrics.address();
             "listening"
         );
         Ok(Self { gateway, callers, ready, metrics, peers, stop, tasks, duty, duty_stop })
@@ -163,17 +148,17 @@
 
     /// Returns the address of the callers' interface.
     pub fn callers(&self) -> SocketAddr {
-        self.callers.address
+        self.callers.address()
     }
 
     /// Returns the address of the readiness check.
     pub fn ready(&self) -> SocketAddr {
-        self.ready.address
+        self.ready.address()
     }
 
     /// Returns the address of the metrics.
     pub fn metrics(&self) -> SocketAddr {
-        self.metrics.address
+        self.metrics.address()
     }
 
     /// Returns the address for peers, if this instance speaks to others.
@@ -235,10 +220,7 @@
 {
     let context = ListenSnafu { address, interface };
     let server = Server::bind(address, bounds).await.context(context)?;
-    let address = server.address().context(context)?;
-    let stop = CancellationToken::new();
-    let task = tokio::spawn(server.run(service, stop.clone(), drain));
-    Ok(Listening { address, stop, task })
+    server.start(service, drain).context(context)
 }
 
 fn check<P: Port>(gateway: &Gateway<P>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/goldcrestvale_gateway/src/view.rs
+++ b/crates/goldcrestvale_gateway/src/view.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use goldcrestvale_base::{
-    id::{Service, Upstream},
+    id::{Domain, Service, Upstream},
     time::Instant,
 };
 use goldcrestvale_route::{
@@ -41,6 +41,16 @@
     pub(crate) fn engine(&self, upstream: &Upstream) -> Option<&Engine> {
         self.engines.iter().find(|engine| engine.upstream == *upstream)
     }
+
+    /// Returns whether a failure domain has a whole chain of its own.
+    pub(crate) fn is_whole(&self, domain: &Domain) -> bool {
+        self.lines.iter().any(|line| line.domain == *domain && line.crossings == 0)
+    }
+
+    /// Returns the engines of the domains that have no whole chain.
+    pub(crate) fn broken(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.iter().filter(|engine| !self.is_whole(&engine.domain))
+    }
 }
 
 /// A snapshot of the upstreams.
@@ -56,6 +66,11 @@
 }
 
 impl View {
+    /// Finds an engine over all services.
+    pub(crate) fn engine(&self, upstream: &Upstream) -> Option<&Engine> {
+        self.fleets.values().find_map(|fleet| fleet.engine(upstream))
+    }
+
     /// Builds a snapshot. `avoided` says until when an upstream is to be left alone, `troubled` what
     /// the instances found of it.
     pub(crate) fn build(
--- a/crates/goldcrestvale_standin/src/fleet.rs
+++ b/crates/goldcrestvale_standin/src/fleet.rs
@@ -4,6 +4,8 @@
     io::{self, Write},
     net::SocketAddr,
     path::{Path, PathBuf},
+    process::Command,
+    sync::Once,
 };
 
 use goldcrestvale_base::id::Digest;
@@ -44,14 +46,37 @@
 }
 
 impl Programs {
-    /// Finds the stand-ins beside the router.
+    /// Finds the stand-ins beside the router; under `cargo test` of a single test they may not be
+    /// built yet, and are built here.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-ins are missing and cannot be built.
     pub fn beside(router: &str) -> Self {
+        static BUILD: Once = Once::new();
         let router = PathBuf::from(router);
         let standin = router.with_file_name("goldcrestvale-standin");
+        if !standin.exists() {
+            BUILD.call_once(|| build(&standin));
+        }
         Self { router, standin }
     }
 }
 
+/// Builds the stand-ins into the folder of a program, with the `cargo` that runs the tests.
+fn build(program: &Path) {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let profile = program.parent().unwrap_or(program);
+    let mut command = Command::new(cargo);
+    command.args(["build", "--locked", "--package", "goldcrestvale_standin", "--bins"]);
+    command.arg("--target-dir").arg(profile.parent().unwrap_or(profile));
+    if profile.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.status().expect("cargo cannot be run");
+    assert!(status.success(), "the stand-ins cannot be built: {status}");
+}
+
 /// A stand-in that runs as a process.
 #[derive(Debug)]
 pub struct Standin {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,7 +17,7 @@
     orders::Orders,
     phase::Phase,
     refusal::{Cause, Refusal},
-    server::{Bounds, Handler, Server},
+    server::{Bounds, Handler, Listening, Server},
     settings::Settings,
     watch::Watch,
 };
@@ -25,11 +25,7 @@
 use log::{info, warn};
 use rand::{SeedableRng, rngs::StdRng};
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    signal::unix::{Signal, SignalKind, signal},
-    task::JoinHandle,
-};
-use tokio_util::sync::CancellationToken;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tower::{BoxError, ServiceBuilder, ServiceExt, service_fn};
 use uuid::Uuid;
 
@@ -89,14 +85,6 @@
     operators: Listening,
 }
 
-/// A server that runs in a task.
-#[derive(Debug)]
-struct Listening {
-    address: SocketAddr,
-    stop: CancellationToken,
-    task: JoinHandle<bool>,
-}
-
 impl Instance {
     /// Binds the addresses and starts the tasks.
     ///
@@ -126,8 +114,8 @@
         info!(
             instance:% = node.settings.instance.name,
             incarnation:% = incarnation,
-            callers:% = callers.address,
-            operators:% = operators.address,
+            callers:% = callers.address(),
+            operators:% = operators.address(),
             peers = node.peers.address().map_or_else(|| "none".to_owned(), |peers| peers.to_string());
             "listening"
         );
@@ -136,12 +124,12 @@
 
     /// Returns the address of the callers' interface.
     pub fn callers(&self) -> SocketAddr {
-        self.callers.address
+        self.callers.address()
     }
 
     /// Returns the address of the operators' interface.
     pub fn operators(&self) -> SocketAddr {
-        self.operators.address
+        self.operators.address()
     }
 
     /// Returns the state that the instance's parts share.
@@ -196,14 +184,6 @@
     }
 }
 
-impl Listening {
-    /// Stops accepting; returns whether every request in progress could finish.
-    async fn finish(self) -> bool {
-        self.stop.cancel();
-        self.task.await.unwrap_or(false)
-    }
-}
-
 async fn listen_callers(node: &Arc<Node>) -> Result<Listening> {
     let callers = &node.settings.callers;
     let bounds = Bounds {
@@ -212,14 +192,13 @@
         idle_timeout: callers.idle_timeout,
         connections: callers.connections,
     };
-    let server = bind(callers.address, bounds, "callers").await?;
     let shared = node.clone();
     let drain = node.settings.stop.timeout;
     let service = service_fn(move |request| {
         let answer = callers::serve(shared.clone(), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    Ok(spawn(server, drain, service))
+    listen(callers.address, bounds, "callers", service, drain).await
 }
 
 async fn listen_operators(node: &Arc<Node>, desk: Desk) -> Result<Listening> {
@@ -230,7 +209,6 @@
         idle_timeout: callers.idle_timeout,
         connections: OPERATOR_CONNECTIONS,
     };
-    let server = bind(node.settings.operators.address, bounds, "operators").await?;
     let drain = node.settings.callers.body_timeout;
     let answer = service_fn(move |request| {
         let answer = desk.clone().serve(request);
@@ -242,11 +220,23 @@
         let answer = bounded.clone().oneshot(request);
         async move { shed(answer.await) }
     });
-    Ok(spawn(server, drain, service))
+    listen(node.settings.operators.address, bounds, "operators", service, drain).await
 }
 
-async fn bind(address: SocketAddr, bounds: Bounds, interface: &'static str) -> Result<Server> {
-    Server::bind(address, bounds).await.context(ListenSnafu { address, interface })
+async fn listen<S>(
+    address: SocketAddr,
+    bounds: Bounds,
+    interface: &'static str,
+    service: S,
+    drain: Duration,
+) -> Result<Listening>
+where
+    S: Handler,
+    S::Future: Send,
+{
+    let context = ListenSnafu { address, interface };
+    let server = Server::bind(address, bounds).await.context(context)?;
+    server.start(service, drain).context(context)
 }
 
 /// Turns an operator's request that found no room into an answer.
@@ -259,17 +249,6 @@
     }))
 }
 
-fn spawn<S>(server: Server, drain: Duration, service: S) -> Listening
-where
-    S: Handler,
-    S::Future: Send,
-{
-    let stop = CancellationToken::new();
-    let address = server.address().expect("a bound listener has an address");
-    let task = tokio::spawn(server.run(service, stop.clone(), drain));
-    Listening { address, stop, task }
-}
-
 /// The signals that an instance reacts to.
 struct Signals {
     terminate: Signal,
