Keep engines that carry out an order, and expect the other instances to move streams as well

All instances moved the streams of a lost chain to the same other one, up to 288 streams on 192 places (first event after 1.8 s). Change: an engine that a chain waits for is asked itself, and is kept if it is busy or has released the layers in question; streams that are cut off by a release move although their chain goes on (`Line::is_held`); `Surge` adds to a chain what the other instances likely sent there and did not say yet; an engine that does not report to the placer counts as silent there. The line of a request tells the longest pause between events.

--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -251,11 +251,12 @@
     }
 
     /// Changes what is known of the upstreams and publishes a new snapshot if `change` says so.
-    pub(crate) fn learn(&self, change: impl FnOnce(&mut Known) -> bool) {
+    pub(crate) fn learn(&self, change: impl FnOnce(&mut Known) -> bool) -> bool {
         let changed = change(&mut self.lock());
         if changed {
             self.rebuild();
         }
+        changed
     }
 
     /// Reads what is known of the upstreams.
@@ -305,7 +306,8 @@
 
     fn load(&self, head: &Upstream) -> Load {
         let others = self.peers.snapshot().others.total(head);
-        Load { others, ..self.registry.load(head) }
+        let instances = self.peers.instances().unwrap_or(1);
+        self.registry.load(head, others, instances, self.now())
     }
 
     /// Uses the upstreams again whose time of being left alone has passed.
--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -17,8 +17,9 @@
 
 use crate::{
     gateway::Gateway,
+    known::Trouble,
     port::{Obedience, Port, Release, Tenure},
-    rescue::refresh,
+    rescue::{SILENT, refresh},
     view::Fleet,
 };
 
@@ -225,8 +226,9 @@
         let report = match gateway.port.report(engine.address).await {
             Ok(report) => report,
             Err(e) => {
-                warn!(engine:% = engine.upstream, error:% = e; "engine does not report");
+                // Out of reach, so that the next plan does without it.
                 gateway.metrics.count_order("unreachable");
+                gateway.note(&engine.upstream, Trouble::Silent, SILENT, &e.to_string());
                 return;
             }
         };
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -9,7 +9,7 @@
     id::{Service, Upstream},
     time::Instant,
 };
-use goldcrestvale_route::pipeline::{Held, Limit, Line, Load, Pulse};
+use goldcrestvale_route::pipeline::{Held, Limit, Line, Load, Pulse, Surge};
 use tokio::sync::Notify;
 
 /// The streams in progress.
@@ -37,6 +37,8 @@
     pub(crate) resume: Arc<Notify>,
     /// Whether it may run at one more upstream.
     pub(crate) may_resume: bool,
+    /// When its last event came, or when it was sent.
+    pub(crate) last_event: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -44,6 +46,7 @@
     reported: Option<Held>,
     limit: Option<Limit>,
     pulse: Pulse,
+    surge: Surge,
 }
 
 /// A place in the registry, given back when dropped.
@@ -76,21 +79,24 @@
             line: line.clone(),
             resume: resume.clone(),
             may_resume,
+            last_event: now,
         };
         state.streams.insert(number, stream);
-        state.heads.entry(head.clone()).or_default().pulse.start(now);
+        let known = state.heads.entry(head.clone()).or_default();
+        known.pulse.start(now);
+        known.surge.count(now);
         Ticket { number, head, registry: self.clone(), resume }
     }
 
-    /// Returns the load of a chain, by its first engine.
-    pub(crate) fn load(&self, head: &Upstream) -> Load {
+    /// Returns the load of a chain, by its first engine, where `others` of `instances` were told.
+    pub(crate) fn load(&self, head: &Upstream, others: u32, instances: u32, now: Instant) -> Load {
         let state = self.lock();
         let head = state.heads.get(head);
-        head.map_or_else(Load::default, |head| Load {
-            own: head.pulse.streams(),
-            others: 0,
-            reported: head.reported,
-            limit: head.limit,
+        let load = Load { others, ..Load::default() };
+        head.map_or(load, |head| {
+            let own = head.pulse.streams();
+            let unsaid = head.surge.others(own, instances, now);
+            Load { own, reported: head.reported, limit: head.limit, unsaid, ..load }
         })
     }
 
@@ -151,6 +157,9 @@
     /// Notes an event of the stream.
     pub(crate) fn beat(&self, now: Instant) {
         let mut state = self.registry.lock();
+        if let Some(stream) = state.streams.get_mut(&self.number) {
+            stream.last_event = now;
+        }
         if let Some(head) = state.heads.get_mut(&self.head) {
             head.pulse.beat(now);
         }
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -1,9 +1,10 @@
 //! Watches the chains of the streams in progress and moves streams off those that stopped.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use goldcrestvale_base::{id::Upstream, time::Instant};
-use goldcrestvale_route::pipeline::{Engine, Line, Rescue, paced};
+use futures_util::future::join_all;
+use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
+use goldcrestvale_route::pipeline::{Engine, Line, Rescue, SILENCE, paced};
 use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -22,7 +23,7 @@
 
 /// How long an engine counts as silent: longer than streams stall on it, and than its record
 /// outlives it.
-const SILENT: Duration = Duration::from_millis(4_500);
+pub(crate) const SILENT: Duration = Duration::from_millis(4_500);
 
 /// How long an engine that takes no work with room left is left alone before it is tried again:
 /// about as long as one that is leaving still serves.
@@ -111,12 +112,13 @@
     let Some(engine) = view.engine(head).filter(|_| !gateway.is_lost(head)) else { return };
     match gateway.port.report(engine.address).await {
         Ok(report) => {
-            let addresses: HashSet<SocketAddr> =
-                report.stalled.iter().map(|stalled| stalled.address).collect();
-            let engines = view.fleets.values().flat_map(|fleet| &fleet.engines);
-            for engine in engines.filter(|engine| addresses.contains(&engine.address)) {
-                gateway.trouble(&engine.upstream, Trouble::Silent, SILENT, "a chain waits for it");
-            }
+            let waited_for = waited_for(gateway, &report);
+            join_all(
+                waited_for
+                    .iter()
+                    .map(|(upstream, layers)| suspect(gateway, view.engine(upstream), layers)),
+            )
+            .await;
         }
         Err(e) => {
             let why = format!("its chain stopped: {e}");
@@ -125,6 +127,44 @@
     }
 }
 
+/// The engines that streams of this instance wait for, with the layers that they run there.
+fn waited_for<P>(gateway: &Gateway<P>, report: &Report) -> HashMap<Upstream, Vec<Layers>> {
+    let addresses: HashMap<&str, SocketAddr> =
+        report.stalled.iter().map(|stalled| (stalled.id.as_str(), stalled.address)).collect();
+    let stalled = gateway.registry.find(|stream| addresses.contains_key(stream.id.as_str()));
+    let mut waited_for: HashMap<Upstream, Vec<Layers>> = HashMap::new();
+    for (_, stream) in stalled {
+        let address = addresses.get(stream.id.as_str());
+        let part = stream.line.parts.iter().find(|part| Some(&part.address) == address);
+        if let Some(part) = part {
+            waited_for.entry(part.upstream.clone()).or_default().push(part.layers);
+        }
+    }
+    waited_for
+}
+
+/// Finds out whether an engine that a chain waits for is out of its reach.
+///
+/// One that carries out an order, or did, has released layers that streams still pass through: it
+/// stays, and those streams move.
+async fn suspect<P: Port>(gateway: &Gateway<P>, engine: Option<&Engine>, layers: &[Layers]) {
+    let Some(engine) = engine.filter(|engine| !gateway.is_lost(&engine.upstream)) else { return };
+    let upstream = &engine.upstream;
+    let holds = |held: Option<Layers>| {
+        held.is_some_and(|held| layers.iter().any(|layers| held.covers(*layers)))
+    };
+    match gateway.port.report(engine.address).await {
+        Ok(report) if report.busy || !holds(report.layers) => {
+            let news = gateway.learn(|known| known.catalog.set_layers(upstream, report.layers));
+            if news {
+                info!(upstream:% = upstream, busy = report.busy; "a chain waits for layers that were released");
+            }
+        }
+        Ok(_) => gateway.trouble(upstream, Trouble::Silent, SILENT, "a chain waits for it"),
+        Err(e) => gateway.trouble(upstream, Trouble::Silent, SILENT, &e.to_string()),
+    }
+}
+
 /// Finds out whether an engine that is blamed is dead, leaving or only full.
 pub(crate) async fn probe<P: Port>(gateway: Arc<Gateway<P>>, upstream: Upstream, blame: Blame) {
     let view = gateway.view.load_full();
@@ -166,6 +206,16 @@
                 move_stream(gateway, fleet, number, stream);
             }
         }
+        // An engine that released layers cuts off some of its streams, while its chain goes on.
+        let now = gateway.now();
+        let is_cut_off = |stream: &Stream| {
+            stream.service == *service
+                && now.since(stream.last_event) >= SILENCE
+                && !stream.line.is_held(&fleet.engines)
+        };
+        for (number, stream) in gateway.registry.find(is_cut_off) {
+            move_stream(gateway, fleet, number, stream);
+        }
     }
 }
 
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -327,7 +327,10 @@
         let now = self.matched.gateway.now();
         let trace = &mut self.matched.trace;
         trace.events = self.splitter.last().unwrap_or_default();
-        trace.first_event.get_or_insert(now);
+        match trace.first_event {
+            Some(_) => trace.longest_pause = trace.longest_pause.max(now.since(self.last_event)),
+            None => trace.first_event = Some(now),
+        }
         self.last_event = now;
         if let Some(running) = &self.running {
             running.ticket.beat(now);
--- a/crates/goldcrestvale_gateway/src/trace.rs
+++ b/crates/goldcrestvale_gateway/src/trace.rs
@@ -1,6 +1,6 @@
 //! One log line and the metrics of a request.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_base::{id::Upstream, time::Instant};
 use http::{HeaderValue, StatusCode};
@@ -23,6 +23,8 @@
     pub(crate) moves: u32,
     pub(crate) events: u64,
     pub(crate) first_event: Option<Instant>,
+    /// Longest pause between two events.
+    pub(crate) longest_pause: Duration,
     outcome: &'static str,
     detail: String,
     status: u16,
@@ -42,6 +44,7 @@
             moves: 0,
             events: 0,
             first_event: None,
+            longest_pause: Duration::ZERO,
             outcome: "caller left",
             detail: String::new(),
             status: 0,
@@ -92,6 +95,7 @@
             moves = self.moves,
             events = self.events,
             first_ms = first.map_or(0, |first| first.as_millis() as u64),
+            pause_ms = self.longest_pause.as_millis() as u64,
             status = self.status,
             outcome = self.outcome,
             detail = self.detail.as_str(),
--- a/crates/goldcrestvale_route/src/pipeline.rs
+++ b/crates/goldcrestvale_route/src/pipeline.rs
@@ -12,6 +12,7 @@
 mod model;
 mod pulse;
 mod rescue;
+mod surge;
 
 pub use choice::{Choice, Held, Limit, Load};
 pub use engine::Engine;
@@ -19,5 +20,6 @@
 pub use line::{Line, Part, detour, find_lines};
 pub use mend::{mend, widen};
 pub use model::{Card, Model, Usual};
-pub use pulse::Pulse;
+pub use pulse::{Pulse, SILENCE};
 pub use rescue::{Rescue, paced};
+pub use surge::Surge;
--- a/crates/goldcrestvale_route/src/pipeline/choice.rs
+++ b/crates/goldcrestvale_route/src/pipeline/choice.rs
@@ -46,6 +46,8 @@
     pub reported: Option<Held>,
     /// What was learned when the chain refused a stream last.
     pub limit: Option<Limit>,
+    /// Streams that other instances likely sent and did not say yet.
+    pub unsaid: f64,
 }
 
 /// A bound on the streams of a chain, learned from a refusal.
@@ -130,7 +132,7 @@
         let back = RETURN_MIN + RETURN_SPREAD.mul_f64(draw.clamp(0.0, 1.0));
         let mut best: Option<(usize, f64)> = None;
         for (place, (line, load)) in candidates.iter().enumerate() {
-            let streams = f64::from(load.streams(now) + 1);
+            let streams = f64::from(load.streams(now) + 1) + load.unsaid;
             let memory = streams * model.stream_tokens() / line.room.max(1.0);
             let slots = streams / f64::from(model.slots.max(1));
             let taken = memory.max(slots);
--- a/crates/goldcrestvale_route/src/pipeline/line.rs
+++ b/crates/goldcrestvale_route/src/pipeline/line.rs
@@ -60,6 +60,14 @@
         &self.parts[0]
     }
 
+    /// Returns whether every engine of the chain that is known holds the layers that it runs.
+    pub fn is_held(&self, engines: &[Engine]) -> bool {
+        self.parts.iter().all(|part| {
+            let engine = engines.iter().find(|engine| engine.upstream == part.upstream);
+            engine.and_then(|engine| engine.held).is_none_or(|held| held.covers(part.layers))
+        })
+    }
+
     /// Returns whether an engine is part of the chain.
     pub fn contains(&self, upstream: &Upstream) -> bool {
         self.parts.iter().any(|part| part.upstream == *upstream)
--- a/crates/goldcrestvale_route/src/pipeline/pulse.rs
+++ b/crates/goldcrestvale_route/src/pipeline/pulse.rs
@@ -10,7 +10,7 @@
 /// How long a chain with streams in progress may bring no event before it counts as stopped: six
 /// times the usual gap between two events of one stream, and an eighth of a caller's patience. A false
 /// alarm costs one question to the first engine.
-const SILENCE: Duration = Duration::from_millis(250);
+pub const SILENCE: Duration = Duration::from_millis(250);
 
 /// The last sign of life of a chain, over all streams of this instance on it.
 ///
--- a/crates/goldcrestvale_route/tests/pipeline/chain_choice.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/chain_choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use goldcrestvale_base::{id::Domain, time::Instant};
-use goldcrestvale_route::pipeline::{Choice, Held, Limit, Line, Load, find_lines};
+use goldcrestvale_route::pipeline::{Choice, Held, Limit, Line, Load, Surge, find_lines};
 
 use crate::cards::{fleet, model};
 
@@ -14,7 +14,7 @@
 }
 
 fn own(streams: u32) -> Load {
-    Load { own: streams, others: 0, reported: None, limit: None }
+    Load { own: streams, others: 0, reported: None, limit: None, unsaid: 0.0 }
 }
 
 fn choose(lines: &[Line], loads: [Load; 3], domain: &str) -> Choice {
@@ -65,7 +65,7 @@
 fn reports_count_other_instances() {
     // Several instances send to one chain; each sees its own streams at once, the others' by report.
     let reported = Some(Held { streams: 100, own: 20, at: NOW });
-    let load = Load { own: 30, others: 0, reported, limit: None };
+    let load = Load { own: 30, others: 0, reported, limit: None, unsaid: 0.0 };
     assert_eq!(load.streams(NOW), 110);
     assert_eq!(load.streams(NOW + Duration::from_secs(10)), 30);
     let told = Load { others: 90, ..load };
@@ -84,6 +84,56 @@
     assert!(back(1.0) > back(0.0) + Duration::from_secs(2));
 }
 
+/// Plays instances that move the streams of a lost chain to three others before any of them hears of
+/// the rest; returns the streams on each chain and those that found none.
+fn moved(instances: u32, each: u32, expect: bool) -> ([u32; 3], u32) {
+    let lines = lines();
+    let mut streams = [40, 50, 60];
+    let before = streams.map(|streams| streams - streams / instances);
+    let mut without = 0;
+    for _ in 0..instances {
+        let mut loads = before.map(|others| Load { others, ..own(0) });
+        for (load, streams) in loads.iter_mut().zip([40, 50, 60]) {
+            load.own = streams / instances;
+        }
+        let mut surges = [Surge::default(); 3];
+        for _ in 0..each {
+            for (load, surge) in loads.iter_mut().zip(&surges) {
+                load.unsaid = if expect { surge.others(load.own, instances, NOW) } else { 0.0 };
+            }
+            match choose(&lines, loads, "bole") {
+                Choice::Take(place) => {
+                    loads[place].own += 1;
+                    streams[place] += 1;
+                    surges[place].count(NOW);
+                }
+                _ => without += 1,
+            }
+        }
+    }
+    (streams, without)
+}
+
+#[test]
+fn moved_streams_spread() {
+    // A lost chain of 180 streams, the room of one chain of the fleet.
+    for (instances, each) in [(4, 45), (30, 6)] {
+        let lines = lines();
+        let room = |streams: [u32; 3]| {
+            let over = lines
+                .iter()
+                .zip(streams)
+                .map(|(line, streams)| f64::from(streams) * model().stream_tokens() / line.room);
+            over.fold(0.0, f64::max)
+        };
+        let (spread, without) = moved(instances, each, true);
+        assert!(room(spread) <= 1.0, "{instances} {spread:?} {}", room(spread));
+        assert!(without <= 180 / 4, "{instances} {without}");
+        let (heaped, _) = moved(instances, each, false);
+        assert!(room(heaped) > room(spread) + 0.1, "{instances} {heaped:?} {spread:?}");
+    }
+}
+
 /// Plays callers that all come at once to chains that hold 40 streams each, and asks how many are
 /// served within two seconds. Streams end at an even rate.
 fn served(learn: impl Fn(u32, Instant) -> Option<Limit>, leave_alone: Duration) -> u32 {
