Count the streams of all instances on a chain

Instances told what they have in progress only inside their failure domain, and a chain takes streams from all of them, so each one saw a third. Ruled out: steps and reading (90 ms an event there, as before), memory. Change: `Settings::tell_all`, with connections to up to 48 instances a domain, and the counts told to a peer that comes back; beyond that size the rest counts like those that are heard. With whole counts the bounds of a chain are its places and 1.15 of its memory (0.95 of both before, of a third of the streams). The line of the chains is written whenever one changes.

--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -305,7 +305,7 @@
     }
 
     fn load(&self, head: &Upstream) -> Load {
-        let others = self.peers.snapshot().others.total(head);
+        let others = self.peers.streams(head);
         let instances = self.peers.instances().unwrap_or(1);
         self.registry.load(head, others, instances, self.now())
     }
@@ -328,16 +328,11 @@
         let now = self.now();
         let table = self.table.load();
         let view = self.read(|known| known.view(&table, now));
-        let before: Vec<usize> = self.view.load().fleets.values().map(|f| f.lines.len()).collect();
-        let after: Vec<usize> = view.fleets.values().map(|f| f.lines.len()).collect();
-        if before != after {
-            for (service, fleet) in &view.fleets {
-                let lines: Vec<String> = fleet
-                    .lines
-                    .iter()
-                    .map(|line| format!("{}/{}/{}", line.domain, line.parts.len(), line.crossings))
-                    .collect();
-                info!(service:% = service, engines = fleet.engines.len(), lines = lines.join(" "); "chains changed");
+        let before = self.view.load_full();
+        for (service, fleet) in &view.fleets {
+            let lines = fleet.summary();
+            if before.fleets.get(service).is_none_or(|before| before.summary() != lines) {
+                info!(service:% = service, engines = fleet.engines.len(), lines; "chains changed");
             }
         }
         self.view.store(Arc::new(view));
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -48,6 +48,10 @@
 /// How often the peers are told what this instance has in progress.
 const STATUS_PERIOD: Duration = Duration::from_millis(250);
 
+/// Most connections to instances of the own failure domain, and of others. Chains take streams from
+/// all instances, so up to this size each one tells every other what it sent.
+const MOST_LINKS: usize = 48;
+
 /// Schema of the configuration that instances pass to each other.
 const SCHEMA: u32 = 1;
 
@@ -69,6 +73,18 @@
         (snapshot.has_heard && snapshot.instances > 0).then_some(snapshot.instances)
     }
 
+    /// Returns the streams that the other instances have on a chain. Those without a connection to
+    /// this one count as having as many as the rest on average.
+    pub(crate) fn streams(&self, head: &Upstream) -> u32 {
+        let snapshot = self.snapshot();
+        let told = snapshot.others.total(head);
+        let peers = snapshot.instances.saturating_sub(1);
+        match snapshot.linked {
+            linked if linked == 0 || linked >= peers => told,
+            linked => (f64::from(told) * f64::from(peers) / f64::from(linked)) as u32,
+        }
+    }
+
     /// Tells the peers of an upstream that is in trouble.
     pub(crate) fn tell(&self, upstream: &Upstream, trouble: Trouble, time: Duration) {
         let silence = Silence {
@@ -133,6 +149,8 @@
     let membership = Membership::new(own)
         .seeds(settings.seeds.clone())
         .heartbeat(settings.heartbeat)
+        .links(MOST_LINKS, MOST_LINKS)
+        .tell_all()
         .gossip(settings.heartbeat * 4);
     let secret = settings.secret.clone().unwrap_or_else(|| Secret::new([0; 32]));
     let tasks = Tasks::new(membership, Keyring::new(secret)).origin(gateway.clock.origin());
--- a/crates/goldcrestvale_gateway/src/view.rs
+++ b/crates/goldcrestvale_gateway/src/view.rs
@@ -42,6 +42,14 @@
         self.engines.iter().find(|engine| engine.upstream == *upstream)
     }
 
+    /// Names each chain by its domain, its engines and the boundaries between domains.
+    pub(crate) fn summary(&self) -> String {
+        let lines = self.lines.iter();
+        let names =
+            lines.map(|line| format!("{}/{}/{}", line.domain, line.parts.len(), line.crossings));
+        names.collect::<Vec<_>>().join(" ")
+    }
+
     /// Returns whether a failure domain has a whole chain of its own.
     pub(crate) fn is_whole(&self, domain: &Domain) -> bool {
         self.lines.iter().any(|line| line.domain == *domain && line.crossings == 0)
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -169,6 +169,10 @@
         let known = self.view.peers().filter_map(Peer::identity).count();
         self.tell_leaving(&who.instance, actions);
         send(actions, &who.instance, heartbeat);
+        // Later on it is told what changes.
+        if let Some(totals) = self.own_sends.all().filter(|_| self.tells(&who.domain)) {
+            send(actions, &who.instance, Message::Sends(totals));
+        }
         if known > 1 {
             self.duties.gossip_soon();
         }
--- a/crates/goldcrestvale_member/src/member/duty.rs
+++ b/crates/goldcrestvale_member/src/member/duty.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use goldcrestvale_base::{id::Instance, time::Instant};
+use goldcrestvale_base::{
+    id::{Domain, Instance},
+    time::Instant,
+};
 use rand::{Rng, seq::IteratorRandom};
 
 use super::{Actions, Member, send};
@@ -92,12 +95,10 @@
     fn beat(&mut self, now: Instant, actions: &mut Actions) {
         let heartbeat = self.heartbeat();
         let totals = self.own_sends.report();
-        let own = &self.settings.own.domain;
         for peer in self.view.linked() {
             let to = &peer.seed.instance;
             send(actions, to, heartbeat.clone());
-            let told = totals.as_ref().filter(|_| &peer.seed.domain == own);
-            if let Some(totals) = told {
+            if let Some(totals) = totals.as_ref().filter(|_| self.tells(&peer.seed.domain)) {
                 send(actions, to, Message::Sends(totals.clone()));
             }
             if let Some(told) = self.sharing.report(now, to) {
@@ -106,6 +107,11 @@
         }
     }
 
+    /// Returns whether instances of a failure domain are told what this one has in progress.
+    pub(super) fn tells(&self, domain: &Domain) -> bool {
+        self.settings.tells_all || self.settings.own.domain == *domain
+    }
+
     fn gossip(&self, now: Instant, rng: &mut impl Rng, actions: &mut Actions) {
         let known = self.view.gossip(now, rng);
         if let Some(to) = self.draw(rng).filter(|_| !known.is_empty()) {
--- a/crates/goldcrestvale_member/src/sends.rs
+++ b/crates/goldcrestvale_member/src/sends.rs
@@ -87,6 +87,19 @@
         }
     }
 
+    /// Returns the largest counts as they were told last, if there are any.
+    pub fn all(&self) -> Option<Totals> {
+        let mut told: Vec<Total> = self
+            .totals
+            .iter()
+            .filter(|(_, told)| told.told > 0)
+            .map(|(&upstream, told)| Total { upstream, units: told.told })
+            .collect();
+        told.sort_by_key(|total| std::cmp::Reverse(total.units));
+        told.truncate(MAX_TOTALS);
+        (!told.is_empty()).then_some(Totals { totals: told })
+    }
+
     /// Takes out the counts that changed most since they were last told, if any changed.
     pub fn report(&mut self) -> Option<Totals> {
         let mut changed: Vec<_> =
--- a/crates/goldcrestvale_member/src/settings.rs
+++ b/crates/goldcrestvale_member/src/settings.rs
@@ -40,6 +40,9 @@
     pub mesh_links: usize,
     /// Connections that this instance opens to other failure domains.
     pub outer_links: usize,
+    /// Whether other failure domains are told as well what this instance has in progress: where
+    /// upstreams take work from all of them.
+    pub tells_all: bool,
     /// Time that a part of a limit is lent for.
     pub hold: Duration,
 }
@@ -55,6 +58,7 @@
             gossip: Duration::from_secs(5),
             mesh_links: 16,
             outer_links: 3,
+            tells_all: false,
             hold: Duration::from_secs(3),
         }
     }
@@ -89,6 +93,12 @@
         Self { mesh_links, outer_links, ..self }
     }
 
+    /// Tells other failure domains as well what this instance has in progress.
+    #[must_use]
+    pub fn tell_all(self) -> Self {
+        Self { tells_all: true, ..self }
+    }
+
     /// Sets the time that a part of a limit is lent for.
     #[must_use]
     pub fn hold(self, hold: Duration) -> Self {
--- a/crates/goldcrestvale_member/tests/shared_load.rs
+++ b/crates/goldcrestvale_member/tests/shared_load.rs
@@ -117,3 +117,26 @@
     cluster.run(SECOND);
     assert_eq!(since(&cluster, 0, report), 0);
 }
+
+#[test]
+fn work_is_told_to_all_domains_where_upstreams_take_it_from_all() {
+    let mut cluster = Cluster::start(41, &DOMAINS, Settings::tell_all);
+    cluster.run(5 * SECOND);
+    for place in ALL {
+        let sent = vec![Sent { upstream: upstream("engine-1"), units: 10 + place as u32 }];
+        cluster.feed(place, Event::Sent(sent));
+    }
+    cluster.run(2 * SECOND);
+    let total =
+        |cluster: &Cluster, place: usize| cluster.node(place).others().total(&upstream("engine-1"));
+    for place in ALL {
+        assert_eq!(total(&cluster, place), 36 - place as u32);
+    }
+    // One that starts anew hears what has not changed since.
+    cluster.kill(3);
+    cluster.run(10 * SECOND);
+    cluster.boot(3);
+    cluster.list(3, &ALL);
+    cluster.run(5 * SECOND);
+    assert_eq!(total(&cluster, 3), 33);
+}
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -341,6 +341,7 @@
             shares: self.member.shares(now),
             others: self.member.others().clone(),
             instances: self.member.view().instances(configured),
+            linked: self.member.view().linked().count() as u32,
             has_heard: self.member.view().has_heard(),
             schema: self.member.schema(),
             is_led: self.member.view().is_led(),
--- a/crates/goldcrestvale_peer/src/snapshot.rs
+++ b/crates/goldcrestvale_peer/src/snapshot.rs
@@ -21,6 +21,8 @@
     pub others: Others,
     /// Instances that share the limits, this one included.
     pub instances: u32,
+    /// Instances that this one has a connection to.
+    pub linked: u32,
     /// Whether a peer has told what it knows, or no peer is known to ask.
     pub has_heard: bool,
     /// Lowest schema version that this instance and its live peers read.
--- a/crates/goldcrestvale_route/src/pipeline/choice.rs
+++ b/crates/goldcrestvale_route/src/pipeline/choice.rs
@@ -20,8 +20,12 @@
 /// chain in that time, since several instances learn limits of one chain.
 const REGAIN_PER_S: f64 = 10.0;
 
-/// Share of a chain's room that may be taken by streams of the usual size.
-const FULL: f64 = 0.95;
+/// Share of a chain's memory that streams of the usual size may take. The room of a chain counts
+/// every stage at its narrowest, and a stage that has none left refuses, which teaches a limit.
+const MOST_MEMORY: f64 = 1.15;
+
+/// Share of the places of a first engine that may be taken: beyond them streams only wait.
+const MOST_SLOTS: f64 = 1.0;
 
 /// How long a report of an engine's load counts.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
@@ -136,8 +140,9 @@
             let memory = streams * model.stream_tokens() / line.room.max(1.0);
             let slots = streams / f64::from(model.slots.max(1));
             let taken = memory.max(slots);
+            let is_full = memory > MOST_MEMORY || slots > MOST_SLOTS;
             let is_limited = load.limit.is_some_and(|limit| streams > limit.streams(now));
-            if taken > FULL || is_limited {
+            if is_full || is_limited {
                 continue;
             }
             let away = if line.domain == *domain { 0.0 } else { OWN_DOMAIN };
