Mend each chain of a domain by its own engines

Two chains of a domain had lost a stage each; what was left was woven into one chain of 29 engines, and mending started from that one and had nothing left for a second. One order that waited for its streams held up the mending of the whole domain. Ruled out: memory (the domain holds two chains), the duty (held), refused orders. Change: `strands` tells by the layers that engines hold which of them belong together; `mend` completes each strand with its own engines and those that hold nothing, and waits only for the orders of that strand; `find_lines` takes the strands that are whole as they are.

--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -163,13 +163,13 @@
             continue;
         }
         let in_progress = lock(pending).clone();
-        let is_pending = |engine: &Engine| in_progress.contains_key(&engine.upstream);
-        let mut orders = mend(&fleet.model, &engines, is_pending);
+        let target = |engine: &Engine| in_progress.get(&engine.upstream).map(|order| order.layers);
+        let mut orders = mend(&fleet.model, &engines, target);
         // A chain that lost a stage is down: its streams move, and must not hold up its repair.
         let release = if orders.is_empty() { Release::Wait } else { Release::Cut };
         if orders.is_empty() {
             let since = *calm.entry(domain.clone()).or_insert(now + CALM);
-            if since <= now && !engines.iter().any(|engine| is_pending(engine)) {
+            if since <= now && !engines.iter().any(|engine| target(engine).is_some()) {
                 orders.extend(widen(&fleet.model, &engines));
                 if !orders.is_empty() {
                     calm.insert(domain.clone(), now + WIDEN_PAUSE);
--- a/crates/goldcrestvale_route/src/pipeline.rs
+++ b/crates/goldcrestvale_route/src/pipeline.rs
@@ -12,6 +12,7 @@
 mod model;
 mod pulse;
 mod rescue;
+mod strand;
 mod surge;
 
 pub use choice::{Choice, Held, Limit, Load};
--- a/crates/goldcrestvale_route/src/pipeline/layout.rs
+++ b/crates/goldcrestvale_route/src/pipeline/layout.rs
@@ -17,7 +17,7 @@
 const WEIGHTS_SHARE: f64 = 0.6;
 
 /// Most engines of one chain; upstreams refuse longer ones.
-const LONGEST: usize = 30;
+pub(super) const LONGEST: usize = 30;
 
 goldcrestvale_base::domain! {
     value
--- a/crates/goldcrestvale_route/src/pipeline/line.rs
+++ b/crates/goldcrestvale_route/src/pipeline/line.rs
@@ -10,7 +10,7 @@
     id::{Domain, Upstream},
 };
 
-use super::{Engine, Model, balance};
+use super::{Engine, Model, balance, replicas, strand::strands};
 
 /// Cost of one more engine in a chain, in layers of the reference card.
 const HOP: f64 = 2.0;
@@ -82,16 +82,43 @@
     domains.dedup();
     let mut lines = Vec::new();
     for domain in domains {
-        let mut inside: Vec<&Engine> =
+        let inside: Vec<&Engine> =
             usable.iter().copied().filter(|engine| engine.domain == *domain).collect();
-        let before = lines.len();
-        while let Some(line) = shortest(model, &inside, None) {
-            inside.retain(|engine| !line.contains(&engine.upstream));
-            lines.push(line);
-        }
-        if lines.len() == before {
+        let found = find_inside(model, &inside);
+        if found.is_empty() {
             lines.extend(shortest(model, usable, Some(domain)));
         }
+        lines.extend(found);
+    }
+    lines
+}
+
+/// Finds the chains over the engines of one domain: those that its strands make each by itself, and
+/// what else can be made of the others.
+///
+/// A chain that is whole stays as it is while another one of its domain is mended.
+fn find_inside(model: &Model, inside: &[&Engine]) -> Vec<Line> {
+    let count = replicas(model, inside);
+    let strands = strands(inside, count);
+    let apart: Vec<Line> =
+        strands.iter().filter_map(|strand| shortest(model, strand, None)).collect();
+    if apart.len() == count {
+        return apart;
+    }
+    let is_free = |engine: &&Engine| !apart.iter().any(|line| line.contains(&engine.upstream));
+    let rest: Vec<&Engine> = inside.iter().copied().filter(is_free).collect();
+    let mut lines = apart.clone();
+    lines.extend(find_greedily(model, rest));
+    let woven = find_greedily(model, inside.to_vec());
+    if woven.len() > lines.len() { woven } else { lines }
+}
+
+/// Finds the shortest chain, then the shortest over what is left, and so on.
+fn find_greedily(model: &Model, mut rest: Vec<&Engine>) -> Vec<Line> {
+    let mut lines = Vec::new();
+    while let Some(line) = shortest(model, &rest, None) {
+        rest.retain(|engine| !line.contains(&engine.upstream));
+        lines.push(line);
     }
     lines
 }
--- a/crates/goldcrestvale_route/src/pipeline/mend.rs
+++ b/crates/goldcrestvale_route/src/pipeline/mend.rs
@@ -6,7 +6,12 @@
 
 use goldcrestvale_base::engine::Layers;
 
-use super::{Engine, Line, Model, Part, Placement, balance, find_lines, layout, replicas};
+use super::{
+    Engine, Line, Model, Part, Placement, balance, find_lines, layout,
+    layout::LONGEST,
+    replicas,
+    strand::{is_spare, strands},
+};
 
 /// Tokens of usual streams that an engine must keep room for.
 const LEAST_STREAMS: f64 = 12.0;
@@ -29,42 +34,93 @@
 /// A stage with less than this share of the room that a new layout would give is narrow.
 const NARROW: f64 = 0.8;
 
-/// Returns the loads that complete the broken chain of one domain; empty if nothing is missing or
-/// nothing can be done. `pending` says which engines are carrying out an order.
+/// Returns the loads that complete the broken chains of one domain; empty if nothing is missing or
+/// nothing can be done. `pending` says which layers an engine is to hold that carries out an order.
 ///
 /// Only engines that are gone, leaving or silent count as lost. One that refused work for lack of
-/// memory holds its layers still.
+/// memory holds its layers still. Each chain is mended by its own engines and by those that hold
+/// nothing, so that no chain is used up for another one.
 pub fn mend(
     model: &Model,
     engines: &[&Engine],
-    pending: impl Fn(&Engine) -> bool,
+    pending: impl Fn(&Engine) -> Option<Layers>,
 ) -> Vec<Placement> {
     let present: Vec<&Engine> = engines.iter().copied().filter(|e| e.is_present()).collect();
     let lines = whole_lines(model, &present);
-    if lines.len() >= replicas(model, &present) {
+    let count = replicas(model, &present);
+    if lines.len() >= count {
         return Vec::new();
     }
+    let is_pending = |engine: &Engine| pending(engine).is_some();
+    let planned: Vec<Engine> = present
+        .iter()
+        .map(|engine| Engine { held: pending(engine).or(engine.held), ..(*engine).clone() })
+        .collect();
+    let planned: Vec<&Engine> = planned.iter().collect();
+    let mut broken: Vec<Vec<&Engine>> = strands(&planned, count)
+        .into_iter()
+        .filter(|strand| !strand.is_empty() && whole_lines(model, strand).is_empty())
+        .collect();
+    broken.sort_by_key(|strand| missing(model, strand));
+    let mut spares: Vec<&Engine> =
+        planned.iter().copied().filter(|engine| is_spare(engine)).collect();
+    spares.sort_by(|a, b| memory(model, b).total_cmp(&memory(model, a)));
+    let mut placements: Vec<Placement> = Vec::new();
+    let is_waiting = planned.iter().any(|engine| is_pending(engine));
+    for strand in broken {
+        if strand.iter().any(|engine| is_pending(engine)) {
+            continue;
+        }
+        let mut members = strand;
+        let room = LONGEST.saturating_sub(members.len());
+        members.extend(spares.iter().take(room));
+        let is_used = members.iter().any(|e| lines.iter().any(|line| line.contains(&e.upstream)));
+        let loads = complete(model, engines, &members, is_used);
+        spares.retain(|spare| !loads.iter().any(|load| load.upstream == spare.upstream));
+        placements.extend(loads);
+    }
+    if is_waiting || !placements.is_empty() {
+        return placements;
+    }
     let rest: Vec<&Engine> = present
         .iter()
         .copied()
         .filter(|engine| !lines.iter().any(|line| line.contains(&engine.upstream)))
         .collect();
-    if rest.iter().any(|engine| pending(engine)) {
-        return Vec::new();
-    }
-    match first_hole(model, &rest) {
-        Some(hole) if hole == model.span() => layout(model, &rest),
+    complete(model, engines, &rest, false)
+}
+
+/// Returns the loads that make one chain of some engines of a domain. `is_used` says whether streams
+/// pass through them although their own chain is broken.
+fn complete(
+    model: &Model,
+    engines: &[&Engine],
+    members: &[&Engine],
+    is_used: bool,
+) -> Vec<Placement> {
+    match first_hole(model, members) {
+        Some(hole) if hole == model.span() => layout(model, members),
         Some(hole) => {
             // While the engine that leaves still serves, its chain runs, and engines that were to
             // release layers would wait for the streams that pass through them.
             let mut leaving = engines.iter().filter(|engine| !engine.ready && !engine.silent);
-            let is_served = leaving.any(|engine| engine.held.is_some_and(|h| h.covers(hole)));
-            reflow(model, &rest, hole, if is_served { GENTLE_RELEASE } else { 0.0 })
+            let is_served =
+                is_used || leaving.any(|engine| engine.held.is_some_and(|h| h.covers(hole)));
+            reflow(model, members, hole, if is_served { GENTLE_RELEASE } else { 0.0 })
         }
         None => Vec::new(),
     }
 }
 
+/// The layers that none of the engines holds.
+fn missing(model: &Model, engines: &[&Engine]) -> usize {
+    let is_held = |layer: &u32| {
+        let mut held = engines.iter().filter_map(|engine| engine.held);
+        held.any(|held| (held.from..held.to).contains(layer))
+    };
+    (0..model.layers).filter(|layer| !is_held(layer)).count()
+}
+
 fn whole_lines(model: &Model, engines: &[&Engine]) -> Vec<Line> {
     find_lines(model, engines).into_iter().filter(|line| line.crossings == 0).collect()
 }
--- a/crates/goldcrestvale_route/tests/pipeline/layer_mend.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/layer_mend.rs
@@ -26,7 +26,7 @@
 fn lost_range_is_shared() {
     let mut engines = fleet();
     let lost = lose(&mut engines, "kirkos-53");
-    let orders = mend(&model(), &of(&engines, "kirkos"), |_| false);
+    let orders = mend(&model(), &of(&engines, "kirkos"), |_| None);
     let longest = orders.iter().map(|order| {
         let held = engines.iter().find(|e| e.upstream == order.upstream).unwrap().held.unwrap();
         order.layers.len() - held.len()
@@ -44,7 +44,7 @@
         let mut engines = fleet();
         lose(&mut engines, &name);
         let place_name = name.split('-').next().unwrap().to_owned();
-        let orders = mend(&model(), &of(&engines, &place_name), |_| false);
+        let orders = mend(&model(), &of(&engines, &place_name), |_| None);
         place(&mut engines, &orders);
         assert_eq!(whole(&engines, &place_name), 1, "{name}: {orders:?}");
     }
@@ -57,7 +57,7 @@
     for engine in engines.iter_mut().filter(|engine| engine.domain.as_str() == "yeka") {
         engine.avoided_until = Instant(u64::MAX);
     }
-    assert!(mend(&model(), &of(&engines, "yeka"), |_| false).is_empty());
+    assert!(mend(&model(), &of(&engines, "yeka"), |_| None).is_empty());
     assert!(widen(&model(), &of(&engines, "yeka")).is_empty());
 }
 
@@ -65,7 +65,7 @@
 fn waits_for_orders() {
     let mut engines = fleet();
     lose(&mut engines, "kirkos-53");
-    assert!(mend(&model(), &of(&engines, "kirkos"), |_| true).is_empty());
+    assert!(mend(&model(), &of(&engines, "kirkos"), |engine| engine.held).is_empty());
 }
 
 #[test]
@@ -83,7 +83,7 @@
 fn settle(engines: &mut [Engine], name: &str) -> Vec<f64> {
     let mut rooms = Vec::new();
     for _ in 0..of(engines, name).len() * 4 {
-        let mut orders = mend(&model(), &of(engines, name), |_| false);
+        let mut orders = mend(&model(), &of(engines, name), |_| None);
         if orders.is_empty() {
             orders = widen(&model(), &of(engines, name));
         }
@@ -145,7 +145,7 @@
 #[test]
 fn empty_domain_is_laid_out() {
     let mut engines = domain("bole", [1, 1, 5, 7], 1);
-    let orders = mend(&model(), &of(&engines, "bole"), |_| false);
+    let orders = mend(&model(), &of(&engines, "bole"), |_| None);
     place(&mut engines, &orders);
     assert_eq!(whole(&engines, "bole"), 1);
 }
@@ -176,6 +176,74 @@
     }
 }
 
+/// A domain with the memory for two chains.
+fn two_chains() -> Vec<Engine> {
+    let mut engines = domain("kirkos", [0, 2, 20, 9], 1);
+    let placed = layout(&model(), &engines.iter().collect::<Vec<_>>());
+    place(&mut engines, &placed);
+    assert_eq!(whole(&engines, "kirkos"), 2);
+    engines
+}
+
+/// The engine that runs a layer in the chain at a place.
+fn runs(engines: &[Engine], chain: usize, layer: u32) -> String {
+    let lines = find_lines(&model(), &engines.iter().collect::<Vec<_>>());
+    let mut parts = lines[chain].parts.iter();
+    let part = parts.find(|part| (part.layers.from..part.layers.to).contains(&layer));
+    part.unwrap().upstream.to_string()
+}
+
+#[test]
+fn chains_are_mended_apart() {
+    // Engines are lost together, one of each chain. What is left can be woven into one chain.
+    for (first, second) in [(0, 40), (20, 25), (30, 30), (79, 1)] {
+        let mut engines = two_chains();
+        let lost = [runs(&engines, 0, first), runs(&engines, 1, second)];
+        lost.iter().for_each(|name| {
+            lose(&mut engines, name);
+        });
+        let orders = mend(&model(), &of(&engines, "kirkos"), |_| None);
+        check(&engines, &orders);
+        place(&mut engines, &orders);
+        assert_eq!(whole(&engines, "kirkos"), 2, "{lost:?}");
+        settle(&mut engines, "kirkos");
+        assert_eq!(whole(&engines, "kirkos"), 2, "{lost:?}");
+    }
+}
+
+#[test]
+fn busy_chain_holds_up_no_other() {
+    // One of the two is being mended already.
+    let mut engines = two_chains();
+    let lost = [runs(&engines, 0, 20), runs(&engines, 1, 50)];
+    let busy = runs(&engines, 0, 30);
+    lost.iter().for_each(|name| {
+        lose(&mut engines, name);
+    });
+    let orders = mend(&model(), &of(&engines, "kirkos"), |engine| {
+        engine.held.filter(|_| engine.upstream.as_str() == busy)
+    });
+    assert!(!orders.is_empty());
+    assert!(orders.iter().all(|order| order.upstream.as_str() != busy));
+    place(&mut engines, &orders);
+    assert!(whole(&engines, "kirkos") >= 1);
+}
+
+#[test]
+fn first_layout_is_waited_for() {
+    // Engines take the layers of a new layout one after the other. Those that have not yet are no loss.
+    let mut engines = domain("kirkos", [0, 2, 20, 9], 1);
+    let placed = layout(&model(), &engines.iter().collect::<Vec<_>>());
+    for done in 0..placed.len() {
+        place(&mut engines, &placed[..done]);
+        let pending = |engine: &Engine| {
+            let order = placed[done..].iter().find(|order| order.upstream == engine.upstream);
+            order.map(|order| order.layers)
+        };
+        assert!(mend(&model(), &of(&engines, "kirkos"), pending).is_empty(), "{done}");
+    }
+}
+
 #[test]
 fn leaving_engine_releases_nothing() {
     // Its chain still runs. An engine that gives layers up waits for the streams passing through
@@ -184,7 +252,7 @@
         let mut engines = fleet();
         engines.iter_mut().find(|engine| engine.upstream.as_str() == name).unwrap().ready = false;
         let domain = name.split('-').next().unwrap();
-        let orders = mend(&model(), &of(&engines, domain), |_| false);
+        let orders = mend(&model(), &of(&engines, domain), |_| None);
         assert!(!orders.is_empty(), "{name}");
         for order in &orders {
             let engine = engines.iter().find(|e| e.upstream == order.upstream).unwrap();
--- a/crates/goldcrestvale_route/tests/pipeline/stream_rescue.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/stream_rescue.rs
@@ -45,7 +45,7 @@
     let mut loss = Loss::of("kirkos-55");
     let inside: Vec<&Engine> =
         loss.engines.iter().filter(|engine| engine.domain.as_str() == "kirkos").collect();
-    let orders = mend(&model(), &inside, |_| false);
+    let orders = mend(&model(), &inside, |_| None);
     place(&mut loss.engines, &orders);
     let Rescue::Repath(path) = loss.rescue(true) else { panic!("not moved") };
     assert_eq!(path.head(), loss.line.head());
