--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -201,27 +201,11 @@
         fresh
     }
 
-    /// Returns the silent upstreams whose silence ends within a time, each once.
-    pub(crate) fn due_rechecks(&self, within: Duration) -> Vec<Upstream> {
-        let now = self.now();
-        let mut due = Vec::new();
-        self.learn(|known| {
-            for ((upstream, trouble), span) in &mut known.troubled {
-                if *trouble == Trouble::Silent && !span.rechecked && span.until.since(now) < within
-                {
-                    span.rechecked = true;
-                    due.push(upstream.clone());
-                }
-            }
-            false
-        });
-        due
-    }
-
     /// Uses an upstream again that answers.
     pub(crate) fn clear(&self, upstream: &Upstream) {
+        let now = self.now();
         self.learn(|known| {
-            let cleared = known.troubled.remove(&(upstream.clone(), Trouble::Silent)).is_some();
+            let cleared = known.clear(upstream, now);
             if cleared {
                 info!(upstream:% = upstream; "upstream answers again");
             }
@@ -259,6 +243,12 @@
         changed
     }
 
+    /// Returns the silent upstreams that are to be asked again.
+    pub(crate) fn due_rechecks(&self) -> Vec<Upstream> {
+        let now = self.now();
+        self.lock().due_rechecks(now)
+    }
+
     /// Reads what is known of the upstreams.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&Known) -> T) -> T {
         read(&self.lock())
--- a/crates/goldcrestvale_gateway/src/placer.rs
+++ b/crates/goldcrestvale_gateway/src/placer.rs
@@ -10,7 +10,7 @@
     id::{Domain, Upstream},
     time::Instant,
 };
-use goldcrestvale_route::pipeline::{Engine, Placement, mend, widen};
+use goldcrestvale_route::pipeline::{Engine, Placement, is_reached, mend, widen};
 use log::{info, warn};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -48,12 +48,25 @@
 /// meet those of a repair.
 const CALM: Duration = Duration::from_millis(1_200);
 
+/// How long a domain that was cut off is left as it is: all its engines are asked again meanwhile, and
+/// those that were not yet are no loss.
+const REACHED: Duration = Duration::from_millis(1_500);
+
 /// How often the engines of broken domains are asked what they hold while the directory is away.
 const REFRESH_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// The orders in progress, by engine.
 type Pending = Arc<Mutex<HashMap<Upstream, Placement>>>;
 
+/// What the placer remembers of the failure domains.
+#[derive(Debug, Default)]
+struct Seen {
+    /// Since when each one is whole.
+    calm: HashMap<Domain, Instant>,
+    /// When each one was out of reach last.
+    cut_off: HashMap<Domain, Instant>,
+}
+
 /// Keeps the duty and places layers until the token is cancelled.
 pub(crate) async fn attend<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let member = format!("{}-{}", gateway.settings.name, uuid::Uuid::now_v7().simple());
@@ -122,7 +135,7 @@
 
 async fn place<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let pending: Pending = Arc::default();
-    let mut calm: HashMap<Domain, Instant> = HashMap::new();
+    let mut seen = Seen::default();
     let mut refreshed = Instant(0);
     loop {
         let news = timeout(PERIOD, gateway.changed.notified());
@@ -139,7 +152,7 @@
                 refresh(&gateway, fleet.broken());
                 continue;
             }
-            step(&gateway, fleet, &pending, &mut calm);
+            step(&gateway, fleet, &pending, &mut seen);
         }
     }
 }
@@ -149,7 +162,7 @@
     gateway: &Arc<Gateway<P>>,
     fleet: &Arc<Fleet>,
     pending: &Pending,
-    calm: &mut HashMap<Domain, Instant>,
+    Seen { calm, cut_off }: &mut Seen,
 ) {
     let now = gateway.now();
     let mut domains: BTreeMap<&Domain, Vec<&Engine>> = BTreeMap::new();
@@ -157,6 +170,12 @@
         domains.entry(&engine.domain).or_default().push(engine);
     }
     for (domain, engines) in domains {
+        if !is_reached(&engines) {
+            cut_off.insert(domain.clone(), now);
+        }
+        if cut_off.get(domain).is_some_and(|at| now.since(*at) < REACHED) {
+            continue;
+        }
         // A domain without layers is laid out once all its engines are known.
         let is_empty = engines.iter().all(|engine| engine.held.is_none());
         if is_empty && !is_settled(gateway, now) {
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -29,9 +29,6 @@
 /// about as long as one that is leaving still serves.
 const REFUSING: Duration = Duration::from_millis(6_000);
 
-/// How long before the end of a silence the engine is asked again.
-const RECHECK: Duration = Duration::from_millis(700);
-
 /// Share of memory and places taken up to which an engine has room for any request.
 const ROOMY: f64 = 0.75;
 
@@ -64,7 +61,7 @@
         for head in gateway.registry.stopped(gateway.now()) {
             diagnose(&gateway, &head).await;
         }
-        for upstream in gateway.due_rechecks(RECHECK) {
+        for upstream in gateway.due_rechecks() {
             tokio::spawn(recheck(gateway.clone(), upstream));
         }
         move_streams(&gateway).await;
--- /dev/null
+++ b/crates/goldcrestvale_route/tests/pipeline/domain_reach.rs
@@ -0,0 +1,47 @@
+//! Where layers may be placed while engines fall silent.
+
+use goldcrestvale_route::pipeline::{Engine, is_reached, mend};
+
+use crate::cards::{domain, fleet, model};
+
+fn silenced(engines: &mut [Engine], count: usize) {
+    engines.iter_mut().rev().take(count).for_each(|engine| engine.silent = true);
+}
+
+fn refs(engines: &[Engine]) -> Vec<&Engine> {
+    engines.iter().collect()
+}
+
+#[test]
+fn single_losses_are_mended() {
+    for count in [1, 2, 3] {
+        let mut engines: Vec<Engine> =
+            fleet().into_iter().filter(|e| e.domain.as_str() == "kirkos").collect();
+        silenced(&mut engines, count);
+        assert!(is_reached(&refs(&engines)), "{count}");
+    }
+    let mut few = domain("bole", [1, 1, 0, 0], 1);
+    silenced(&mut few, 2);
+    assert!(is_reached(&refs(&few)));
+}
+
+#[test]
+fn cut_domain_keeps_its_layout() {
+    // The instance that places layers is outside. Of the engines that it could ask, none answered; a
+    // plan for the others would move every layer.
+    let mut engines: Vec<Engine> =
+        fleet().into_iter().filter(|e| e.domain.as_str() == "bole").collect();
+    silenced(&mut engines, 5);
+    assert!(!mend(&model(), &refs(&engines), |_| None).is_empty());
+    assert!(!is_reached(&refs(&engines)));
+}
+
+#[test]
+fn released_engines_are_no_cut() {
+    // Half of a domain is replaced; the old ones leave and end before their records do.
+    let mut engines: Vec<Engine> =
+        fleet().into_iter().filter(|e| e.domain.as_str() == "bole").collect();
+    silenced(&mut engines, 7);
+    engines.iter_mut().filter(|engine| engine.silent).for_each(|engine| engine.ready = false);
+    assert!(is_reached(&refs(&engines)));
+}
--- a/crates/goldcrestvale_route/tests/pipeline/main.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/main.rs
@@ -5,6 +5,7 @@
 mod cards;
 mod chain_choice;
 mod chain_cover;
+mod domain_reach;
 mod layer_mend;
 mod paced_moves;
 mod stream_rescue;
