Split the mending of chains apart from that of the rest

Cause: found on rereading: `mend` was long, and the search for a holder of a layer stood twice. Ruled out: nothing. Change: `mend_apart` and `is_held`; behaviour as before.

--- a/crates/goldcrestvale_route/src/pipeline/mend.rs
+++ b/crates/goldcrestvale_route/src/pipeline/mend.rs
@@ -47,17 +47,36 @@
 ) -> Vec<Placement> {
     let present: Vec<&Engine> = engines.iter().copied().filter(|e| e.is_present()).collect();
     let lines = whole_lines(model, &present);
-    let count = replicas(model, &present);
-    if lines.len() >= count {
+    if lines.len() >= replicas(model, &present) {
         return Vec::new();
     }
+    if let Some(placements) = mend_apart(model, engines, &lines, &pending) {
+        return placements;
+    }
+    let rest: Vec<&Engine> = present
+        .into_iter()
+        .filter(|engine| !lines.iter().any(|line| line.contains(&engine.upstream)))
+        .collect();
+    complete(model, engines, &rest, false)
+}
+
+/// Returns the loads that complete each broken chain by its own engines and by those that hold nothing;
+/// `None` if there are none, and none are on their way.
+fn mend_apart(
+    model: &Model,
+    engines: &[&Engine],
+    lines: &[Line],
+    pending: impl Fn(&Engine) -> Option<Layers>,
+) -> Option<Vec<Placement>> {
     let is_pending = |engine: &Engine| pending(engine).is_some();
-    let planned: Vec<Engine> = present
+    // An engine that carries out an order counts as holding what it is to hold.
+    let planned: Vec<Engine> = engines
         .iter()
+        .filter(|engine| engine.is_present())
         .map(|engine| Engine { held: pending(engine).or(engine.held), ..(*engine).clone() })
         .collect();
     let planned: Vec<&Engine> = planned.iter().collect();
-    let mut broken: Vec<Vec<&Engine>> = strands(&planned, count)
+    let mut broken: Vec<Vec<&Engine>> = strands(&planned, replicas(model, &planned))
         .into_iter()
         .filter(|strand| !strand.is_empty() && whole_lines(model, strand).is_empty())
         .collect();
@@ -66,7 +85,6 @@
         planned.iter().copied().filter(|engine| is_spare(engine)).collect();
     spares.sort_by(|a, b| memory(model, b).total_cmp(&memory(model, a)));
     let mut placements: Vec<Placement> = Vec::new();
-    let is_waiting = planned.iter().any(|engine| is_pending(engine));
     for strand in broken {
         if strand.iter().any(|engine| is_pending(engine)) {
             continue;
@@ -79,15 +97,8 @@
         spares.retain(|spare| !loads.iter().any(|load| load.upstream == spare.upstream));
         placements.extend(loads);
     }
-    if is_waiting || !placements.is_empty() {
-        return placements;
-    }
-    let rest: Vec<&Engine> = present
-        .iter()
-        .copied()
-        .filter(|engine| !lines.iter().any(|line| line.contains(&engine.upstream)))
-        .collect();
-    complete(model, engines, &rest, false)
+    let is_waiting = planned.iter().any(|engine| is_pending(engine));
+    (is_waiting || !placements.is_empty()).then_some(placements)
 }
 
 /// Returns the loads that make one chain of some engines of a domain. `is_used` says whether streams
@@ -114,11 +125,12 @@
 
 /// The layers that none of the engines holds.
 fn missing(model: &Model, engines: &[&Engine]) -> usize {
-    let is_held = |layer: &u32| {
-        let mut held = engines.iter().filter_map(|engine| engine.held);
-        held.any(|held| (held.from..held.to).contains(layer))
-    };
-    (0..model.layers).filter(|layer| !is_held(layer)).count()
+    (0..model.layers).filter(|&layer| !is_held(engines, layer)).count()
+}
+
+fn is_held(engines: &[&Engine], layer: u32) -> bool {
+    let mut held = engines.iter().filter_map(|engine| engine.held);
+    held.any(|held| (held.from..held.to).contains(&layer))
 }
 
 fn whole_lines(model: &Model, engines: &[&Engine]) -> Vec<Line> {
@@ -127,12 +139,8 @@
 
 /// The first range that none of the engines holds.
 fn first_hole(model: &Model, engines: &[&Engine]) -> Option<Layers> {
-    let is_held = |layer: u32| {
-        let mut held = engines.iter().filter_map(|engine| engine.held);
-        held.any(|held| (held.from..held.to).contains(&layer))
-    };
-    let from = (0..model.layers).find(|&layer| !is_held(layer))?;
-    let to = (from..model.layers).find(|&layer| is_held(layer)).unwrap_or(model.layers);
+    let from = (0..model.layers).find(|&layer| !is_held(engines, layer))?;
+    let to = (from..model.layers).find(|&layer| is_held(engines, layer)).unwrap_or(model.layers);
     Some(Layers { from, to })
 }
 
