Ask two peers for the list, and one for a configuration

While the store is away every instance asked every other one for the whole list several times a second: 27 answers of 98 engines each time. Change: the list is asked of two peers drawn anew each time; a configuration is asked of one (`Asked`).

--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`port`] names what a platform has to provide.
 
 mod answer;
+mod asked;
 mod blame;
 mod body;
 mod catalog;
@@ -27,6 +28,7 @@
 mod view;
 mod watch;
 
+pub use asked::Asked;
 pub use catalog::{Catalog, News};
 pub use event::Splitter;
 pub use serve::{Error, Instance, Result};
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -3,14 +3,14 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock, Weak},
+    sync::{Arc, Mutex, OnceLock, PoisonError, Weak},
     time::Duration,
 };
 
 use bytes::Bytes;
 use goldcrestvale_base::{
     id::{Digest, Incarnation, Instance, Offset, Upstream},
-    time::Wall,
+    time::{Instant, Wall},
 };
 use goldcrestvale_member::{
     action::Notice,
@@ -37,6 +37,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    asked::Asked,
     blame::Blame,
     gateway::Gateway,
     known::Trouble,
@@ -59,6 +60,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     handle: OnceLock<Handle>,
+    asked: Mutex<Asked>,
 }
 
 impl Peers {
@@ -85,6 +87,11 @@
         }
     }
 
+    /// Returns whether a peer is to be asked for a version of the configuration that it offers.
+    fn try_ask(&self, version: u64, now: Instant) -> bool {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner).try_ask(version, now)
+    }
+
     /// Tells the peers of an upstream that is in trouble.
     pub(crate) fn tell(&self, upstream: &Upstream, trouble: Trouble, time: Duration) {
         let silence = Silence {
@@ -217,6 +224,9 @@
                 }
             }
             Notice::Config { instance, config } => {
+                if !gateway.peers.try_ask(config.version.0, gateway.now()) {
+                    return;
+                }
                 tokio::spawn(async move {
                     if let Some(handle) = gateway.peers.handle.get()
                         && let Err(e) = handle.ask_config(instance, config.version).await
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -19,7 +19,7 @@
     message::Message,
 };
 use goldcrestvale_wire::{handshake::Role, message as wire};
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use tokio::{
     sync::{mpsc, oneshot},
     time::MissedTickBehavior,
@@ -37,6 +37,10 @@
     snapshot::Snapshot,
 };
 
+/// Peers that are asked for the platform's list at a time. It is long, and each one sends it whole; with
+/// the platform away it is asked for several times a second, so another try finds one that has it.
+const LIST_ASKS: usize = 2;
+
 /// Time without an ask after which a connection that was opened for one is closed.
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -180,7 +184,7 @@
                 self.send(&to, wire::ConfigAsk { version: version.0 }.into());
             }
             Command::AskList => {
-                for link in self.links.iter() {
+                for link in self.links.iter().choose_multiple(&mut self.rng, LIST_ASKS) {
                     self.push(&link.queue, wire::ListAsk {}.into());
                 }
             }
--- a/crates/goldcrestvale_peer/tests/mesh/mod.rs
+++ b/crates/goldcrestvale_peer/tests/mesh/mod.rs
@@ -29,6 +29,7 @@
     ConfigAsked(Instance, Offset),
     Received(Instance, Configuration),
     Asked(Ask),
+    ListAsked(Instance),
 }
 
 /// A daemon that answers every ask with its key, after `silent` is lifted.
@@ -83,6 +84,10 @@
         self.0.note(Told::Received(from.clone(), configuration));
     }
 
+    fn list_asked(&self, from: &Instance) {
+        self.0.note(Told::ListAsked(from.clone()));
+    }
+
     fn asked(&self, ask: Ask, reply: Reply) {
         let body = ask.key.to_string().into();
         self.0.note(Told::Asked(ask));
--- a/crates/goldcrestvale_peer/tests/peer_link.rs
+++ b/crates/goldcrestvale_peer/tests/peer_link.rs
@@ -150,3 +150,24 @@
     assert_eq!(queue.push(leaving), Pushed::Closed);
     assert_eq!(queue.len(), 3);
 }
+
+#[tokio::test]
+async fn few_peers_are_asked_for_the_list_at_a_time() {
+    // With the platform away every instance asks several times a second, and every answer is long.
+    let peers = mesh(8).await;
+    let asked = || {
+        let was_asked = |peer: &&mesh::Peer| {
+            peer.daemon.told().iter().any(|told| matches!(told, Told::ListAsked(_)))
+        };
+        peers.iter().filter(was_asked).count()
+    };
+    peers[0].handle.ask_list().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(asked(), 2);
+    // One that has none is not asked for ever.
+    for _ in 0..60 {
+        peers[0].handle.ask_list().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(asked(), 7);
+}
