Call one piece where the change had written a second one

Cause: found on rereading the change. A refusal was written to the log and answered in three places; a server was bound and started by the same function in two packages, and the control interfaces listened twice alike; the gateway read bodies by its own copy of `receive`; three tasks asked an engine for its state and noted its silence alike; the defaults of the retry bounds stood twice; the longest chain was stated twice with the same words and two figures; one lookup had no caller, one field was never empty. Change: `Trace::refuse`, `Listening::start`, `listen_control`, `receive::collect`, `rescue::ask`, `Retry::default`, `layout::LONGEST` from `line::LONGEST`; `Table::iter_pools` is gone, `Dispatch::patience` is a time. Behaviour as before.

--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -91,22 +91,6 @@
         self.listener.local_addr()
     }
 
-    /// Serves in a task, with `drain` for the requests in progress at the end.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the operating system does not tell the bound address.
-    pub fn start<S>(self, service: S, drain: Duration) -> std::io::Result<Listening>
-    where
-        S: Handler,
-        S::Future: Send,
-    {
-        let address = self.address()?;
-        let stop = CancellationToken::new();
-        let task = tokio::spawn(self.run(service, stop.clone(), drain));
-        Ok(Listening { address, stop, task })
-    }
-
     /// Serves until the token is cancelled, then lets the requests in progress finish.
     ///
     /// Returns whether all of them finished within `drain`; those that did not are cut off.
@@ -160,6 +144,29 @@
 }
 
 impl Listening {
+    /// Binds an address and serves there in a task, with `drain` for the requests in progress at the
+    /// end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start<S>(
+        address: SocketAddr,
+        bounds: Bounds,
+        service: S,
+        drain: Duration,
+    ) -> std::io::Result<Self>
+    where
+        S: Handler,
+        S::Future: Send,
+    {
+        let server = Server::bind(address, bounds).await?;
+        let address = server.address()?;
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(server.run(service, stop.clone(), drain));
+        Ok(Self { address, stop, task })
+    }
+
     /// Returns the bound address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use goldcrestvale_base::time::Instant;
+use goldcrestvale_entry::receive::{self, Fault};
 use goldcrestvale_route::forward::{Customer, Kind, Refusal as NoPlace, Route, Table};
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::{
@@ -76,13 +76,9 @@
     body: Incoming,
 ) -> Response<Body> {
     let table = gateway.table.load_full();
-    let refused = |trace: &mut Trace<P>, refusal: &Refusal| {
-        trace.end(refusal.cause, refusal.status, refusal.detail.as_str());
-        refusal.respond()
-    };
     let (route, customer) = match place(&table, &parts, &ask) {
         Ok(place) => place,
-        Err(refusal) => return refused(&mut trace, &refusal),
+        Err(refusal) => return trace.refuse(&refusal),
     };
     trace.route.clone_from(&route.name);
     if let Some(customer) = &customer {
@@ -90,7 +86,7 @@
     }
     let body = match read(body, &table).await {
         Ok(body) => body,
-        Err(refusal) => return refused(&mut trace, &refusal),
+        Err(refusal) => return trace.refuse(&refusal),
     };
     let due = trace.started + route.timeout;
     let kind = route.kind;
@@ -125,17 +121,11 @@
 async fn read(body: Incoming, table: &Table) -> Result<Bytes, Refusal> {
     let most = table.bounds().map_or(u64::MAX, |bounds| bounds.body_bytes);
     let most = usize::try_from(most).unwrap_or(usize::MAX);
-    match Limited::new(body, most).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "oversized",
-            format!("the body is larger than {most} bytes"),
-        )),
-        Err(e) => Err(Refusal::rejected(
-            StatusCode::BAD_REQUEST,
-            "malformed",
-            format!("the body cannot be read: {e}"),
-        )),
-    }
+    receive::collect(body, most).await.map_err(|fault| {
+        let (status, cause) = match fault {
+            Fault::Oversized { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "oversized"),
+            Fault::Malformed { .. } => (StatusCode::BAD_REQUEST, "malformed"),
+        };
+        Refusal::rejected(status, cause, fault.to_string())
+    })
 }
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -46,7 +46,7 @@
         Some(service) => service.clone(),
         None => {
             let refusal = Refusal::not_run("no service", "the route names no service", BACK);
-            return end(&mut matched, &refusal);
+            return matched.trace.refuse(&refusal);
         }
     };
     let is_repeatable = matched.route.kind == Kind::Safe;
@@ -107,12 +107,7 @@
         true => Refusal::may_have_run("upstream failed", last),
         false => Refusal::not_run("no upstream", last, BACK),
     };
-    end(&mut matched, &refusal)
-}
-
-fn end<P>(matched: &mut Matched<P>, refusal: &Refusal) -> Response<Body> {
-    matched.trace.end(refusal.cause, refusal.status, refusal.detail.as_str());
-    refusal.respond()
+    matched.trace.refuse(&refusal)
 }
 
 fn deliver<P: Port>(matched: &mut Matched<P>, mut head: Parts, body: Bytes) -> Response<Body> {
@@ -147,7 +142,7 @@
     let gateway = &matched.gateway;
     let upstream = &plain.registration.upstream;
     let dispatch = Dispatch {
-        patience: Some(patience),
+        patience,
         upstream,
         customer: matched.customer_name(),
         chain: None,
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -61,7 +61,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Dispatch<'d> {
     /// How long the caller still waits.
-    pub patience: Option<Duration>,
+    pub patience: Duration,
     /// The upstream that is to run the request; another one at the address refuses.
     pub upstream: &'d Upstream,
     /// The customer, where the configuration holds customers.
--- a/crates/goldcrestvale_gateway/src/rescue.rs
+++ b/crates/goldcrestvale_gateway/src/rescue.rs
@@ -83,6 +83,17 @@
     }
 }
 
+/// Reads an engine's state; one that does not answer counts as silent.
+async fn ask<P: Port>(gateway: &Gateway<P>, engine: &Engine) -> Option<Report> {
+    match gateway.port.report(engine.address).await {
+        Ok(report) => Some(report),
+        Err(e) => {
+            gateway.trouble(&engine.upstream, Trouble::Silent, SILENT, &e.to_string());
+            None
+        }
+    }
+}
+
 /// Reads what the engines of a domain hold, while the directory cannot be read.
 pub(crate) fn refresh<'a, P: Port>(
     gateway: &Arc<Gateway<P>>,
@@ -91,12 +102,8 @@
     for engine in engines {
         let (gateway, engine) = (gateway.clone(), engine.clone());
         tokio::spawn(async move {
-            let upstream = &engine.upstream;
-            match gateway.port.report(engine.address).await {
-                Ok(report) => {
-                    gateway.learn(|known| known.catalog.set_layers(upstream, report.layers));
-                }
-                Err(e) => gateway.trouble(upstream, Trouble::Silent, SILENT, &e.to_string()),
+            if let Some(report) = ask(&gateway, &engine).await {
+                gateway.learn(|known| known.catalog.set_layers(&engine.upstream, report.layers));
             }
         });
     }
@@ -150,15 +157,11 @@
     let holds = |held: Option<Layers>| {
         held.is_some_and(|held| layers.iter().any(|layers| held.covers(*layers)))
     };
-    match gateway.port.report(engine.address).await {
-        Ok(report) if report.busy || !holds(report.layers) => {
-            let news = gateway.learn(|known| known.catalog.set_layers(upstream, report.layers));
-            if news {
-                info!(upstream:% = upstream, busy = report.busy; "a chain waits for layers that were released");
-            }
-        }
-        Ok(_) => gateway.trouble(upstream, Trouble::Silent, SILENT, "a chain waits for it"),
-        Err(e) => gateway.trouble(upstream, Trouble::Silent, SILENT, &e.to_string()),
+    let Some(report) = ask(gateway, engine).await else { return };
+    if !report.busy && holds(report.layers) {
+        gateway.trouble(upstream, Trouble::Silent, SILENT, "a chain waits for it");
+    } else if gateway.learn(|known| known.catalog.set_layers(upstream, report.layers)) {
+        info!(upstream:% = upstream, busy = report.busy; "a chain waits for layers that were released");
     }
 }
 
@@ -169,15 +172,12 @@
         return;
     };
     let slots = view.fleets.values().map(|fleet| fleet.model.slots).min().unwrap_or_default();
-    match gateway.port.report(engine.address).await {
-        Err(e) => gateway.trouble(&upstream, Trouble::Silent, SILENT, &e.to_string()),
+    let Some(report) = ask(&gateway, engine).await else { return };
+    if blame == Blame::Refusals && has_room(&report, slots) {
         // With room left and no order in progress, the only cause that is left is that it leaves.
-        Ok(report) if blame == Blame::Refusals && has_room(&report, slots) => {
-            gateway.trouble(&upstream, Trouble::Refusing, REFUSING, "it refuses with room left");
-        }
-        Ok(report) => {
-            info!(upstream:% = upstream, memory_taken = report.memory_taken, busy = report.busy; "blamed upstream answers");
-        }
+        gateway.trouble(&upstream, Trouble::Refusing, REFUSING, "it refuses with room left");
+    } else {
+        info!(upstream:% = upstream, memory_taken = report.memory_taken, busy = report.busy; "blamed upstream answers");
     }
 }
 
--- a/crates/goldcrestvale_gateway/src/serve.rs
+++ b/crates/goldcrestvale_gateway/src/serve.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use goldcrestvale_entry::{
     metrics::{self, Recorder},
-    server::{Bounds, Handler, Listening, Server},
+    server::{Bounds, Listening},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -97,27 +97,13 @@
                 let answer = forward::serve(gateway.clone(), request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            let bounds = bounds(settings.connections);
-            listen(settings.callers, bounds, "callers", service, settings.stop.timeout).await?
-        };
-        let ready = {
-            let gateway = gateway.clone();
-            let service = service_fn(move |request: Request<Incoming>| {
-                let answer = check(&gateway, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let bounds = bounds(CONTROL_CONNECTIONS);
-            listen(settings.ready, bounds, "readiness", service, CONTROL_DRAIN).await?
-        };
-        let metrics = {
-            let gateway = gateway.clone();
-            let service = service_fn(move |request: Request<Incoming>| {
-                let answer = show(&gateway, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let bounds = bounds(CONTROL_CONNECTIONS);
-            listen(settings.metrics, bounds, "metrics", service, CONTROL_DRAIN).await?
+            let (address, bounds) = (settings.callers, bounds(settings.connections));
+            let context = ListenSnafu { address, interface: "callers" };
+            let started = Listening::start(address, bounds, service, settings.stop.timeout);
+            started.await.context(context)?
         };
+        let ready = listen_control(&gateway, settings.ready, "readiness", check).await?;
+        let metrics = listen_control(&gateway, settings.metrics, "metrics", show).await?;
         let peers = match &settings.peer {
             Some(peer) => {
                 let address = peer.address;
@@ -207,20 +193,21 @@
     }
 }
 
-async fn listen<S>(
+/// Listens for the readiness check or the metrics.
+async fn listen_control<P: Port>(
+    gateway: &Arc<Gateway<P>>,
     address: SocketAddr,
-    bounds: Bounds,
     interface: &'static str,
-    service: S,
-    drain: Duration,
-) -> Result<Listening>
-where
-    S: Handler,
-    S::Future: Send,
-{
+    answer: fn(&Gateway<P>, &Request<Incoming>) -> Response<Full<Bytes>>,
+) -> Result<Listening> {
+    let gateway = gateway.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = answer(&gateway, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let bounds = bounds(CONTROL_CONNECTIONS);
     let context = ListenSnafu { address, interface };
-    let server = Server::bind(address, bounds).await.context(context)?;
-    server.start(service, drain).context(context)
+    Listening::start(address, bounds, service, CONTROL_DRAIN).await.context(context)
 }
 
 fn check<P: Port>(gateway: &Gateway<P>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -56,6 +56,12 @@
     pub span: Duration,
 }
 
+impl Default for Retry {
+    fn default() -> Self {
+        Self { ratio: 0.1, floor: 50.0, span: Duration::from_secs(10) }
+    }
+}
+
 /// Times of a stop.
 #[derive(Debug, Clone, Copy)]
 pub struct Stop {
@@ -122,7 +128,7 @@
             ready: loopback,
             metrics: loopback,
             connections: 2_000,
-            retry: Retry { ratio: 0.1, floor: 50.0, span: Duration::from_secs(10) },
+            retry: Retry::default(),
             stop: Stop {
                 notice: Duration::from_millis(2_500),
                 timeout: Duration::from_millis(4_800),
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -74,14 +74,14 @@
         matched.gateway.table.load().pick(&matched.route, matched.gateway.draw()).cloned();
     let Some(service) = service else {
         let refusal = Refusal::not_run("no service", "the route names no service", BACK_BROKEN);
-        return end(&mut matched, &refusal);
+        return matched.trace.refuse(&refusal);
     };
     let mut ran = 0;
     let last = matched.ask.last_event;
     let opening = open(&mut matched, &service, &mut ran, None).await;
     let (opened, ticket) = match opening {
         Opening::Open(opened, ticket) => (opened, ticket),
-        Opening::Refused(refusal) => return end(&mut matched, &refusal),
+        Opening::Refused(refusal) => return matched.trace.refuse(&refusal),
     };
     let (mut head, body, lease) = opened.into_parts();
     matched.gateway.port.clean_answer(&mut head.headers);
@@ -122,16 +122,11 @@
         }
         Err(e) => {
             let refusal = Refusal::may_have_run("upstream failed", e.to_string());
-            end(&mut matched, &refusal)
+            matched.trace.refuse(&refusal)
         }
     }
 }
 
-fn end<P>(matched: &mut Matched<P>, refusal: &Refusal) -> Response<Body> {
-    matched.trace.end(refusal.cause, refusal.status, refusal.detail.as_str());
-    refusal.respond()
-}
-
 /// Finds a chain and sends the request, until one answers or nothing more may be tried.
 async fn open<P: Port>(
     matched: &mut Matched<P>,
@@ -237,7 +232,7 @@
     let gateway = &matched.gateway;
     let now = gateway.now();
     let dispatch = Dispatch {
-        patience: Some(matched.patience(now)),
+        patience: matched.patience(now),
         upstream: &line.head().upstream,
         customer: matched.customer_name(),
         chain: Some(&line.parts),
--- a/crates/goldcrestvale_gateway/src/trace.rs
+++ b/crates/goldcrestvale_gateway/src/trace.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_base::{id::Upstream, time::Instant};
-use http::{HeaderValue, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use log::info;
 
-use crate::gateway::Gateway;
+use crate::{answer::Refusal, body::Body, gateway::Gateway};
 
 /// What is known of a request, written when it ends.
 #[derive(Debug)]
@@ -63,6 +63,12 @@
         self.detail = detail.into();
     }
 
+    /// Ends the request with an answer of the gateway itself.
+    pub(crate) fn refuse(&mut self, refusal: &Refusal) -> Response<Body> {
+        self.end(refusal.cause, refusal.status, refusal.detail.as_str());
+        refusal.respond()
+    }
+
     /// Notes that an answer is on its way; it counts as cut off until it is whole.
     pub(crate) fn begin_answer(&mut self, status: StatusCode) {
         self.outcome = "caller left midway";
--- a/crates/goldcrestvale_route/src/forward/table.rs
+++ b/crates/goldcrestvale_route/src/forward/table.rs
@@ -90,11 +90,6 @@
         self.pools.get(service)
     }
 
-    /// Iterates over all pools.
-    pub fn iter_pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
-        self.pools.values()
-    }
-
     /// Finds the route with the longest prefix of a path; a port in the host is ignored.
     ///
     /// # Errors
--- a/crates/goldcrestvale_route/src/pipeline/layout.rs
+++ b/crates/goldcrestvale_route/src/pipeline/layout.rs
@@ -10,14 +10,15 @@
     id::{Domain, Upstream},
 };
 
-use super::{Engine, Model};
+use super::{Engine, Model, line};
 
 /// Share of a domain's memory that weights may take; the rest holds streams. A second chain in a
 /// domain with room for 2.26 models cost four fifths of the worth of a quiet day.
 const WEIGHTS_SHARE: f64 = 0.6;
 
-/// Most engines of one chain; upstreams refuse longer ones.
-pub(super) const LONGEST: usize = 30;
+/// Most engines of a chain that is laid out: two fewer than a path may have, since a narrow stage gets
+/// another engine later.
+pub(super) const LONGEST: usize = line::LONGEST - 2;
 
 goldcrestvale_base::domain! {
     value
--- a/crates/goldcrestvale_route/src/pipeline/line.rs
+++ b/crates/goldcrestvale_route/src/pipeline/line.rs
@@ -23,7 +23,7 @@
 const SCARCITY: f64 = 3e6;
 
 /// Most engines in a chain; upstreams refuse longer ones.
-const LONGEST: usize = 32;
+pub(super) const LONGEST: usize = 32;
 
 goldcrestvale_base::domain! {
     value
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,6 @@
 //! The life cycle of an entry instance: start, serve, drain, end.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc};
 
 use goldcrestvale_base::id::{Incarnation, Request as RequestId};
 use goldcrestvale_entry::{
@@ -17,7 +17,7 @@
     orders::Orders,
     phase::Phase,
     refusal::{Cause, Refusal},
-    server::{Bounds, Handler, Listening, Server},
+    server::{Bounds, Listening},
     settings::Settings,
     watch::Watch,
 };
@@ -198,7 +198,8 @@
         let answer = callers::serve(shared.clone(), request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    listen(callers.address, bounds, "callers", service, drain).await
+    let context = ListenSnafu { address: callers.address, interface: "callers" };
+    Listening::start(callers.address, bounds, service, drain).await.context(context)
 }
 
 async fn listen_operators(node: &Arc<Node>, desk: Desk) -> Result<Listening> {
@@ -220,23 +221,9 @@
         let answer = bounded.clone().oneshot(request);
         async move { shed(answer.await) }
     });
-    listen(node.settings.operators.address, bounds, "operators", service, drain).await
-}
-
-async fn listen<S>(
-    address: SocketAddr,
-    bounds: Bounds,
-    interface: &'static str,
-    service: S,
-    drain: Duration,
-) -> Result<Listening>
-where
-    S: Handler,
-    S::Future: Send,
-{
-    let context = ListenSnafu { address, interface };
-    let server = Server::bind(address, bounds).await.context(context)?;
-    server.start(service, drain).context(context)
+    let address = node.settings.operators.address;
+    let context = ListenSnafu { address, interface: "operators" };
+    Listening::start(address, bounds, service, drain).await.context(context)
 }
 
 /// Turns an operator's request that found no room into an answer.
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -34,7 +34,7 @@
             ready: None,
             metrics: None,
             threads: 1,
-            retry: Retry { ratio: 0.1, floor: 50.0, span: Duration::from_secs(10) },
+            retry: Retry::default(),
             heartbeat: Duration::from_millis(1_200),
             grace: Duration::from_secs(8),
         }
