Know the end of a keyed call before it is read back from the log

Between the answer and the reading of the record of its end the desk took its own claim for one under way. The answer stands ready meanwhile. Change: `Desk::settling` holds the keys whose call ran here until the log shows their end; such a key is told as ran, here and to instances that ask.

--- a/crates/goldcrestvale_entry/src/records.rs
+++ b/crates/goldcrestvale_entry/src/records.rs
@@ -52,7 +52,9 @@
         };
         let (node, stream) = (node.clone(), self.stream.clone());
         Box::pin(async move {
-            tokio::time::sleep(pause).await;
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
             read(&node, &stream, from, wait).await
         })
     }
--- a/crates/goldcrestvale_ledger/src/desk/machine.rs
+++ b/crates/goldcrestvale_ledger/src/desk/machine.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use goldcrestvale_base::{
     id::{Incarnation, Key, Offset},
@@ -57,6 +57,8 @@
     pub(super) slots: BTreeMap<Key, Slot>,
     /// Claims that stand in the log as won by this process and were given up.
     pub(super) abandons: BTreeMap<Key, Offset>,
+    /// Keys whose call ran here and whose end was not read back from the log yet.
+    pub(super) settling: BTreeSet<Key>,
     pub(super) next_deadline: Option<Instant>,
     pub(super) log_out: bool,
     pub(super) log_reset: bool,
@@ -96,6 +98,7 @@
             rng,
             slots: BTreeMap::new(),
             abandons: BTreeMap::new(),
+            settling: BTreeSet::new(),
             next_deadline: None,
             log_out: false,
             log_reset: false,
@@ -314,6 +317,7 @@
 
     fn settle(&mut self, claim: Claim<Settled>, now: Instant, out: &mut Vec<Action>) {
         self.write(claim.record(), now);
+        self.settling.insert(claim.key());
         if let Some(slot) = self.slots.remove(&claim.key()) {
             self.end_followers(slot, OwnerAnswer::Ran, out);
         }
@@ -348,6 +352,7 @@
         }
         Some(match holding.standing {
             Standing::Settled(_) => OwnerAnswer::Ran,
+            Standing::Claimed if self.settling.contains(key) => OwnerAnswer::Ran,
             Standing::Claimed => OwnerAnswer::MayHaveRun,
         })
     }
--- a/crates/goldcrestvale_ledger/src/desk/reading.rs
+++ b/crates/goldcrestvale_ledger/src/desk/reading.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     batch::Policy,
-    claim::{Abandonment, Kind, Outcome, OwnerAnswer, Refusal},
+    claim::{Abandonment, Kind, Outcome, OwnerAnswer, Refusal, Standing},
     prefix::Continuity,
     record::{Page, View},
 };
@@ -40,6 +40,9 @@
         }
         self.abandons
             .retain(|key, claim| self.fold.get(key).is_some_and(|holding| holding.claim == *claim));
+        self.settling.retain(|key| {
+            self.fold.get(key).is_some_and(|holding| holding.standing == Standing::Claimed)
+        });
         self.mark(page.end, now);
     }
 
