Introduce members on connection and forward new ones

Cause: random gossip carries 8 of 117 records every 2 s. An instance that knows 3 others takes a quarter of the retry budget of all, and believes itself the first of its domain.

Ruled out: longer gossip messages (bytes between failure domains are priced, and the rate stays that of the number of links).

Change: a new connection carries the members of the peer's failure domain, and all members inside the own one; a member that was unknown is forwarded inside the failure domain.

Result: member_spread (118 instances, 5 domains, 3 seeds of which one is dead) fails before in all three cases; after it, every instance knows its domain and at least 112 of 118 within 5 s.

--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -2,7 +2,10 @@
 
 mod periodic;
 
-use goldcrestvale_base::{id::Instance, time::Instant};
+use goldcrestvale_base::{
+    id::{Incarnation, Instance},
+    time::Instant,
+};
 use rand::Rng;
 use serde::Serialize;
 
@@ -15,15 +18,22 @@
     in_flight::{LocalWork, PeerWork},
     leaving::{self, Mark},
     limit::{Shares, Sharing},
-    message::{Heartbeat, Message, Status},
+    message::{Heartbeat, MemberRecord, Message, Status},
     settings::Settings,
     silence::{Silence, Silences},
-    view::{Notices, Peer, View},
+    view::{Notices, Peer, State, View},
 };
 
 /// Maximum number of upstreams in one message about leaving upstreams.
 pub const MAX_MARKS: usize = 64;
 
+/// Maximum number of instances in one message that introduces them.
+const MAX_INTRODUCED: usize = 64;
+
+/// Number of members of its own failure domain that an instance of another one is introduced to. One
+/// of them is enough to reach all others.
+const FAR_INTRODUCTIONS: usize = 3;
+
 /// The actions that result from one event, in order.
 pub type Actions = Vec<Action>;
 
@@ -160,12 +170,17 @@
     }
 
     fn on_connected(&mut self, now: Instant, who: &Identity, actions: &mut Actions) {
+        let known = self.incarnation(&who.instance);
         let Some(notices) = self.view.add_connection(now, who) else {
             actions.push(Action::Close(who.instance.clone()));
             return;
         };
         self.backoff.record_success(who.address);
         self.notify(notices, actions);
+        self.introduce(now, who, actions);
+        if known != Some(who.incarnation) {
+            self.forward_member(now, &who.instance, None, actions);
+        }
         self.sharing.reset(&who.instance);
         let heartbeat = self.next_heartbeat();
         let identified = self.view.peers().filter_map(Peer::identity).count();
@@ -201,8 +216,13 @@
             }
             Message::Members(records) => {
                 for record in &records {
+                    let instance = &record.who.instance;
+                    let known = self.incarnation(instance);
                     let notices = self.view.merge(now, record);
                     self.notify(notices, actions);
+                    if self.incarnation(instance) != known {
+                        self.forward_member(now, instance, Some(from), actions);
+                    }
                 }
             }
             Message::Leaving(marks) => {
@@ -220,6 +240,47 @@
         }
     }
 
+    fn incarnation(&self, instance: &Instance) -> Option<Incarnation> {
+        self.view.peer(instance)?.incarnation
+    }
+
+    /// Sends a connected peer all members if it is in the own failure domain, and otherwise a few
+    /// live ones of its domain. Random gossip alone takes minutes until hundreds of instances know
+    /// each other.
+    fn introduce(&self, now: Instant, who: &Identity, actions: &mut Actions) {
+        let others = self.view.peers().filter(|peer| peer.seed.instance != who.instance);
+        let records: Vec<MemberRecord> = if who.domain == self.settings.own.domain {
+            others.filter_map(|peer| peer.to_record(now)).collect()
+        } else {
+            others
+                .filter(|peer| peer.seed.domain == who.domain && peer.state == State::Live)
+                .filter_map(|peer| peer.to_record(now))
+                .take(FAR_INTRODUCTIONS)
+                .collect()
+        };
+        for records in records.chunks(MAX_INTRODUCED) {
+            send(actions, &who.instance, Message::Members(records.to_vec()));
+        }
+    }
+
+    /// Forwards a member that was unknown to the connected peers of the own failure domain.
+    fn forward_member(
+        &self,
+        now: Instant,
+        instance: &Instance,
+        from: Option<&Instance>,
+        actions: &mut Actions,
+    ) {
+        let record = self.view.peer(instance).and_then(|peer| peer.to_record(now));
+        let Some(record) = record else { return };
+        for peer in self.view.linked() {
+            let to = &peer.seed.instance;
+            if peer.seed.domain == self.settings.own.domain && to != instance && Some(to) != from {
+                send(actions, to, Message::Members(vec![record.clone()]));
+            }
+        }
+    }
+
     /// Applies a mark of a leaving upstream, and forwards it at once if it is new.
     fn on_leaving(
         &mut self,
@@ -277,7 +338,9 @@
         };
         if differs {
             let instance = from.clone();
-            actions.push(Action::Notify(Notice::Config { instance, config: theirs }));
+            let domain = self.view.peer(from).map(|peer| &peer.seed.domain);
+            let is_near = domain == Some(&self.settings.own.domain);
+            actions.push(Action::Notify(Notice::Config { instance, is_near, config: theirs }));
         }
     }
 
--- a/crates/goldcrestvale_member/src/view/peer.rs
+++ b/crates/goldcrestvale_member/src/view/peer.rs
@@ -131,7 +131,8 @@
         }
     }
 
-    pub(super) fn to_record(&self, now: Instant) -> Option<MemberRecord> {
+    /// Returns its entry in gossip, if its incarnation is known and a message came from it.
+    pub(crate) fn to_record(&self, now: Instant) -> Option<MemberRecord> {
         let age = now.since(self.last_seen?);
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         Some(MemberRecord { who: self.identity()?, age_ms, gone: self.state == State::Gone })
--- a/crates/goldcrestvale_member/tests/cluster/mod.rs
+++ b/crates/goldcrestvale_member/tests/cluster/mod.rs
@@ -86,6 +86,20 @@
 impl Cluster {
     /// Starts one node for each entry of `domains`; they find each other by the platform's list.
     pub fn start(seed: u64, domains: &[&str], configure: fn(Settings) -> Settings) -> Self {
+        let mut cluster = Self::start_unlisted(seed, domains, configure);
+        let listed: Vec<usize> = (0..domains.len()).collect();
+        for index in 0..domains.len() {
+            cluster.list(index, &listed);
+        }
+        cluster
+    }
+
+    /// Starts one node for each entry of `domains`; they find each other by the configured seeds.
+    pub fn start_unlisted(
+        seed: u64,
+        domains: &[&str],
+        configure: fn(Settings) -> Settings,
+    ) -> Self {
         let mut cluster = Self {
             now: Instant(1_000_000),
             nodes: Vec::new(),
@@ -104,10 +118,6 @@
             cluster.nodes.push(None);
             cluster.boot(index);
         }
-        let listed: Vec<usize> = (0..domains.len()).collect();
-        for index in 0..domains.len() {
-            cluster.list(index, &listed);
-        }
         cluster
     }
 
@@ -115,7 +125,7 @@
         format!("entry-{index:03}").parse().unwrap()
     }
 
-    fn address(index: usize) -> SocketAddr {
+    pub fn address(index: usize) -> SocketAddr {
         SocketAddr::from(([10, 0, 0, 1], u16::try_from(index + 1).unwrap()))
     }
 
--- /dev/null
+++ b/crates/goldcrestvale_member/tests/member_spread.rs
@@ -0,0 +1,84 @@
+//! Hundreds of instances that know only a few seeds find each other within seconds. One that knows
+//! only a part of the others takes too large a share of what all of them share.
+#![allow(clippy::unwrap_used)]
+
+mod cluster;
+
+use cluster::{Cluster, SECOND};
+use goldcrestvale_member::prelude::*;
+
+/// Number of instances of the large deployment, in five failure domains.
+const INSTANCES: usize = 118;
+
+fn domains() -> Vec<String> {
+    (0..INSTANCES).map(|index| format!("domain-{}", index % 5)).collect()
+}
+
+/// Settings of a gateway; one of the seeds does not exist.
+fn seeded(settings: Settings) -> Settings {
+    let seeds = [3, 58, 900].map(Cluster::address).to_vec();
+    let heartbeat = settings.heartbeat / 2;
+    settings
+        .seeds(seeds)
+        .heartbeat(heartbeat)
+        .links(48, 48)
+        .report_to_all_domains()
+        .gossip(heartbeat * 4)
+}
+
+fn start(seed: u64) -> Cluster {
+    let domains = domains();
+    let names: Vec<&str> = domains.iter().map(String::as_str).collect();
+    Cluster::start_unlisted(seed, &names, seeded)
+}
+
+fn counts(cluster: &Cluster) -> Vec<u32> {
+    cluster.alive().map(|index| cluster.node(index).view().instance_count(1)).collect()
+}
+
+/// Returns whether every instance sees all others of its failure domain.
+fn domains_are_complete(cluster: &Cluster) -> bool {
+    let alive: Vec<usize> = cluster.alive().collect();
+    alive.iter().all(|&index| {
+        let members = alive.iter().filter(|&&other| other % 5 == index % 5).count();
+        let position = cluster.node(index).view().position();
+        let preceding = alive.iter().filter(|&&other| other % 5 == index % 5 && other < index);
+        position.members == members && position.rank == preceding.count()
+    })
+}
+
+#[test]
+fn all_instances_find_each_other() {
+    for seed in 0..3 {
+        let mut cluster = start(seed);
+        cluster.run(5 * SECOND);
+        assert!(domains_are_complete(&cluster), "seed {seed}");
+        let counts = counts(&cluster);
+        assert!(counts.iter().all(|&count| count >= 112), "seed {seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn all_find_each_other_after_restart() {
+    let mut cluster = start(7);
+    cluster.run(20 * SECOND);
+    for index in 0..INSTANCES {
+        cluster.kill(index);
+        cluster.boot(index);
+    }
+    cluster.run(5 * SECOND);
+    assert!(domains_are_complete(&cluster));
+}
+
+#[test]
+fn partitioned_domain_returns() {
+    let mut cluster = start(9);
+    cluster.run(10 * SECOND);
+    let domain: Vec<usize> = (0..INSTANCES).filter(|index| index % 5 == 2).collect();
+    cluster.partition(&domain);
+    cluster.run(7 * SECOND);
+    cluster.partitions.clear();
+    cluster.run(8 * SECOND);
+    let counts = counts(&cluster);
+    assert!(counts.iter().all(|&count| count >= 112), "{counts:?}");
+}
