Forward news of upstreams between failure domains once

Cause: every instance forwarded each report of a silent or leaving upstream to all its links.

Change: where the instances of all domains are linked, a receiver forwards news only inside its own domain; the first sender reaches every domain.

Result: news_cross_domains_once: every instance is reached within 100 ms, fewer than 118 messages cross domains.

--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -290,10 +290,8 @@
         actions: &mut Actions,
     ) {
         let Some(mark) = self.leaving.mark(now, mark) else { return };
-        for peer in self.view.linked() {
-            if Some(&peer.seed.instance) != from {
-                send(actions, &peer.seed.instance, Message::Leaving(vec![mark.clone()]));
-            }
+        for to in self.news_targets(from) {
+            send(actions, to, Message::Leaving(vec![mark.clone()]));
         }
         actions.push(Action::Notify(Notice::Leaving(mark)));
     }
@@ -310,16 +308,28 @@
         if !self.silences.record(now, silence) {
             return;
         }
-        for peer in self.view.linked() {
-            if Some(&peer.seed.instance) != from {
-                send(actions, &peer.seed.instance, Message::Silent(vec![silence.clone()]));
-            }
+        for to in self.news_targets(from) {
+            send(actions, to, Message::Silent(vec![silence.clone()]));
         }
         if from.is_some() {
             actions.push(Action::Notify(Notice::Silent(silence.clone())));
         }
     }
 
+    /// Returns the peers that news from a peer, or of this instance, are sent to.
+    ///
+    /// Where the instances of all domains are connected to each other, the first sender reaches every
+    /// domain. If each receiver forwarded the news to other domains as well, the bytes between
+    /// domains would grow with the square of the number of instances.
+    fn news_targets(&self, from: Option<&Instance>) -> impl Iterator<Item = &Instance> {
+        let only_near = from.is_some() && self.settings.reports_to_all_domains;
+        let own = &self.settings.own.domain;
+        let targets = self.view.linked().filter(move |peer| {
+            Some(&peer.seed.instance) != from && (!only_near || peer.seed.domain == *own)
+        });
+        targets.map(|peer| &peer.seed.instance)
+    }
+
     fn send_leaving(&self, to: &Instance, actions: &mut Actions) {
         let marks: Vec<Mark> = self.leaving.marks().collect();
         for marks in marks.chunks(MAX_MARKS) {
--- a/crates/goldcrestvale_member/tests/cluster/mod.rs
+++ b/crates/goldcrestvale_member/tests/cluster/mod.rs
@@ -24,8 +24,8 @@
     rng: ChaCha8Rng,
 }
 
-/// Observes the messages that nodes send.
-pub type Observer = Box<dyn FnMut(usize, &Message)>;
+/// Observes the messages that nodes send, with the sender and the receiver.
+pub type Observer = Box<dyn FnMut(usize, usize, &Message)>;
 
 enum Delivery {
     /// The next tick of an incarnation.
@@ -106,7 +106,7 @@
             notices: Vec::new(),
             partitions: BTreeSet::new(),
             loss: 0.0,
-            on_send: Box::new(|_, _| {}),
+            on_send: Box::new(|_, _, _| {}),
             domains: domains.iter().map(|&domain| domain.to_owned()).collect(),
             configure,
             links: BTreeMap::new(),
@@ -257,8 +257,8 @@
                 self.close_link(node, other);
             }
             Action::Send { to, message } => {
-                (self.on_send)(node, &message);
                 let to = self.index_of(&to);
+                (self.on_send)(node, to, &message);
                 let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
                 if let Some(&link) = self.links.get(&pair(node, to)).filter(|_| !lost) {
                     self.schedule_delivery(to, Delivery::Message { from: node, link, message });
--- a/crates/goldcrestvale_member/tests/member_spread.rs
+++ b/crates/goldcrestvale_member/tests/member_spread.rs
@@ -5,7 +5,7 @@
 mod cluster;
 
 use cluster::{Cluster, SECOND};
-use goldcrestvale_member::prelude::*;
+use goldcrestvale_member::{prelude::*, silence::Silence};
 
 /// Number of instances of the large deployment, in five failure domains.
 const INSTANCES: usize = 118;
@@ -82,3 +82,26 @@
     let counts = counts(&cluster);
     assert!(counts.iter().all(|&count| count >= 112), "{counts:?}");
 }
+
+#[test]
+fn news_cross_domains_once() {
+    use std::{cell::RefCell, rc::Rc};
+
+    let mut cluster = start(4);
+    cluster.run(10 * SECOND);
+    let sent: Rc<RefCell<Vec<(usize, usize)>>> = Rc::default();
+    let record = sent.clone();
+    cluster.on_send = Box::new(move |from, to, message| {
+        if matches!(message, Message::Silent(_)) {
+            record.borrow_mut().push((from, to));
+        }
+    });
+    let silence = Silence { upstream: cluster::upstream("e-1"), left_ms: 4_500, refuses: false };
+    cluster.feed(17, Event::Silent(silence));
+    cluster.run(SECOND / 10);
+    let reached: std::collections::BTreeSet<usize> =
+        sent.borrow().iter().map(|(_, to)| *to).collect();
+    assert!(reached.len() >= INSTANCES - 1, "{}", reached.len());
+    let crossings = sent.borrow().iter().filter(|(from, to)| from % 5 != to % 5).count();
+    assert!(crossings < INSTANCES, "{crossings} messages between domains");
+}
--- a/crates/goldcrestvale_peer/examples/control_cost.rs
+++ b/crates/goldcrestvale_peer/examples/control_cost.rs
@@ -101,7 +101,7 @@
     cluster.run(20 * SECOND);
     let totals: Rc<RefCell<BTreeMap<&str, KindTotal>>> = Rc::default();
     let recorded = Rc::clone(&totals);
-    cluster.on_send = Box::new(move |_, message| {
+    cluster.on_send = Box::new(move |_, _, message| {
         let bytes = OVERHEAD_BYTES + convert::encode(message).body_len();
         let mut totals = recorded.borrow_mut();
         let total = totals.entry(kind(message)).or_default();
