Keep the retry budget while instances disagree on their number

Cause: each instance took a share of the common floor by the number of instances that it saw at the moment, or of 7 before it saw any. Both sides of a partition divided by their own number, a restarted instance began with a full share, and a reload began new windows. A stream without a chain was also sent to the same full engines ten times a second, since each look for a chain began with an empty list of excluded engines.

Change: retry::Share divides by the highest number seen within six spans; an instance with peers has no share for 2.25 spans after its start (1.25 when all start for the first time, which the platform's settings tell); a lone instance leaves half to its predecessor; reloads keep the counts; first attempts older than the span no longer earn retries. retry::Exclusions keeps a failed or full engine out for a second, over all looks for a chain of a request. The floor may be up to 1,000,000: 1,000 is too little for some 150 instances.

--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use goldcrestvale_base::time::Instant;
 use goldcrestvale_entry::receive::{self, BodyError};
-use goldcrestvale_route::forward::{Customer, Kind, Refusal as NoMatch, Route, Table};
+use goldcrestvale_route::{
+    forward::{Customer, Kind, Refusal as NoMatch, Route, Table},
+    retry::Exclusions,
+};
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use hyper::body::Incoming;
 
@@ -34,6 +37,8 @@
     pub(crate) customer: Option<Arc<Customer>>,
     /// Deadline of the complete answer.
     pub(crate) deadline: Instant,
+    /// First engines that the request is not sent to again for a while.
+    pub(crate) exclusions: Exclusions,
 }
 
 impl<P> Matched<P> {
@@ -90,7 +95,9 @@
     };
     let deadline = trace.started + route.timeout;
     let kind = route.kind;
-    let matched = Matched { gateway, trace, parts, body, head, route, customer, deadline };
+    let exclusions = Exclusions::default();
+    let matched =
+        Matched { gateway, trace, parts, body, head, route, customer, deadline, exclusions };
     match kind {
         Kind::Safe | Kind::Unsafe => plain::serve(matched).await,
         Kind::Stream => stream::serve(matched).await,
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use goldcrestvale_route::{
     forward::{Configuration, Table},
     pipeline::{Chain, Choice, Load},
+    retry::Exclusions,
 };
 use goldcrestvale_upstream::pool::{Limits, Pool, Protocol};
 use log::{info, warn};
@@ -87,9 +88,9 @@
             max_answer_bytes: MAX_ANSWER_BYTES,
             ..Limits::default()
         };
+        let clock = Clock::start();
         Self {
             port,
-            clock: Clock::start(),
             metrics,
             table: ArcSwap::default(),
             view: ArcSwap::default(),
@@ -99,7 +100,8 @@
             failover_wakeup: Notify::new(),
             upstream_state: Mutex::default(),
             peers: Peers::default(),
-            retry_budgets: RetryBudgets::new(settings.retry),
+            retry_budgets: RetryBudgets::new(&settings, clock.now()),
+            clock,
             rng: Mutex::new(StdRng::from_os_rng()),
             listed: AtomicBool::new(false),
             reached: AtomicBool::new(false),
@@ -343,23 +345,24 @@
         self.view.load().fleets.get(service).cloned()
     }
 
-    /// Chooses a chain for a stream, without those whose first engine is in `excluded`.
+    /// Chooses a chain for a stream, without those whose first engine is excluded.
     pub(crate) fn choose_chain(
         &self,
         fleet: &Fleet,
-        excluded: &[Upstream],
+        exclusions: &Exclusions,
     ) -> Result<Arc<Chain>, Choice> {
+        let now = self.now();
         let chains: Vec<&Arc<Chain>> = fleet
             .chains
             .iter()
-            .filter(|chain| !excluded.contains(&chain.head().upstream))
+            .filter(|chain| !exclusions.contains(&chain.head().upstream, now))
             .collect();
         let load = |chain: &Chain| self.load(&chain.head().upstream);
         let candidates: Vec<(&Chain, Load)> =
             chains.iter().map(|chain| (chain.as_ref(), load(chain))).collect();
         let domain = &self.settings.domain;
         let random = self.random_unit();
-        match Choice::new(&fleet.model, &candidates, domain, self.now(), random) {
+        match Choice::new(&fleet.model, &candidates, domain, now, random) {
             Choice::Take(index) => Ok(chains[index].clone()),
             other => Err(other),
         }
@@ -372,21 +375,29 @@
 
     /// Applies a changed retry budget.
     pub(crate) fn set_retry(&self, retry: Retry) {
-        self.retry_budgets.set_limits(retry);
+        self.retry_budgets.set_limits(retry, self.now());
     }
 
     /// Counts the first attempt of a request at a service.
     pub(crate) fn count_first(&self, service: &Service) {
-        self.retry_budgets.count_first(service, self.now(), self.peers.instance_count());
+        self.retry_budgets.count_first(service, self.now(), self.retrying_instances());
     }
 
     /// Takes a retry from the budget of a service; returns whether one was left.
     pub(crate) fn try_retry(&self, service: &Service) -> bool {
-        let allowed = self.retry_budgets.try_take(service, self.now(), self.peers.instance_count());
+        let allowed = self.retry_budgets.try_take(service, self.now(), self.retrying_instances());
         self.metrics.count_retry(allowed);
         allowed
     }
 
+    /// Returns the number of instances that share the retry budget, if it is known.
+    fn retrying_instances(&self) -> Option<u32> {
+        match self.settings.peer {
+            Some(_) => self.peers.instance_count(),
+            None => Some(1),
+        }
+    }
+
     fn lock_state(&self) -> MutexGuard<'_, UpstreamState> {
         self.upstream_state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/goldcrestvale_gateway/src/retry_budget.rs
+++ b/crates/goldcrestvale_gateway/src/retry_budget.rs
@@ -6,16 +6,9 @@
 };
 
 use goldcrestvale_base::{id::Service, time::Instant};
-use goldcrestvale_route::retry::Window;
+use goldcrestvale_route::retry::{Share, Window};
 
-use crate::settings::Retry;
-
-/// Number of instances that share the retry budget, as long as the actual number is unknown.
-const ASSUMED_INSTANCES: f64 = 7.0;
-
-/// Fraction of its share of the retry budget that an instance uses, since the instances may
-/// disagree on their number for a while.
-const OWN_SHARE: f64 = 0.9;
+use crate::settings::{Retry, Settings};
 
 /// The retry windows of the services.
 #[derive(Debug)]
@@ -26,39 +19,53 @@
 #[derive(Debug)]
 struct State {
     retry: Retry,
+    share: Share,
     windows: HashMap<Service, Window>,
 }
 
 impl RetryBudgets {
-    pub(crate) fn new(retry: Retry) -> Self {
-        Self { state: Mutex::new(State { retry, windows: HashMap::new() }) }
+    /// Creates the budgets of an instance with the settings.
+    pub(crate) fn new(settings: &Settings, now: Instant) -> Self {
+        let span = settings.retry.span;
+        let share = match (&settings.peer, settings.first_start) {
+            (None, _) => Share::alone(span),
+            (Some(_), true) => Share::first_start(span, now),
+            (Some(_), false) => Share::new(span, now),
+        };
+        Self { state: Mutex::new(State { retry: settings.retry, share, windows: HashMap::new() }) }
     }
 
-    /// Replaces the limits and starts new windows.
-    pub(crate) fn set_limits(&self, retry: Retry) {
-        *self.state.lock().unwrap_or_else(PoisonError::into_inner) =
-            State { retry, windows: HashMap::new() };
+    /// Replaces the limits. The counts are kept unless the length of the window changes.
+    pub(crate) fn set_limits(&self, retry: Retry, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.retry.span != retry.span {
+            state.share = Share::new(retry.span, now);
+            state.windows.clear();
+        }
+        state.retry = retry;
+        state.windows.values_mut().for_each(|window| window.set_ratio(retry.ratio));
     }
 
     /// Counts the first attempt of a request at a service.
     pub(crate) fn count_first(&self, service: &Service, now: Instant, instances: Option<u32>) {
-        self.with_window(service, instances, |window| window.count_first(now));
+        self.with_window(service, now, instances, |window| window.count_first(now));
     }
 
     /// Takes a retry from the budget of a service; returns whether one was left.
     pub(crate) fn try_take(&self, service: &Service, now: Instant, instances: Option<u32>) -> bool {
-        self.with_window(service, instances, |window| window.try_retry(now))
+        self.with_window(service, now, instances, |window| window.try_retry(now))
     }
 
     fn with_window<T>(
         &self,
         service: &Service,
+        now: Instant,
         instances: Option<u32>,
         f: impl FnOnce(&mut Window) -> T,
     ) -> T {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let retry = state.retry;
-        let floor = retry.floor * OWN_SHARE / instances.map_or(ASSUMED_INSTANCES, f64::from);
+        let floor = state.share.of(retry.floor, now, instances);
         let new_window = || Window::new(retry.span, retry.ratio, floor);
         let window = state.windows.entry(service.clone()).or_insert_with(new_window);
         window.set_floor(floor);
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub max_connections: usize,
     /// Retry budget.
     pub retry: Retry,
+    /// Whether all instances start for the first time, so that none has sent retries before.
+    pub first_start: bool,
     /// Timing of a graceful stop.
     pub stop: Stop,
     /// Timing of directory reads.
@@ -131,6 +133,7 @@
             metrics: loopback,
             max_connections: 2_000,
             retry: Retry::default(),
+            first_start: false,
             stop: Stop {
                 notice: Duration::from_millis(2_500),
                 timeout: Duration::from_millis(4_800),
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -4,10 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use goldcrestvale_base::{
-    id::{Service, Upstream},
-    time::Instant,
-};
+use goldcrestvale_base::{id::Service, time::Instant};
 use goldcrestvale_route::pipeline::{Chain, Choice};
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
 use http::{Response, StatusCode, header, response::Parts};
@@ -140,7 +137,6 @@
     last_event: Option<u64>,
 ) -> OpenOutcome {
     let gateway = matched.gateway.clone();
-    let mut excluded: Vec<Upstream> = Vec::new();
     let mut rejections = 0;
     loop {
         let Some(fleet) = gateway.fleet(service) else {
@@ -148,7 +144,7 @@
                 ErrorResponse::not_run("no engines", "no engine is known", NO_CHAIN_RETRY_AFTER);
             return OpenOutcome::Failed(error_after_runs(error, *run_count));
         };
-        let chain = match gateway.choose_chain(&fleet, &excluded) {
+        let chain = match gateway.choose_chain(&fleet, &matched.exclusions) {
             Ok(chain) => chain,
             Err(choice) => {
                 let (cause, retry_after) = match choice {
@@ -195,20 +191,20 @@
                     gateway.registry.record_load(&head, load, gateway.now());
                 }
                 handle_rejection(matched, &chain, status, &answer);
-                excluded.push(head);
+                matched.exclusions.insert(&head, gateway.now());
             }
             Some(SendOutcome::Unsent(why)) => {
                 if gateway.avoid(&head, AVOID_FAILED, &why) {
                     tokio::spawn(probe(gateway.clone(), head.clone(), ProbeReason::Failure));
                 }
-                excluded.push(head);
+                matched.exclusions.insert(&head, gateway.now());
             }
             Some(SendOutcome::Broken(why)) => {
                 *run_count += 1;
                 // One lost answer is no proof of a failure: the engine is probed, but not avoided
                 // yet.
                 tokio::spawn(probe(gateway.clone(), head.clone(), ProbeReason::Failure));
-                excluded.push(head);
+                matched.exclusions.insert(&head, gateway.now());
                 if !may_resume(matched, *run_count) {
                     return OpenOutcome::Failed(ErrorResponse::may_have_run(
                         "upstream failed",
@@ -219,7 +215,7 @@
             // The chain stalled before the first event, or the deadline has passed.
             None => {
                 *run_count += 1;
-                excluded.push(head);
+                matched.exclusions.insert(&head, gateway.now());
                 if gateway.now() >= matched.deadline {
                     return OpenOutcome::Failed(timed_out(*run_count));
                 }
--- a/crates/goldcrestvale_route/src/retry.rs
+++ b/crates/goldcrestvale_route/src/retry.rs
@@ -2,8 +2,12 @@
 
 mod attempts;
 mod budget;
+mod exclusions;
+mod share;
 mod window;
 
 pub use attempts::{Attempts, Refusal, Result};
 pub use budget::Budget;
+pub use exclusions::Exclusions;
+pub use share::Share;
 pub use window::Window;
--- a/crates/goldcrestvale_route/src/retry/window.rs
+++ b/crates/goldcrestvale_route/src/retry/window.rs
@@ -54,6 +54,11 @@
         self.floor = floor;
     }
 
+    /// Changes the ratio, and keeps the counts.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
+    }
+
     /// Counts a first attempt.
     pub fn count_first(&mut self, now: Instant) {
         self.slice(now).first_attempts += 1;
@@ -62,7 +67,9 @@
     /// Counts a retry if the window allows it.
     pub fn try_retry(&mut self, now: Instant) -> bool {
         self.slice(now);
-        let first_attempts: u32 = self.slices.iter().map(|slice| slice.first_attempts).sum();
+        // The slices that began before the span count only for the retries.
+        let recent = self.slices.iter().filter(|slice| now.since(slice.start) <= self.span);
+        let first_attempts: u32 = recent.map(|slice| slice.first_attempts).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
         let allowed =
             f64::from(retries) + 1.0 <= f64::from(first_attempts) * self.ratio + self.floor;
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -21,6 +21,8 @@
 const COUNT: &str = "a whole number from 1 to 1000000";
 const BYTES: &str = "bytes from 1024 to 1073741824";
 const RATIO: &str = "a number from 0 to 1000";
+const RETRIES: &str = "a number from 0 to 1000000";
+const BOOL: &str = "true or false";
 const SECONDS: &str = "seconds from 0.001 to 86400";
 const HEADER_BYTES: &str = "bytes from 8192 to 1048576";
 
@@ -137,9 +139,10 @@
     field!("gateway", "metrics", ADDRESS, gateway.metrics, some(parse::from_str)),
     field!("gateway", "threads", COUNT, gateway.threads, count),
     field!("gateway", "retry_ratio", RATIO, gateway.retry.ratio, parse::ratio),
-    field!("gateway", "retry_floor", RATIO, gateway.retry.floor, parse::ratio),
+    field!("gateway", "retry_floor", RETRIES, gateway.retry.floor, parse::retries),
     field!("gateway", "retry_span_s", SECONDS, gateway.retry.span, parse::seconds),
     field!("gateway", "heartbeat_ms", MILLIS, gateway.heartbeat, parse::millis),
+    field!("gateway", "first_start", BOOL, gateway.first_start, parse::boolean),
     field!("gateway", "grace_s", SECONDS, gateway.grace, parse::seconds),
     field!("log", "format", "text or json", logging.format, parse::format),
     field!("log", "output", "stdout or stderr", logging.output, parse::output),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -23,6 +23,8 @@
     pub retry: Retry,
     /// Interval at which upstreams renew their registration.
     pub heartbeat: Duration,
+    /// Whether all instances start for the first time.
+    pub first_start: bool,
     /// Grace period of a stop.
     pub grace: Duration,
 }
@@ -36,6 +38,7 @@
             threads: 1,
             retry: Retry::default(),
             heartbeat: Duration::from_millis(1_200),
+            first_start: false,
             grace: Duration::from_secs(8),
         }
     }
@@ -59,6 +62,7 @@
         settings.metrics = self.metrics?;
         settings.max_connections = connections;
         settings.retry = self.retry;
+        settings.first_start = self.first_start;
         settings.peer = peer.secret.is_some().then(|| Peer {
             address: peer.address,
             seeds: peer.seeds.clone(),
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -62,6 +62,18 @@
     }
 }
 
+/// Parses a number of retries, with or without a fraction.
+pub(super) fn retries(value: &str) -> Result<f64> {
+    match value.parse() {
+        Ok(retries) if (0.0..=1_000_000.0).contains(&retries) => Ok(retries),
+        _ => Err("is not a number from 0 to 1000000".to_owned()),
+    }
+}
+
+pub(super) fn boolean(value: &str) -> Result<bool> {
+    value.parse().map_err(|_| "is not true or false".to_owned())
+}
+
 /// Parses a duration in seconds, with or without a fraction.
 pub(super) fn seconds(value: &str) -> Result<Duration> {
     match value.parse() {
