Find the dead stage of a stalled chain by asking all its engines

Callers count a pause of 200 to 300 ms as late.

Cause: a chain counted as stalled after 250 ms, and then the report of its first engine, which lags by some hundred ms, had to name the dead stage.

Ruled out: shorter timeouts of the queries (a busy engine answers late).

Change: a chain counts as stalled after twice its longest pause of the last seconds, from 100 to 250 ms, looked at every 50 ms. Then all engines behind the first one are asked at once, unless one of them is known to be lost, at most every 2.5 s a chain.

Result: dead_stage_is_found_before_the_report_names_it: the stream breaks off before, pauses below 300 ms after.

--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -1,6 +1,11 @@
 //! Monitors the chains of the streams in progress and moves streams off chains that are stalled.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use futures_util::future::join_all;
 use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
@@ -19,7 +24,7 @@
 };
 
 /// Interval between checks of the chains: a fraction of the time after which one counts as stalled.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long an engine counts as silent: longer than streams stall on it, and longer than its record
 /// exists after its failure.
@@ -115,11 +120,21 @@
     }
 }
 
-/// Queries the first engine of a stalled chain for the engines that its streams wait for. Reports
-/// lag, so the next check repeats the query if the report names none.
+/// Looks for the engine that the streams of a stalled chain wait for.
+///
+/// The report of the first engine names it, but lags behind: a dead engine is found sooner by a
+/// query of every engine of the chain, unless one of them is known to be lost already.
 async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
     let view = gateway.view.load_full();
     let Some(engine) = view.engine(head).filter(|_| !gateway.is_lost(head)) else { return };
+    let others = engines_behind(gateway, &view, head);
+    let is_known = others.iter().any(|engine| gateway.is_lost(&engine.upstream));
+    if !is_known && gateway.registry.try_probe_chain(head, gateway.now()) {
+        for engine in others {
+            let (gateway, engine) = (gateway.clone(), engine.clone());
+            tokio::spawn(async move { read_report(&gateway, &engine).await });
+        }
+    }
     match gateway.port.report(engine.address).await {
         Ok(report) => {
             let stalled_on = stalled_on(gateway, &report);
@@ -137,6 +152,15 @@
     }
 }
 
+/// Returns the engines behind the first one in the chains that streams in progress pass through.
+fn engines_behind<'v, P>(gateway: &Gateway<P>, view: &'v View, head: &Upstream) -> Vec<&'v Engine> {
+    let streams = gateway.registry.find(|stream| stream.chain.head().upstream == *head);
+    let stages = streams.iter().flat_map(|(_, stream)| &stream.chain.stages);
+    let names: BTreeSet<&Upstream> =
+        stages.map(|stage| &stage.upstream).filter(|upstream| *upstream != head).collect();
+    names.into_iter().filter_map(|upstream| view.engine(upstream)).collect()
+}
+
 /// Returns the engines that streams of this instance wait for, with the layers of their stages
 /// there.
 fn stalled_on<P>(gateway: &Gateway<P>, report: &Report) -> HashMap<Upstream, Vec<Layers>> {
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use goldcrestvale_base::{
@@ -12,6 +13,9 @@
 use goldcrestvale_route::pipeline::{Activity, Chain, Limit, Load, PeerLoad, Report};
 use tokio::sync::Notify;
 
+/// Minimum interval between probes of all engines of a chain: longer than a stream stalls.
+const CHAIN_PROBE_INTERVAL: Duration = Duration::from_millis(2_500);
+
 /// The streams in progress.
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
@@ -47,6 +51,8 @@
     limit: Option<Limit>,
     activity: Activity,
     peer_load: PeerLoad,
+    /// Time of the last probe of all engines of the chain.
+    probed_at: Option<Instant>,
 }
 
 /// Removes its stream from the registry when dropped.
@@ -129,6 +135,17 @@
         stalled.map(|(upstream, _)| upstream.clone()).collect()
     }
 
+    /// Returns whether all engines of a stalled chain may be probed now, and records that they are.
+    pub(crate) fn try_probe_chain(&self, head: &Upstream, now: Instant) -> bool {
+        let mut state = self.lock();
+        let Some(head) = state.heads.get_mut(head) else { return false };
+        let is_due = head.probed_at.is_none_or(|at| now.since(at) >= CHAIN_PROBE_INTERVAL);
+        if is_due {
+            head.probed_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns the streams that match a predicate.
     pub(crate) fn find(&self, predicate: impl Fn(&Stream) -> bool) -> Vec<(u64, Stream)> {
         let state = self.lock();
--- a/crates/goldcrestvale_route/src/pipeline/activity.rs
+++ b/crates/goldcrestvale_route/src/pipeline/activity.rs
@@ -7,13 +7,26 @@
 
 use goldcrestvale_base::time::Instant;
 
-/// How long a chain with streams in progress may produce no event before it counts as stalled: six
-/// times the typical gap between two events of one stream, and an eighth of the time that callers
-/// wait. A false alarm costs one query to the first engine.
+/// Maximum time for which a chain with streams in progress may produce no event before it counts as
+/// stalled: an eighth of the time that callers wait.
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Minimum time without an event before a chain counts as stalled.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Multiple of the usual pause of a chain after which it counts as stalled.
+const STALL_FACTOR: u32 = 2;
+
+/// Time in which the usual pause of a chain falls by half if its pauses become shorter.
+const PAUSE_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// The last activity of a chain, over all streams of this instance on it.
 ///
+/// A chain with a few streams pauses for one pass over its engines; how long that takes depends on
+/// the cards and the load. A chain counts as stalled after a multiple of the longest pause that it
+/// lately made, since callers count a stream as late whose pause is a few passes long. A false alarm
+/// costs one query to each engine of the chain.
+///
 /// # Examples
 ///
 /// ```
@@ -34,6 +47,8 @@
 pub struct Activity {
     streams: u32,
     last_event: Instant,
+    /// Longest pause lately, if the chain produced an event.
+    usual_pause: Option<Duration>,
 }
 
 impl Activity {
@@ -52,6 +67,12 @@
 
     /// Records an event of any stream on the chain.
     pub fn record(&mut self, now: Instant) {
+        let pause = now.since(self.last_event);
+        if self.streams > 0 {
+            let halvings = pause.as_secs_f64() / PAUSE_HALF_LIFE.as_secs_f64();
+            let faded = self.usual_pause.unwrap_or_default().mul_f64(0.5_f64.powf(halvings));
+            self.usual_pause = Some(faded.max(pause).min(STALL_TIMEOUT));
+        }
         self.last_event = self.last_event.max(now);
     }
 
@@ -60,8 +81,10 @@
         self.streams
     }
 
-    /// Returns whether the chain has streams but has produced no event for [`STALL_TIMEOUT`].
+    /// Returns whether the chain has streams but has produced no event for longer than usual.
     pub fn is_stalled(&self, now: Instant) -> bool {
-        self.streams > 0 && now.since(self.last_event) >= STALL_TIMEOUT
+        let timeout = self.usual_pause.map_or(STALL_TIMEOUT, |pause| pause * STALL_FACTOR);
+        self.streams > 0
+            && now.since(self.last_event) >= timeout.clamp(MIN_STALL_TIMEOUT, STALL_TIMEOUT)
     }
 }
--- a/crates/goldcrestvale_route/tests/pipeline/main.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/main.rs
@@ -5,6 +5,7 @@
 mod cards;
 mod chain_choice;
 mod chain_cover;
+mod chain_stall;
 mod domain_reach;
 mod layer_repair;
 mod paced_moves;
