Read the directory once a failure domain

Cause: each of 118 instances listed the registrations every 0.9 to 1.8 s and held a long poll of the configuration; after a failure each repeated its calls every 150 ms, and asked two peers of any domain for the whole list.

Messages with the changes of one read only: each lost one costs a read.

Change: the first live instance of a domain reads and sends the changes; the others read by rank if they hear nothing (member::read_schedule, gateway::Listing, message Changes). Failed reads back off; ranks beyond the second share one rate. Configurations come from the own domain first, and are serialized once a version. Lists are asked of the instance that places layers. /dump has directory_age_ms, the log says who reads, goldcrestvale_directory_reads counts.

--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -62,7 +62,7 @@
             Notice::Silent(silence) => {
                 debug!(upstream:% = silence.upstream; "a peer avoids an upstream");
             }
-            Notice::Config { instance, config } => {
+            Notice::Config { instance, config, .. } => {
                 self.offered(&instance, config.version, config.digest);
             }
         }
--- a/crates/goldcrestvale_gateway/src/catalog.rs
+++ b/crates/goldcrestvale_gateway/src/catalog.rs
@@ -11,6 +11,8 @@
 struct Row {
     registration: Registration,
     leaving_since: Option<Instant>,
+    /// Time at which its layers were last taken from a report.
+    amended_at: Option<Instant>,
     /// Time at which it counts as gone, if its record vanished while the directory was unreachable.
     missing_until: Option<Instant>,
 }
@@ -28,6 +30,18 @@
     Gone(Upstream),
 }
 
+impl CatalogChange {
+    /// Returns the upstream that changed.
+    pub fn upstream(&self) -> &Upstream {
+        match self {
+            Self::Joined(upstream)
+            | Self::Changed(upstream)
+            | Self::Leaving(upstream)
+            | Self::Gone(upstream) => upstream,
+        }
+    }
+}
+
 /// The upstreams that the directory lists.
 ///
 /// When the directory is unreachable for seconds, the records of live upstreams expire. Such
@@ -157,8 +171,10 @@
         &mut self,
         upstream: &Upstream,
         layers: Option<goldcrestvale_base::engine::Layers>,
+        now: Instant,
     ) -> bool {
         let Some(row) = self.rows.get_mut(upstream) else { return false };
+        row.amended_at = Some(now);
         let registration = &mut row.registration;
         registration.holding.as_mut().is_some_and(|holding| {
             let changed = holding.layers != layers;
@@ -168,11 +184,33 @@
         })
     }
 
+    /// Restores the records of the engines whose layers were taken from a report at least `hold`
+    /// ago: by then the record is newer. `record` returns the record of a key.
+    pub fn revert_amendments<'r>(
+        &mut self,
+        record: impl Fn(&str) -> Option<&'r Registration>,
+        hold: Duration,
+        now: Instant,
+    ) -> Vec<CatalogChange> {
+        let mut due: Vec<&Registration> = Vec::new();
+        for (upstream, row) in &mut self.rows {
+            if row.amended_at.is_some_and(|at| now.since(at) >= hold) {
+                row.amended_at = None;
+                due.extend(record(upstream.as_str()));
+            }
+        }
+        due.into_iter().filter_map(|registration| self.register(registration, now)).collect()
+    }
+
     fn register(&mut self, registration: &Registration, now: Instant) -> Option<CatalogChange> {
         let upstream = registration.upstream.clone();
         let leaving_since = (!registration.ready).then_some(now);
-        let new_row =
-            || Row { registration: registration.clone(), leaving_since, missing_until: None };
+        let new_row = || Row {
+            registration: registration.clone(),
+            leaving_since,
+            amended_at: None,
+            missing_until: None,
+        };
         match self.rows.get_mut(&upstream) {
             Some(row) if row.registration.born_ms == registration.born_ms => {
                 row.missing_until = None;
--- a/crates/goldcrestvale_gateway/src/config_request.rs
+++ b/crates/goldcrestvale_gateway/src/config_request.rs
@@ -8,6 +8,10 @@
 /// the heartbeat interval, since each heartbeat offers the version again.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a version that peers of other failure domains offer may come from the own one: two
+/// heartbeats. Bytes between failure domains are expensive.
+const FAR_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Allows one request for each version of the configuration until it times out.
 ///
 /// When the configuration changes, every peer offers the new version with its next heartbeat.
@@ -32,6 +36,8 @@
 pub struct ConfigRequestLimiter {
     version: u64,
     requested_at: Instant,
+    /// Since when peers of other failure domains offer a version that was not requested.
+    offered_since: Option<Instant>,
 }
 
 impl ConfigRequestLimiter {
@@ -41,7 +47,14 @@
         if version <= self.version && now.since(self.requested_at) < REQUEST_TIMEOUT {
             return false;
         }
-        *self = Self { version, requested_at: now };
+        *self = Self { version, requested_at: now, offered_since: None };
         true
     }
+
+    /// Records a request for a version that a peer of another failure domain offers, and returns
+    /// `true`, unless the own failure domain still has time to offer it.
+    pub fn try_far_request(&mut self, version: u64, now: Instant) -> bool {
+        let since = *self.offered_since.get_or_insert(now);
+        now.since(since) >= FAR_DELAY && self.try_request(version, now)
+    }
 }
--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -80,7 +80,7 @@
     let Some(engine) = view.engine(&upstream) else { return };
     match gateway.port.report(engine.address).await {
         Ok(report) => {
-            gateway.update(|state| state.catalog.set_layers(&upstream, report.layers));
+            gateway.set_layers(&upstream, report.layers);
             gateway.clear_silent(&upstream);
         }
         Err(e) => {
@@ -114,7 +114,7 @@
         let (gateway, engine) = (gateway.clone(), engine.clone());
         tokio::spawn(async move {
             if let Some(report) = read_report(&gateway, &engine).await {
-                gateway.update(|state| state.catalog.set_layers(&engine.upstream, report.layers));
+                gateway.set_layers(&engine.upstream, report.layers);
             }
         });
     }
@@ -191,7 +191,7 @@
     let Some(report) = read_report(gateway, engine).await else { return };
     if !report.busy && holds(report.layers) {
         gateway.report_fault(upstream, FaultKind::Silent, SILENT_DURATION, "a chain waits for it");
-    } else if gateway.update(|state| state.catalog.set_layers(upstream, report.layers)) {
+    } else if gateway.set_layers(upstream, report.layers) {
         info!(upstream:% = upstream, busy = report.busy; "a chain waits for layers that were released");
     }
 }
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use goldcrestvale_base::{
+    engine::Layers,
     id::{Service, Upstream},
     time::Instant,
 };
@@ -25,6 +26,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    directory_sync::DirectoryState,
     metrics::Metrics,
     peers::Peers,
     registry::Registry,
@@ -64,6 +66,7 @@
     /// Snapshot of the upstreams.
     pub(crate) view: ArcSwap<View>,
     pub(crate) registry: Arc<Registry>,
+    pub(crate) directory: DirectoryState,
     pub(crate) pool: Pool,
     /// Wakes up the placement task after a change.
     pub(crate) placement_wakeup: Notify,
@@ -74,7 +77,6 @@
     retry_budgets: RetryBudgets,
     rng: Mutex<StdRng>,
     listed: AtomicBool,
-    reached: AtomicBool,
     leaving: AtomicBool,
     /// End of this instance's placement lease, in microseconds of its clock.
     placement_lease_until: AtomicU64,
@@ -95,6 +97,7 @@
             table: ArcSwap::default(),
             view: ArcSwap::default(),
             registry: Arc::default(),
+            directory: DirectoryState::default(),
             pool: Pool::new(Protocol::Http1, limits),
             placement_wakeup: Notify::new(),
             failover_wakeup: Notify::new(),
@@ -104,7 +107,6 @@
             clock,
             rng: Mutex::new(StdRng::from_os_rng()),
             listed: AtomicBool::new(false),
-            reached: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             placement_lease_until: AtomicU64::new(0),
             settings,
@@ -136,13 +138,9 @@
         self.listed.load(Ordering::Acquire)
     }
 
+    /// Returns whether this instance or a peer of its failure domain reads the directory.
     pub(crate) fn is_directory_reached(&self) -> bool {
-        self.reached.load(Ordering::Acquire)
-    }
-
-    /// Sets whether the list of upstreams can be read from the directory.
-    pub(crate) fn set_directory_reached(&self, reached: bool) {
-        self.reached.store(reached, Ordering::Release);
+        self.directory.is_reached()
     }
 
     pub(crate) fn set_listed(&self) {
@@ -251,6 +249,12 @@
         changed
     }
 
+    /// Records the layers that an engine reported; returns whether they changed.
+    pub(crate) fn set_layers(&self, upstream: &Upstream, layers: Option<Layers>) -> bool {
+        let now = self.now();
+        self.update(|state| state.catalog.set_layers(upstream, layers, now))
+    }
+
     /// Returns the silent upstreams that are due for a probe.
     pub(crate) fn due_rechecks(&self) -> Vec<Upstream> {
         let now = self.now();
--- a/crates/goldcrestvale_gateway/src/instance.rs
+++ b/crates/goldcrestvale_gateway/src/instance.rs
@@ -246,6 +246,7 @@
         "domain": gateway.settings.domain,
         "configuration": gateway.table.load().version(),
         "ready": gateway.is_ready(),
+        "directory_age_ms": gateway.directory.age(gateway.now()).map(|age| age.as_millis() as u64),
         "duty": gateway.is_placement_leader(),
         "streams": gateway.registry.len(),
         "fleets": fleets,
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod gateway;
 mod instance;
+mod listing;
 mod metrics;
 mod peers;
 mod placement;
@@ -32,6 +33,7 @@
 pub use config_request::ConfigRequestLimiter;
 pub use event::Splitter;
 pub use instance::{Error, Instance, Result};
+pub use listing::Listing;
 
 /// Re-exports the types that most users of this package need.
 pub mod prelude {
--- a/crates/goldcrestvale_gateway/src/metrics.rs
+++ b/crates/goldcrestvale_gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     retries: Counter<u64>,
     failovers: Counter<u64>,
     recovery: Histogram<f64>,
+    directory_reads: Counter<u64>,
     directory_failures: Counter<u64>,
     orders: Counter<u64>,
 }
@@ -32,6 +33,7 @@
             retries: meter.u64_counter("goldcrestvale_repeats").build(),
             failovers: meter.u64_counter("goldcrestvale_rescues").build(),
             recovery: meter.f64_histogram("goldcrestvale_stream_recovery_seconds").build(),
+            directory_reads: meter.u64_counter("goldcrestvale_directory_reads").build(),
             directory_failures: meter.u64_counter("goldcrestvale_directory_failures").build(),
             orders: meter.u64_counter("goldcrestvale_engine_orders").build(),
             recorder,
@@ -64,6 +66,10 @@
         self.recovery.record(elapsed.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn count_directory_read(&self, call: &'static str) {
+        self.directory_reads.add(1, &[KeyValue::new("call", call)]);
+    }
+
     pub(crate) fn count_directory_failure(&self, call: &'static str) {
         self.directory_failures.add(1, &[KeyValue::new("call", call)]);
     }
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -24,14 +24,15 @@
 };
 use goldcrestvale_peer::{
     events::{
-        AnswerState, Configuration as Sealed, EventHandler, Reply, ResultQuery, StoredResult,
+        AnswerState, Changes, Configuration as Sealed, EventHandler, Reply, ResultQuery,
+        StoredResult,
     },
     handle::Handle,
     peer,
     settings::Settings as Tasks,
     snapshot::Snapshot,
 };
-use goldcrestvale_route::forward::Configuration;
+use goldcrestvale_route::forward::{Configuration, Table};
 use goldcrestvale_wire::key::{Keyring, Secret};
 use log::{debug, info, warn};
 use rand::{SeedableRng, rngs::StdRng};
@@ -39,7 +40,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    catalog::CatalogChange,
     config_request::ConfigRequestLimiter,
+    directory_sync::{handle_changes, send_amendments},
     failover::probe,
     gateway::Gateway,
     port::{Port, Registration},
@@ -64,6 +67,8 @@
 pub(crate) struct Peers {
     handle: OnceLock<Handle>,
     request_limiter: Mutex<ConfigRequestLimiter>,
+    /// The configuration as it was last sent to a peer.
+    sealed: Mutex<Option<Sealed>>,
 }
 
 impl Peers {
@@ -92,11 +97,31 @@
 
     /// Returns whether a version of the configuration is to be requested from a peer that offers
     /// it.
-    fn try_request_config(&self, version: u64, now: Instant) -> bool {
-        self.request_limiter
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .try_request(version, now)
+    fn try_request_config(&self, version: u64, is_near: bool, now: Instant) -> bool {
+        let mut limiter = self.request_limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        match is_near {
+            true => limiter.try_request(version, now),
+            false => limiter.try_far_request(version, now),
+        }
+    }
+
+    /// Returns the configuration in the form that is sent to peers. The form is kept for the next
+    /// peer, since all peers of the failure domain request a new version at about the same time.
+    fn seal(&self, table: &Table) -> Option<Sealed> {
+        let version = Offset(table.version());
+        let mut sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(sealed) = sealed.as_ref().filter(|sealed| sealed.version == version) {
+            return Some(sealed.clone());
+        }
+        let bytes: Bytes = match serde_json::to_vec(table.source()?) {
+            Ok(bytes) => bytes.into(),
+            Err(e) => {
+                warn!(error:% = e; "configuration cannot be serialized");
+                return None;
+            }
+        };
+        *sealed = Some(Sealed { version, digest: Digest::of(&bytes), bytes });
+        sealed.clone()
     }
 
     /// Sends a fault of an upstream to the peers.
@@ -128,6 +153,15 @@
         }
     }
 
+    /// Sends changes of the directory to the peers of the own failure domain.
+    pub(crate) async fn send_changes(&self, changes: Changes) {
+        if let Some(handle) = self.handle.get()
+            && let Err(e) = handle.send_changes(changes).await
+        {
+            debug!(error:% = e; "changes of the directory not sent");
+        }
+    }
+
     pub(crate) async fn stop(&self) {
         if let Some(handle) = self.handle.get() {
             handle.stop().await;
@@ -238,8 +272,10 @@
                     tokio::spawn(probe(gateway, silence.upstream, ProbeReason::Failure));
                 }
             }
-            Notice::Config { instance, config } => {
-                if !gateway.peers.try_request_config(config.version.0, gateway.now()) {
+            Notice::Config { instance, is_near, config } => {
+                // Without a configuration the instance serves nothing.
+                let is_near = is_near || !gateway.is_configured();
+                if !gateway.peers.try_request_config(config.version.0, is_near, gateway.now()) {
                     return;
                 }
                 tokio::spawn(async move {
@@ -257,16 +293,7 @@
 
     fn config_requested(&self, from: &Instance, _version: Offset) {
         let Some(gateway) = self.gateway.upgrade() else { return };
-        let table = gateway.table.load_full();
-        let Some(configuration) = table.source() else { return };
-        let bytes: Bytes = match serde_json::to_vec(configuration) {
-            Ok(bytes) => bytes.into(),
-            Err(e) => {
-                warn!(error:% = e; "configuration cannot be serialized");
-                return;
-            }
-        };
-        let sealed = Sealed { version: Offset(table.version()), digest: Digest::of(&bytes), bytes };
+        let Some(sealed) = gateway.peers.seal(&gateway.table.load()) else { return };
         let from = from.clone();
         tokio::spawn(async move {
             if let Some(handle) = gateway.peers.handle.get()
@@ -321,13 +348,28 @@
         match serde_json::from_slice::<Vec<Registration>>(&list) {
             Ok(list) => {
                 let now = gateway.now();
-                gateway.update(|state| !state.catalog.merge(&list, now).is_empty());
+                let mut merged = Vec::new();
+                gateway.update(|state| {
+                    let changes = state.catalog.merge(&list, now);
+                    let upstreams = changes.iter().map(CatalogChange::upstream);
+                    merged.extend(upstreams.filter_map(|name| state.catalog.get(name).cloned()));
+                    !changes.is_empty()
+                });
                 gateway.set_listed();
+                if !merged.is_empty() {
+                    tokio::spawn(async move { send_amendments(&gateway, merged).await });
+                }
             }
             Err(e) => warn!(instance:% = from, error:% = e; "a peer's list is malformed"),
         }
     }
 
+    fn changes_received(&self, from: &Instance, changes: Changes) {
+        if let Some(gateway) = self.gateway.upgrade() {
+            handle_changes(&gateway, from, &changes);
+        }
+    }
+
     fn result_queried(&self, _query: ResultQuery, reply: Reply) {
         reply.send(StoredResult::without_answer(AnswerState::Unknown));
     }
--- a/crates/goldcrestvale_gateway/src/placement.rs
+++ b/crates/goldcrestvale_gateway/src/placement.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    directory_sync::send_amendment,
     failover::{SILENT_DURATION, refresh},
     gateway::Gateway,
     port::{Lease, OrderOutcome, Port, Release},
@@ -263,7 +264,8 @@
         };
         if report.layers == Some(placement.layers) && !report.busy {
             gateway.metrics.count_order("done");
-            gateway.update(|state| state.catalog.set_layers(&engine.upstream, report.layers));
+            gateway.set_layers(&engine.upstream, report.layers);
+            send_amendment(gateway, &engine.upstream).await;
             return;
         }
         let is_stale = last_order
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -84,11 +84,6 @@
     pub upstream_interval: Duration,
     /// Interval between reads of the upstreams while a chain is incomplete.
     pub degraded_interval: Duration,
-    /// Maximum interval between reads of the upstreams, with many instances.
-    pub max_upstream_interval: Duration,
-    /// Maximum wait of a read of the configuration, with many instances, which offer each other new
-    /// versions.
-    pub max_configuration_wait: Duration,
     /// How long upstreams whose records vanished while the directory was unreachable may take to
     /// register again.
     pub return_grace: Duration,
@@ -139,8 +134,6 @@
                 timeout: Duration::from_millis(4_800),
             },
             directory: Directory {
-                max_upstream_interval: Duration::from_millis(1_800),
-                max_configuration_wait: Duration::from_millis(4_000),
                 configuration_wait: Duration::from_millis(1_500),
                 upstream_interval: Duration::from_millis(900),
                 degraded_interval: Duration::from_millis(300),
--- a/crates/goldcrestvale_gateway/tests/version_ask.rs
+++ b/crates/goldcrestvale_gateway/tests/version_ask.rs
@@ -33,3 +33,15 @@
     assert!(limiter.try_request(5, START));
     assert!(!limiter.try_request(4, START + Duration::from_millis(10)));
 }
+
+#[test]
+fn own_domain_is_preferred() {
+    let after = |millis| START + Duration::from_millis(millis);
+    let mut limiter = ConfigRequestLimiter::default();
+    assert!(!limiter.try_far_request(1, START));
+    assert!(limiter.try_request(1, after(300)));
+    // Nobody of the own domain offers the next version.
+    assert!(!limiter.try_far_request(2, after(600)));
+    assert!(!limiter.try_far_request(2, after(1_200)));
+    assert!(limiter.try_far_request(2, after(1_700)));
+}
--- a/crates/goldcrestvale_member/src/action.rs
+++ b/crates/goldcrestvale_member/src/action.rs
@@ -58,6 +58,8 @@
         Config {
             /// The peer.
             instance: Instance,
+            /// Whether the peer is in the own failure domain.
+            is_near: bool,
             /// Its configuration.
             config: Config,
         },
--- a/crates/goldcrestvale_member/src/lib.rs
+++ b/crates/goldcrestvale_member/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod member;
 pub mod message;
+pub mod read_schedule;
 pub mod settings;
 pub mod silence;
 pub mod view;
--- a/crates/goldcrestvale_member/src/view.rs
+++ b/crates/goldcrestvale_member/src/view.rs
@@ -23,6 +23,7 @@
     identity::{Identity, Seed},
     links::{self, Candidate, Fanout, Targets},
     message::{MemberRecord, Status},
+    read_schedule::Position,
     settings::Settings,
 };
 
@@ -157,6 +158,22 @@
         staying.filter(|peer| peer.seed.instance < self.own.instance).count()
     }
 
+    /// Returns the place of this instance among the live, non-draining instances of its failure
+    /// domain.
+    pub fn position(&self) -> Position {
+        let staying = self.peers().filter(|peer| {
+            peer.state == State::Live
+                && !peer.status.draining
+                && peer.seed.domain == self.own.domain
+        });
+        let mut position = Position { rank: 0, members: 1 };
+        for peer in staying {
+            position.members += 1;
+            position.rank += usize::from(peer.seed.instance < self.own.instance);
+        }
+        position
+    }
+
     /// Applies the platform's list.
     pub fn apply_list(&mut self, now: Instant, seeds: &[Seed]) {
         self.listed = true;
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -37,9 +37,8 @@
     snapshot::Snapshot,
 };
 
-/// Number of peers that a request for the platform's list goes to. Each sends the complete list,
-/// which is long. While the platform is unreachable, the list is requested several times a second,
-/// so a later attempt finds a peer that has it.
+/// Number of random peers that a request for the platform's list goes to. Each sends the complete
+/// list, which is long; a later attempt finds another peer.
 const LIST_REQUESTS: usize = 2;
 
 /// Time without a query after which a connection that was opened for one is closed.
@@ -78,6 +77,7 @@
         version: Offset,
     },
     RequestList,
+    SendChanges(wire::Changes),
     SendList {
         to: Instance,
         as_of: Wall,
@@ -184,9 +184,11 @@
             Command::RequestConfig { to, version } => {
                 self.send(&to, wire::ConfigAsk { version: version.0 }.into());
             }
-            Command::RequestList => {
-                for link in self.links.iter().choose_multiple(&mut self.rng, LIST_REQUESTS) {
-                    self.push(&link.queue, wire::ListAsk {}.into());
+            Command::RequestList => self.request_list(),
+            Command::SendChanges(changes) => {
+                let own = &self.shared.settings.membership.own.domain;
+                for link in self.links.iter().filter(|link| link.peer.domain == *own) {
+                    self.push(&link.queue, changes.clone().into());
                 }
             }
             Command::SendList { to, as_of, list } => {
@@ -200,6 +202,22 @@
         }
     }
 
+    /// Requests the platform's list from the instance that places layers, which knows the most while
+    /// the platform is unreachable, or from random peers.
+    fn request_list(&mut self) {
+        let leads = |link: &&Link| {
+            let peer = self.member.view().peer(&link.peer.instance);
+            peer.is_some_and(|peer| peer.status.leads)
+        };
+        if let Some(leader) = self.links.iter().find(leads) {
+            self.push(&leader.queue, wire::ListAsk {}.into());
+            return;
+        }
+        for link in self.links.iter().choose_multiple(&mut self.rng, LIST_REQUESTS) {
+            self.push(&link.queue, wire::ListAsk {}.into());
+        }
+    }
+
     fn connected(&mut self, link: Link) {
         let own = self.shared.settings.membership.own.instance.clone();
         let peer = link.peer.clone();
@@ -325,6 +343,12 @@
                 }
                 Ok(())
             }
+            wire::Message::Changes(changes) => {
+                if let Some(from) = self.sender(link) {
+                    self.events.changes_received(&from, changes);
+                }
+                Ok(())
+            }
             wire::Message::ConfigAsk(ask) => {
                 if let Some(from) = self.sender(link) {
                     self.events.config_requested(&from, Offset(ask.version));
@@ -352,6 +376,7 @@
             min_schema: self.member.min_schema(),
             has_placement_leader: self.member.view().has_placement_leader(),
             rank: self.member.view().rank(),
+            position: Some(self.member.view().position()),
         });
         self.snapshot.store(Arc::clone(&snapshot));
         self.events.published(&snapshot);
--- a/crates/goldcrestvale_peer/src/events.rs
+++ b/crates/goldcrestvale_peer/src/events.rs
@@ -10,7 +10,7 @@
 use goldcrestvale_member::action::Notice;
 use goldcrestvale_wire::message::{Answer, Message};
 
-pub use goldcrestvale_wire::message::{AnswerState, Header};
+pub use goldcrestvale_wire::message::{AnswerState, Changes, Header, Scope};
 
 use crate::{count::Counts, queue::Queue, snapshot::Snapshot};
 
@@ -40,6 +40,9 @@
     /// Handles the platform's list as a peer last read it.
     fn list_received(&self, _from: &Instance, _list: Bytes) {}
 
+    /// Handles changes of the platform's directory that a peer of the own failure domain read.
+    fn changes_received(&self, _from: &Instance, _changes: Changes) {}
+
     /// Handles a query for the stored result of an idempotent call.
     fn result_queried(&self, query: ResultQuery, reply: Reply);
 }
--- a/crates/goldcrestvale_peer/src/handle.rs
+++ b/crates/goldcrestvale_peer/src/handle.rs
@@ -20,7 +20,7 @@
     core::{Command, Input},
     count::Values,
     dump::Dump,
-    events::{Configuration, StoredResult},
+    events::{Changes, Configuration, StoredResult},
     query::{self, Query},
     snapshot::Snapshot,
 };
@@ -140,7 +140,8 @@
         self.command(Command::RequestConfig { to, version }).await
     }
 
-    /// Requests the platform's list from a few random connected peers.
+    /// Requests the platform's list from the connected peer that places layers, or from a few random
+    /// ones.
     ///
     /// # Errors
     ///
@@ -149,6 +150,15 @@
         self.command(Command::RequestList).await
     }
 
+    /// Sends changes of the platform's directory to the connected peers of the own failure domain.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn send_changes(&self, changes: Changes) -> Result<()> {
+        self.command(Command::SendChanges(changes)).await
+    }
+
     /// Sends the platform's list to a peer, in the platform's format.
     ///
     /// # Errors
--- a/crates/goldcrestvale_peer/src/snapshot.rs
+++ b/crates/goldcrestvale_peer/src/snapshot.rs
@@ -8,6 +8,7 @@
     in_flight::PeerWork,
     leaving,
     limit::{Parts, Shares},
+    read_schedule::Position,
 };
 
 /// The state of the membership that the request path needs.
@@ -31,6 +32,8 @@
     pub has_placement_leader: bool,
     /// Number of live, non-draining peers that precede this instance by name.
     pub rank: usize,
+    /// Place of this instance among the live, non-draining instances of its failure domain.
+    pub position: Option<Position>,
 }
 
 impl Snapshot {
--- a/crates/goldcrestvale_wire/src/message.rs
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -4,6 +4,7 @@
 //! instances of different versions can run side by side.
 
 mod answer;
+mod changes;
 mod config;
 mod leaving;
 mod list;
@@ -17,6 +18,7 @@
 
 pub use self::{
     answer::{Answer, AnswerAsk, AnswerState, Header},
+    changes::{Changes, Scope},
     config::{ConfigAsk, ConfigOffer, ConfigState},
     leaving::{Leaving, Mark, Source},
     list::{List, ListAsk},
@@ -121,4 +123,6 @@
     List = 14,
     /// Upstreams that do not answer or accept no new work.
     Silent = 15,
+    /// Changes of the platform's directory.
+    Changes = 16,
 }
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -83,5 +83,13 @@
             upstreams: vec![Silence { upstream: "engine-4".into(), left_ms: 3_000, refuses: true }],
         }
         .into(),
+        Changes {
+            scope: Scope::Amendments.into(),
+            from: 70,
+            next: 90,
+            grace_ms: 2_200,
+            bytes: bytes(b'[', 1),
+        }
+        .into(),
     ]
 }
