--- /dev/null
+++ b/crates/goldcrestvale_gateway/src/directory_news.rs
@@ -0,0 +1,183 @@
+//! Changes of the directory as the instances of a failure domain send them to each other.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use goldcrestvale_base::id::{Instance, Offset, Upstream};
+use goldcrestvale_peer::events::{Changes, Scope};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    catalog::CatalogChange,
+    directory_state::upstream_pace,
+    gateway::Gateway,
+    port::{Change, Page, Registration},
+    upstream_state::UpstreamState,
+};
+
+/// How long the layers that an engine reported take precedence over its record in the directory:
+/// more than two heartbeats of an engine.
+const AMENDMENT_HOLD: Duration = Duration::from_millis(3_000);
+
+/// A change of an upstream as the instances send it to each other.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum SentChange {
+    Registered(Registration),
+    Gone(String),
+}
+
+impl SentChange {
+    pub(crate) fn new(change: Change) -> Option<Self> {
+        match change {
+            Change::Registered(registration) => Some(Self::Registered(registration)),
+            Change::Gone(key) | Change::Unreadable { key, .. } => Some(Self::Gone(key)),
+            Change::Configuration(_) => None,
+        }
+    }
+
+    pub(crate) fn key(&self) -> &str {
+        match self {
+            Self::Registered(registration) => registration.upstream.as_str(),
+            Self::Gone(key) => key,
+        }
+    }
+}
+
+/// Sends the layers of an upstream, which are newer than its record in the directory, to the peers
+/// while the directory is unreachable.
+pub(crate) async fn send_amendment<P>(gateway: &Gateway<P>, upstream: &Upstream) {
+    if gateway.is_directory_reached() {
+        return;
+    }
+    let registration = gateway.read_state(|state| state.catalog.get(upstream).cloned());
+    if let Some(registration) = registration {
+        send_amendments(gateway, vec![registration]).await;
+    }
+}
+
+/// Sends registrations that are newer than their records in the directory to the peers.
+pub(crate) async fn send_amendments<P>(gateway: &Gateway<P>, registrations: Vec<Registration>) {
+    let changes: Vec<SentChange> = registrations.into_iter().map(SentChange::Registered).collect();
+    let Some(bytes) = encode(&changes) else { return };
+    let changes = Changes { scope: Scope::Amendments.into(), bytes, ..Changes::default() };
+    gateway.peers.send_changes(changes).await;
+}
+
+/// Handles changes that a peer of the own failure domain read.
+pub(crate) fn handle_changes<P>(gateway: &Gateway<P>, from: &Instance, changes: &Changes) {
+    let now = gateway.now();
+    let precedes = *from < gateway.settings.name;
+    match changes.scope() {
+        Scope::Configuration => gateway.directory.configuration().record_news(now, precedes),
+        Scope::Amendments => {
+            let Some(sent) = decode(from, &changes.bytes) else { return };
+            let registrations: Vec<Registration> = sent
+                .into_iter()
+                .filter_map(|change| match change {
+                    SentChange::Registered(registration) => Some(registration),
+                    SentChange::Gone(_) => None,
+                })
+                .collect();
+            gateway.update(|state| !state.catalog.merge(&registrations, now).is_empty());
+        }
+        Scope::Upstreams => {
+            let Some(sent) = decode(from, &changes.bytes) else { return };
+            handle_upstreams(gateway, changes, sent, precedes);
+        }
+    }
+}
+
+fn handle_upstreams<P>(
+    gateway: &Gateway<P>,
+    changes: &Changes,
+    sent: Vec<SentChange>,
+    precedes: bool,
+) {
+    let now = gateway.now();
+    let mut upstreams = gateway.directory.upstreams();
+    let Some(own) = upstreams.listing.next() else { return };
+    if Offset(changes.from) > own {
+        let draw = gateway.random_unit();
+        let pace = upstream_pace(gateway);
+        upstreams.schedule.record_gap(now, pace, draw);
+        gateway.directory.upstreams_wakeup.notify_one();
+        return;
+    }
+    upstreams.schedule.record_news(now, precedes);
+    let page = Page {
+        changes: sent
+            .into_iter()
+            .map(|change| match change {
+                SentChange::Registered(registration) => Change::Registered(registration),
+                SentChange::Gone(key) => Change::Gone(key),
+            })
+            .collect(),
+        next: Offset(changes.next),
+    };
+    let Some(applied) = upstreams.listing.apply(&page, false) else { return };
+    upstreams.remember(own, &applied);
+    let grace = Duration::from_millis(changes.grace_ms.into());
+    let grace = upstreams.grace(now).max((!grace.is_zero()).then_some(grace));
+    let listing = &upstreams.listing;
+    gateway.update(|state| {
+        let changes = applied.iter();
+        let mut effects: Vec<CatalogChange> =
+            changes.filter_map(|change| state.catalog.apply(change, now, grace)).collect();
+        effects.extend(state.catalog.revert_amendments(
+            |key| listing.get(key),
+            AMENDMENT_HOLD,
+            now,
+        ));
+        record_effects(gateway, state, &effects);
+        !effects.is_empty()
+    });
+}
+
+/// Logs the changes of the catalog and applies what follows from them.
+pub(crate) fn record_effects<P>(
+    gateway: &Gateway<P>,
+    state: &mut UpstreamState,
+    effects: &[CatalogChange],
+) {
+    for change in effects {
+        match change {
+            CatalogChange::Joined(upstream) => {
+                state.reset(upstream);
+                info!(upstream:% = upstream; "upstream joined");
+            }
+            CatalogChange::Leaving(upstream) => {
+                info!(upstream:% = upstream; "upstream is leaving");
+                if let Some(registration) = state.catalog.get(upstream) {
+                    gateway.peers.send_leaving(registration, gateway.clock.wall());
+                }
+            }
+            CatalogChange::Gone(upstream) => info!(upstream:% = upstream; "upstream is gone"),
+            CatalogChange::Changed(_) => {}
+        }
+    }
+}
+
+pub(crate) fn encode(changes: &[SentChange]) -> Option<Bytes> {
+    match serde_json::to_vec(changes) {
+        Ok(bytes) => Some(bytes.into()),
+        Err(e) => {
+            warn!(error:% = e; "changes of the directory cannot be serialized");
+            None
+        }
+    }
+}
+
+fn decode(from: &Instance, bytes: &Bytes) -> Option<Vec<SentChange>> {
+    if bytes.is_empty() {
+        return Some(Vec::new());
+    }
+    match serde_json::from_slice(bytes) {
+        Ok(changes) => Some(changes),
+        Err(e) => {
+            warn!(instance:% = from, error:% = e; "a peer's changes are malformed");
+            None
+        }
+    }
+}
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -26,7 +26,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    directory_sync::DirectoryState,
+    directory_state::DirectoryState,
     metrics::Metrics,
     peers::Peers,
     registry::Registry,
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -6,6 +6,8 @@
 mod body;
 mod catalog;
 mod config_request;
+mod directory_news;
+mod directory_state;
 mod directory_sync;
 mod error_response;
 mod event;
