Probe a share of the engines of a stalled chain

Cause: every instance with streams on a stalled chain asked all its engines.

Change: an instance asks each engine with a probability of 8 by the number of instances; a finding is sent to all.

Result: probes_do_not_grow_with_instances.

--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -9,7 +9,9 @@
 
 use futures_util::future::join_all;
 use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
-use goldcrestvale_route::pipeline::{Chain, Engine, Failover, STALL_TIMEOUT, paced_count};
+use goldcrestvale_route::pipeline::{
+    Chain, Engine, Failover, STALL_TIMEOUT, paced_count, probe_share,
+};
 use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -122,15 +124,17 @@
 
 /// Looks for the engine that the streams of a stalled chain wait for.
 ///
-/// The report of the first engine names it, but lags behind: a dead engine is found sooner by a
-/// query of every engine of the chain, unless one of them is known to be lost already.
+/// The report of the first engine names it, but lags behind: a dead engine is found sooner by
+/// queries of the engines of the chain, unless one of them is known to be lost already. All instances
+/// with streams on the chain notice the stall, so each one queries a share of the engines.
 async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
     let view = gateway.view.load_full();
     let Some(engine) = view.engine(head).filter(|_| !gateway.is_lost(head)) else { return };
     let others = engines_behind(gateway, &view, head);
     let is_known = others.iter().any(|engine| gateway.is_lost(&engine.upstream));
     if !is_known && gateway.registry.try_probe_chain(head, gateway.now()) {
-        for engine in others {
+        let share = probe_share(gateway.peers.instance_count().unwrap_or(1));
+        for engine in others.into_iter().filter(|_| gateway.random_unit() < share) {
             let (gateway, engine) = (gateway.clone(), engine.clone());
             tokio::spawn(async move { read_report(&gateway, &engine).await });
         }
--- a/crates/goldcrestvale_route/src/pipeline.rs
+++ b/crates/goldcrestvale_route/src/pipeline.rs
@@ -16,7 +16,7 @@
 mod reach;
 mod repair;
 
-pub use activity::{Activity, STALL_TIMEOUT};
+pub use activity::{Activity, STALL_TIMEOUT, probe_share};
 pub use chain::{Chain, Stage, alternate, find_chains};
 pub use choice::{Choice, Limit, Load, Report};
 pub use engine::Engine;
--- a/crates/goldcrestvale_route/src/pipeline/activity.rs
+++ b/crates/goldcrestvale_route/src/pipeline/activity.rs
@@ -20,6 +20,26 @@
 /// Time in which the usual pause of a chain falls by half if its pauses become shorter.
 const PAUSE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Expected number of probes of an engine of a stalled chain, if all instances have streams on it.
+const PROBES_PER_ENGINE: f64 = 8.0;
+
+/// Returns the share of the engines of a stalled chain that an instance probes.
+///
+/// If each of hundreds of instances probed every engine of every stalled chain, probes would grow with
+/// the square of the deployment. Some of them suffice, since a finding is sent to all.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_route::pipeline::probe_share;
+///
+/// assert_eq!(probe_share(4), 1.0);
+/// assert_eq!(probe_share(80), 0.1);
+/// ```
+pub fn probe_share(instances: u32) -> f64 {
+    (PROBES_PER_ENGINE / f64::from(instances.max(1))).min(1.0)
+}
+
 /// The last activity of a chain, over all streams of this instance on it.
 ///
 /// A chain with a few streams pauses for one pass over its engines; how long that takes depends on
--- a/crates/goldcrestvale_route/tests/pipeline/chain_stall.rs
+++ b/crates/goldcrestvale_route/tests/pipeline/chain_stall.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use goldcrestvale_base::time::Instant;
-use goldcrestvale_route::pipeline::Activity;
+use goldcrestvale_route::pipeline::{Activity, probe_share};
 
 /// Plays passes of a chain with 12 streams, whose events arrive within 10 ms of each other.
 fn after_passes(interval_ms: u64, passes: u64) -> (Activity, Instant) {
@@ -52,3 +52,13 @@
     activity.start(Instant(1_000_000));
     assert!(!activity.is_stalled(Instant(1_000_000) + Duration::from_millis(240)));
 }
+
+#[test]
+fn probes_do_not_grow_with_instances() {
+    // A chain of 30 engines stalls, and every instance has streams on it.
+    let probes = |instances: u32| f64::from(instances) * 30.0 * probe_share(instances);
+    assert!((probes(300) - probes(30)).abs() < 1.0);
+    // A third of the instances still finds the dead engine in almost all cases.
+    let missed = (1.0 - probe_share(118)).powi(118 / 3);
+    assert!(missed < 0.1, "{missed}");
+}
