--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -1,88 +1,57 @@
 //! Reads the directory and applies its changes to the shared state.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, MutexGuard},
+    time::Duration,
+};
 
-use goldcrestvale_base::id::Offset;
+use bytes::Bytes;
+use goldcrestvale_base::{id::Offset, time::Instant};
+use goldcrestvale_member::read_schedule::{Pace, Position, ReadSchedule};
+use goldcrestvale_peer::events::{Changes, Scope};
 use log::{info, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    catalog::CatalogChange,
+    directory_news::{encode, record_effects},
+    directory_state::{position, upstream_pace},
     gateway::Gateway,
     port::{Change, Error, Page, Port, Resource, Result},
 };
 
-/// Number of instances up to which each one reads at the base rate.
-const INSTANCES_AT_BASE_RATE: u32 = 4;
-
-/// Delay after a failed read: the directory may reject calls beyond its rate limit.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-
-/// Reads a resource of the directory and keeps the offset of the next read and whether the
-/// directory is reachable.
-struct Reader<P> {
-    gateway: Arc<Gateway<P>>,
-    resource: Resource,
-    next: Option<Offset>,
-    is_reachable: bool,
-}
-
-impl<P: Port> Reader<P> {
-    fn new(gateway: Arc<Gateway<P>>, resource: Resource) -> Self {
-        Self { gateway, resource, next: None, is_reachable: true }
-    }
-
-    /// Reads the next page and returns whether it is a complete list: the first one is, and the one
-    /// after records were dropped.
-    async fn read(&mut self, wait: Duration) -> Option<(Page, bool)> {
-        let call = match self.next {
-            Some(_) => "tail",
-            None => "list",
-        };
-        let read: Result<(Page, bool)> = match self.next {
-            Some(from) => {
-                let tail = self.gateway.port.tail(self.resource, from, wait).await;
-                tail.map(|page| (page, false))
-            }
-            None => self.gateway.port.list(self.resource).await.map(|page| (page, true)),
-        };
-        match read {
-            Ok((page, is_list)) => {
-                if !self.is_reachable {
-                    info!(subject:? = self.resource; "directory is reached again");
-                }
-                self.is_reachable = true;
-                self.next = Some(page.next);
-                Some((page, is_list))
-            }
-            Err(e) => {
-                self.gateway.metrics.count_directory_failure(call);
-                if self.is_reachable {
-                    warn!(subject:? = self.resource, call, error:% = e; "directory is out of reach");
-                }
-                self.is_reachable = false;
-                if matches!(e, Error::Trimmed { .. }) {
-                    self.next = None;
-                }
-                None
-            }
-        }
-    }
-}
+/// Maximum time between two looks at the schedule of a resource, whose times change with messages
+/// of the peers.
+const MAX_SLEEP: Duration = Duration::from_millis(250);
 
 /// Follows the configuration until the token is cancelled.
 pub(crate) async fn sync_configuration<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
-    let mut reader = Reader::new(gateway.clone(), Resource::Configuration);
     let wait = gateway.settings.directory.configuration_wait;
+    let pace = Pace { interval: Duration::ZERO, news_interval: wait };
+    let mut next = None;
+    let mut is_reachable = true;
     let mut is_unreadable = false;
-    let max_wait = gateway.settings.directory.max_configuration_wait;
-    while let Some(read) =
-        stop.run_until_cancelled(reader.read(scale_by_instances(&gateway, wait, max_wait))).await
-    {
-        let Some((page, _)) = read else {
-            tokio::time::sleep(RETRY_DELAY).await;
-            continue;
+    loop {
+        let schedule = || gateway.directory.configuration();
+        if stop.run_until_cancelled(wait_until_due(&gateway, schedule, pace)).await.is_none() {
+            return;
+        }
+        let started = gateway.now();
+        let read = read_page(&gateway, Resource::Configuration, next, wait);
+        let Some(read) = stop.run_until_cancelled(read).await else { return };
+        log_reachability(Resource::Configuration, &read, &mut is_reachable);
+        let page = match read {
+            Ok(page) => page,
+            Err(Error::Trimmed { .. }) => {
+                next = None;
+                continue;
+            }
+            Err(_) => {
+                let draw = gateway.random_unit();
+                gateway.directory.configuration().record_failure(gateway.now(), draw);
+                continue;
+            }
         };
+        next = Some(page.next);
         let is_empty = page.changes.is_empty();
         for change in page.changes {
             match change {
@@ -99,84 +68,153 @@
         }
         if is_empty && !gateway.is_configured() {
             // The first configuration is not written yet: list again instead of reading changes.
-            reader.next = None;
-            tokio::time::sleep(RETRY_DELAY).await;
+            next = None;
+            let draw = gateway.random_unit();
+            gateway.directory.configuration().record_failure(gateway.now(), draw);
+            continue;
         }
+        gateway.directory.configuration().record_read(started, gateway.now());
+        let news = Changes { scope: Scope::Configuration.into(), ..Changes::default() };
+        gateway.peers.send_changes(news).await;
     }
 }
 
 /// Follows the upstreams until the token is cancelled.
 pub(crate) async fn sync_upstreams<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
-    let mut reader = Reader::new(gateway.clone(), Resource::Upstreams);
-    let times = gateway.settings.directory;
-    let mut grace_until = None;
+    let mut is_reachable = true;
+    let mut is_reader = None;
     loop {
-        let was_reachable = reader.is_reachable;
-        let Some(read) = stop.run_until_cancelled(reader.read(Duration::ZERO)).await else {
-            return;
+        let pace = upstream_pace(&gateway);
+        let wakeup = gateway.directory.upstreams_wakeup.notified();
+        let due = {
+            let mut upstreams = gateway.directory.upstreams();
+            let due = upstreams.due(&gateway, pace);
+            let reads = upstreams.schedule.is_reader();
+            if is_reader.replace(reads) != Some(reads) {
+                let Position { rank, members } = position(&gateway);
+                info!(reads, rank, members; "reader of the directory");
+            }
+            due
         };
-        let delay = match read {
-            Some((page, is_list)) => {
-                let now = gateway.now();
-                if !was_reachable {
-                    grace_until = Some(now + times.return_grace);
-                }
-                // Upstreams that vanished while the directory was unreachable may register again.
-                let grace = grace_until.filter(|until| *until > now).map(|until| until.since(now));
-                apply_page(&gateway, &page, is_list, grace);
+        let now = gateway.now();
+        if due > now {
+            let sleep = tokio::time::timeout(due.since(now).min(MAX_SLEEP), wakeup);
+            if stop.run_until_cancelled(sleep).await.is_none() {
+                return;
+            }
+            continue;
+        }
+        let from = gateway.directory.upstreams().listing.read_from();
+        let read = read_page(&gateway, Resource::Upstreams, from, Duration::ZERO);
+        let Some(read) = stop.run_until_cancelled(read).await else { return };
+        log_reachability(Resource::Upstreams, &read, &mut is_reachable);
+        match read {
+            Ok(page) => {
+                let changes = apply_read(&gateway, &page, from.is_none(), now);
                 gateway.set_listed();
-                let interval = match gateway.is_degraded() {
-                    true => times.degraded_interval,
-                    false => times.upstream_interval,
-                };
-                scale_by_instances(&gateway, interval, times.max_upstream_interval)
+                if let Some(changes) = changes {
+                    gateway.peers.send_changes(changes).await;
+                }
+            }
+            Err(Error::Trimmed { .. }) => {
+                let mut upstreams = gateway.directory.upstreams();
+                upstreams.listing.restart();
+                upstreams.start_grace(&gateway);
             }
-            None => {
+            Err(_) => {
+                let draw = gateway.random_unit();
+                gateway.directory.upstreams().schedule.record_failure(gateway.now(), draw);
                 gateway.peers.request_list().await;
-                RETRY_DELAY
             }
+        }
+    }
+}
+
+/// Waits until a read of the configuration is due.
+async fn wait_until_due<'s, P>(
+    gateway: &Gateway<P>,
+    schedule: impl Fn() -> MutexGuard<'s, ReadSchedule>,
+    pace: Pace,
+) {
+    loop {
+        let now = gateway.now();
+        let due = {
+            let mut schedule = schedule();
+            schedule.set_position(position(gateway));
+            schedule.due(pace)
         };
-        gateway.set_directory_reached(reader.is_reachable);
-        if stop.run_until_cancelled(tokio::time::sleep(delay)).await.is_none() {
+        if due <= now {
             return;
         }
+        tokio::time::sleep(due.since(now).min(MAX_SLEEP)).await;
     }
 }
 
-/// Scales an interval between reads with the number of instances. The instances read at different
-/// times and notify each other of leaving upstreams, so together they notice a change as soon as a
-/// few of them would.
-fn scale_by_instances<P>(gateway: &Gateway<P>, interval: Duration, max: Duration) -> Duration {
-    let instances = gateway.peers.instance_count().unwrap_or(1).max(1);
-    (interval * instances / INSTANCES_AT_BASE_RATE).clamp(interval, max.max(interval))
+/// Reads the changes from an offset on, or lists all records.
+async fn read_page<P: Port>(
+    gateway: &Gateway<P>,
+    resource: Resource,
+    from: Option<Offset>,
+    wait: Duration,
+) -> Result<Page> {
+    let (call, read) = match from {
+        Some(from) => ("tail", gateway.port.tail(resource, from, wait).await),
+        None => ("list", gateway.port.list(resource).await),
+    };
+    gateway.metrics.count_directory_read(call);
+    if read.is_err() {
+        gateway.metrics.count_directory_failure(call);
+    }
+    read
+}
+
+fn log_reachability(resource: Resource, read: &Result<Page>, is_reachable: &mut bool) {
+    match read {
+        Ok(_) if !*is_reachable => info!(subject:? = resource; "directory is reached again"),
+        Err(e) if *is_reachable => {
+            warn!(subject:? = resource, error:% = e; "directory is out of reach");
+        }
+        _ => {}
+    }
+    *is_reachable = read.is_ok();
 }
 
-fn apply_page<P>(gateway: &Gateway<P>, page: &Page, is_list: bool, grace: Option<Duration>) {
+/// Applies a page that this instance read; returns what the peers need to apply it as well.
+fn apply_read<P>(
+    gateway: &Gateway<P>,
+    page: &Page,
+    is_list: bool,
+    started: Instant,
+) -> Option<Changes> {
     let now = gateway.now();
+    let mut upstreams = gateway.directory.upstreams();
+    let return_grace = gateway.settings.directory.return_grace;
+    if upstreams.schedule.is_failing() || upstreams.schedule.is_older_than(return_grace, now) {
+        upstreams.start_grace(gateway);
+    }
+    upstreams.schedule.record_read(started, now);
+    let before = upstreams.listing.next();
+    let effective = upstreams.listing.apply(page, is_list)?;
+    let grace = upstreams.grace(now);
     gateway.update(|state| {
-        let changes = match is_list {
+        let effects = match is_list {
             true => state.catalog.replace(&page.changes, now, grace),
             false => {
                 let page_changes = page.changes.iter();
                 page_changes.filter_map(|change| state.catalog.apply(change, now, grace)).collect()
             }
         };
-        for change in &changes {
-            match change {
-                CatalogChange::Joined(upstream) => {
-                    state.reset(upstream);
-                    info!(upstream:% = upstream; "upstream joined");
-                }
-                CatalogChange::Leaving(upstream) => {
-                    info!(upstream:% = upstream; "upstream is leaving");
-                    if let Some(registration) = state.catalog.get(upstream) {
-                        gateway.peers.send_leaving(registration, gateway.clock.wall());
-                    }
-                }
-                CatalogChange::Gone(upstream) => info!(upstream:% = upstream; "upstream is gone"),
-                CatalogChange::Changed(_) => {}
-            }
-        }
-        !changes.is_empty()
+        record_effects(gateway, state, &effects);
+        !effects.is_empty()
     });
+    // The peers read their first list themselves.
+    upstreams.remember(before?, &effective);
+    let (from, sent) = upstreams.recent_changes();
+    Some(Changes {
+        scope: Scope::Upstreams.into(),
+        from: from?.0,
+        next: page.next.0,
+        grace_ms: grace.map_or(0, |grace| u32::try_from(grace.as_millis()).unwrap_or(u32::MAX)),
+        bytes: if sent.is_empty() { Bytes::new() } else { encode(&sent)? },
+    })
 }
--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -1,10 +1,17 @@
 //! Monitors the chains of the streams in progress and moves streams off chains that are stalled.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use futures_util::future::join_all;
 use goldcrestvale_base::{engine::Layers, id::Upstream, time::Instant};
-use goldcrestvale_route::pipeline::{Chain, Engine, Failover, STALL_TIMEOUT, paced_count};
+use goldcrestvale_route::pipeline::{
+    Chain, Engine, Failover, STALL_TIMEOUT, paced_count, probe_share,
+};
 use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -19,7 +26,7 @@
 };
 
 /// Interval between checks of the chains: a fraction of the time after which one counts as stalled.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long an engine counts as silent: longer than streams stall on it, and longer than its record
 /// exists after its failure.
@@ -75,7 +82,7 @@
     let Some(engine) = view.engine(&upstream) else { return };
     match gateway.port.report(engine.address).await {
         Ok(report) => {
-            gateway.update(|state| state.catalog.set_layers(&upstream, report.layers));
+            gateway.set_layers(&upstream, report.layers);
             gateway.clear_silent(&upstream);
         }
         Err(e) => {
@@ -109,17 +116,29 @@
         let (gateway, engine) = (gateway.clone(), engine.clone());
         tokio::spawn(async move {
             if let Some(report) = read_report(&gateway, &engine).await {
-                gateway.update(|state| state.catalog.set_layers(&engine.upstream, report.layers));
+                gateway.set_layers(&engine.upstream, report.layers);
             }
         });
     }
 }
 
-/// Queries the first engine of a stalled chain for the engines that its streams wait for. Reports
-/// lag, so the next check repeats the query if the report names none.
+/// Looks for the engine that the streams of a stalled chain wait for.
+///
+/// The report of the first engine names it, but lags behind: a dead engine is found sooner by
+/// queries of the engines of the chain, unless one of them is known to be lost already. All instances
+/// with streams on the chain notice the stall, so each one queries a share of the engines.
 async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
     let view = gateway.view.load_full();
     let Some(engine) = view.engine(head).filter(|_| !gateway.is_lost(head)) else { return };
+    let others = engines_behind(gateway, &view, head);
+    let is_known = others.iter().any(|engine| gateway.is_lost(&engine.upstream));
+    if !is_known && gateway.registry.try_probe_chain(head, gateway.now()) {
+        let share = probe_share(gateway.peers.instance_count().unwrap_or(1));
+        for engine in others.into_iter().filter(|_| gateway.random_unit() < share) {
+            let (gateway, engine) = (gateway.clone(), engine.clone());
+            tokio::spawn(async move { read_report(&gateway, &engine).await });
+        }
+    }
     match gateway.port.report(engine.address).await {
         Ok(report) => {
             let stalled_on = stalled_on(gateway, &report);
@@ -137,6 +156,15 @@
     }
 }
 
+/// Returns the engines behind the first one in the chains that streams in progress pass through.
+fn engines_behind<'v, P>(gateway: &Gateway<P>, view: &'v View, head: &Upstream) -> Vec<&'v Engine> {
+    let streams = gateway.registry.find(|stream| stream.chain.head().upstream == *head);
+    let stages = streams.iter().flat_map(|(_, stream)| &stream.chain.stages);
+    let names: BTreeSet<&Upstream> =
+        stages.map(|stage| &stage.upstream).filter(|upstream| *upstream != head).collect();
+    names.into_iter().filter_map(|upstream| view.engine(upstream)).collect()
+}
+
 /// Returns the engines that streams of this instance wait for, with the layers of their stages
 /// there.
 fn stalled_on<P>(gateway: &Gateway<P>, report: &Report) -> HashMap<Upstream, Vec<Layers>> {
@@ -167,7 +195,7 @@
     let Some(report) = read_report(gateway, engine).await else { return };
     if !report.busy && holds(report.layers) {
         gateway.report_fault(upstream, FaultKind::Silent, SILENT_DURATION, "a chain waits for it");
-    } else if gateway.update(|state| state.catalog.set_layers(upstream, report.layers)) {
+    } else if gateway.set_layers(upstream, report.layers) {
         info!(upstream:% = upstream, busy = report.busy; "a chain waits for layers that were released");
     }
 }
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -6,6 +6,8 @@
 mod body;
 mod catalog;
 mod config_request;
+mod directory_news;
+mod directory_state;
 mod directory_sync;
 mod error_response;
 mod event;
@@ -13,6 +15,7 @@
 mod forward;
 mod gateway;
 mod instance;
+mod listing;
 mod metrics;
 mod peers;
 mod placement;
@@ -32,6 +35,7 @@
 pub use config_request::ConfigRequestLimiter;
 pub use event::Splitter;
 pub use instance::{Error, Instance, Result};
+pub use listing::Listing;
 
 /// Re-exports the types that most users of this package need.
 pub mod prelude {
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub max_connections: usize,
     /// Retry budget.
     pub retry: Retry,
+    /// Whether all instances start for the first time, so that none has sent retries before.
+    pub first_start: bool,
     /// Timing of a graceful stop.
     pub stop: Stop,
     /// Timing of directory reads.
@@ -82,11 +84,6 @@
     pub upstream_interval: Duration,
     /// Interval between reads of the upstreams while a chain is incomplete.
     pub degraded_interval: Duration,
-    /// Maximum interval between reads of the upstreams, with many instances.
-    pub max_upstream_interval: Duration,
-    /// Maximum wait of a read of the configuration, with many instances, which offer each other new
-    /// versions.
-    pub max_configuration_wait: Duration,
     /// How long upstreams whose records vanished while the directory was unreachable may take to
     /// register again.
     pub return_grace: Duration,
@@ -131,13 +128,12 @@
             metrics: loopback,
             max_connections: 2_000,
             retry: Retry::default(),
+            first_start: false,
             stop: Stop {
                 notice: Duration::from_millis(2_500),
                 timeout: Duration::from_millis(4_800),
             },
             directory: Directory {
-                max_upstream_interval: Duration::from_millis(1_800),
-                max_configuration_wait: Duration::from_millis(4_000),
                 configuration_wait: Duration::from_millis(1_500),
                 upstream_interval: Duration::from_millis(900),
                 degraded_interval: Duration::from_millis(300),
--- a/crates/goldcrestvale_member/tests/cluster/mod.rs
+++ b/crates/goldcrestvale_member/tests/cluster/mod.rs
@@ -24,8 +24,8 @@
     rng: ChaCha8Rng,
 }
 
-/// Observes the messages that nodes send.
-pub type Observer = Box<dyn FnMut(usize, &Message)>;
+/// Observes the messages that nodes send, with the sender and the receiver.
+pub type Observer = Box<dyn FnMut(usize, usize, &Message)>;
 
 enum Delivery {
     /// The next tick of an incarnation.
@@ -86,13 +86,27 @@
 impl Cluster {
     /// Starts one node for each entry of `domains`; they find each other by the platform's list.
     pub fn start(seed: u64, domains: &[&str], configure: fn(Settings) -> Settings) -> Self {
+        let mut cluster = Self::start_unlisted(seed, domains, configure);
+        let listed: Vec<usize> = (0..domains.len()).collect();
+        for index in 0..domains.len() {
+            cluster.list(index, &listed);
+        }
+        cluster
+    }
+
+    /// Starts one node for each entry of `domains`; they find each other by the configured seeds.
+    pub fn start_unlisted(
+        seed: u64,
+        domains: &[&str],
+        configure: fn(Settings) -> Settings,
+    ) -> Self {
         let mut cluster = Self {
             now: Instant(1_000_000),
             nodes: Vec::new(),
             notices: Vec::new(),
             partitions: BTreeSet::new(),
             loss: 0.0,
-            on_send: Box::new(|_, _| {}),
+            on_send: Box::new(|_, _, _| {}),
             domains: domains.iter().map(|&domain| domain.to_owned()).collect(),
             configure,
             links: BTreeMap::new(),
@@ -104,10 +118,6 @@
             cluster.nodes.push(None);
             cluster.boot(index);
         }
-        let listed: Vec<usize> = (0..domains.len()).collect();
-        for index in 0..domains.len() {
-            cluster.list(index, &listed);
-        }
         cluster
     }
 
@@ -115,7 +125,7 @@
         format!("entry-{index:03}").parse().unwrap()
     }
 
-    fn address(index: usize) -> SocketAddr {
+    pub fn address(index: usize) -> SocketAddr {
         SocketAddr::from(([10, 0, 0, 1], u16::try_from(index + 1).unwrap()))
     }
 
@@ -247,8 +257,8 @@
                 self.close_link(node, other);
             }
             Action::Send { to, message } => {
-                (self.on_send)(node, &message);
                 let to = self.index_of(&to);
+                (self.on_send)(node, to, &message);
                 let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
                 if let Some(&link) = self.links.get(&pair(node, to)).filter(|_| !lost) {
                     self.schedule_delivery(to, Delivery::Message { from: node, link, message });
