Send leaving upstreams inside the failure domain on connecting

Cause: every new connection carried the whole set of leaving upstreams, and each instance repeated it to a random peer every 6 s. With hundreds of leaving engines and restarted instances that is about 10 KB for each of some 95 connections of an instance, mostly between failure domains. An instance without a configuration also requested it from peers of other domains at once.

Change: where all domains are linked, a peer of another domain that has live neighbours gets the set from them, and repetitions stay inside the domain.

--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -273,8 +273,6 @@
                 }
             }
             Notice::Config { instance, is_near, config } => {
-                // Without a configuration the instance serves nothing.
-                let is_near = is_near || !gateway.is_configured();
                 if !gateway.peers.try_request_config(config.version.0, is_near, gateway.now()) {
                     return;
                 }
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -184,7 +184,9 @@
         self.sharing.reset(&who.instance);
         let heartbeat = self.next_heartbeat();
         let identified = self.view.peers().filter_map(Peer::identity).count();
-        self.send_leaving(&who.instance, actions);
+        if !self.learns_from_neighbours(who) {
+            self.send_leaving(&who.instance, actions);
+        }
         send(actions, &who.instance, heartbeat);
         // Later messages report only changes.
         if let Some(totals) =
@@ -240,6 +242,19 @@
         }
     }
 
+    /// Returns whether a peer of another failure domain learns the leaving upstreams from its own
+    /// domain. Where all domains are linked, every instance would otherwise send it the same set.
+    fn learns_from_neighbours(&self, who: &Identity) -> bool {
+        let is_neighbour = |peer: &Peer| {
+            peer.state == State::Live
+                && peer.seed.domain == who.domain
+                && peer.seed.instance != who.instance
+        };
+        self.settings.reports_to_all_domains
+            && who.domain != self.settings.own.domain
+            && self.view.peers().any(is_neighbour)
+    }
+
     fn incarnation(&self, instance: &Instance) -> Option<Incarnation> {
         self.view.peer(instance)?.incarnation
     }
--- a/crates/goldcrestvale_member/src/member/periodic.rs
+++ b/crates/goldcrestvale_member/src/member/periodic.rs
@@ -111,7 +111,7 @@
 
     /// Returns whether this instance reports its work in flight to a failure domain.
     pub(super) fn reports_work_to(&self, domain: &Domain) -> bool {
-        self.settings.reports_to_all_domains || self.settings.own.domain == *domain
+        self.settings.reports_to_all_domains || self.is_near(domain)
     }
 
     fn send_gossip(&self, now: Instant, rng: &mut impl Rng, actions: &mut Actions) {
@@ -126,11 +126,22 @@
     fn resync(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Actions) {
         self.leaving.sweep(now);
         self.sharing.sweep(now);
-        if let Some(to) = self.random_peer(rng) {
+        let neighbours = self.view.linked().filter(|peer| self.is_near(&peer.seed.domain));
+        let neighbour = neighbours.choose(rng).map(|peer| peer.seed.instance.clone());
+        // Where all domains are linked, each one makes up for its own losses.
+        let to = match neighbour {
+            Some(neighbour) if self.settings.reports_to_all_domains => Some(neighbour),
+            _ => self.random_peer(rng),
+        };
+        if let Some(to) = to {
             self.send_leaving(&to, actions);
         }
     }
 
+    fn is_near(&self, domain: &Domain) -> bool {
+        self.settings.own.domain == *domain
+    }
+
     fn random_peer(&self, rng: &mut impl Rng) -> Option<Instance> {
         self.view.linked().choose(rng).map(|peer| peer.seed.instance.clone())
     }
--- a/crates/goldcrestvale_member/tests/member_spread.rs
+++ b/crates/goldcrestvale_member/tests/member_spread.rs
@@ -105,3 +105,32 @@
     let crossings = sent.borrow().iter().filter(|(from, to)| from % 5 != to % 5).count();
     assert!(crossings < INSTANCES, "{crossings} messages between domains");
 }
+
+#[test]
+fn restarted_instance_learns_leaving_upstreams_from_its_domain() {
+    use std::{cell::RefCell, rc::Rc};
+
+    let mut cluster = start(6);
+    cluster.run(10 * SECOND);
+    for number in 0..100 {
+        let mark = cluster::mark(&format!("e-{number}"), Some("1"), Source::List, cluster.now);
+        cluster.feed(0, Event::Leaving(mark));
+    }
+    cluster.run(SECOND);
+    let crossed: Rc<RefCell<usize>> = Rc::default();
+    let record = crossed.clone();
+    cluster.on_send = Box::new(move |from, to, message| {
+        if let Message::Leaving(marks) = message
+            && from % 5 != to % 5
+        {
+            *record.borrow_mut() += marks.len();
+        }
+    });
+    cluster.kill(50);
+    cluster.run(SECOND);
+    cluster.boot(50);
+    cluster.run(2 * SECOND);
+    assert!((0..100).all(|number| cluster.is_leaving(50, &format!("e-{number}"))));
+    // It may send the set itself to those that it knows no neighbours of yet.
+    assert!(*crossed.borrow() <= 48 * 100, "{} marks between domains", crossed.borrow());
+}
