Do not repeat reads of the directory with many changes

Cause: a message to the peers repeats the changes of the last four reads.

Result: many_changes_are_sent_once.

--- a/crates/goldcrestvale_gateway/src/directory_news.rs
+++ b/crates/goldcrestvale_gateway/src/directory_news.rs
@@ -36,13 +36,6 @@
             Change::Configuration(_) => None,
         }
     }
-
-    pub(crate) fn key(&self) -> &str {
-        match self {
-            Self::Registered(registration) => registration.upstream.as_str(),
-            Self::Gone(key) => key,
-        }
-    }
 }
 
 /// Sends the layers of an upstream, which are newer than its record in the directory, to the peers
@@ -117,7 +110,7 @@
         next: Offset(changes.next),
     };
     let Some(applied) = upstreams.listing.apply(&page, false) else { return };
-    upstreams.remember(own, &applied);
+    upstreams.recent.insert(own, applied.clone());
     let grace = Duration::from_millis(changes.grace_ms.into());
     let grace = upstreams.grace(now).max((!grace.is_zero()).then_some(grace));
     let listing = &upstreams.listing;
--- a/crates/goldcrestvale_gateway/src/directory_state.rs
+++ b/crates/goldcrestvale_gateway/src/directory_state.rs
@@ -1,21 +1,15 @@
 //! What is known of the directory, and when this instance reads it.
 
 use std::{
-    collections::VecDeque,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use goldcrestvale_base::{id::Offset, time::Instant};
+use goldcrestvale_base::time::Instant;
 use goldcrestvale_member::read_schedule::{Pace, Position, ReadSchedule};
-use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use crate::{directory_news::SentChange, gateway::Gateway, listing::Listing, port::Change};
-
-/// Number of reads whose changes a message to the peers contains, so that the next message makes up
-/// for a lost one.
-const SENT_READS: usize = 4;
+use crate::{gateway::Gateway, listing::Listing, recent_reads::RecentReads};
 
 /// What is known of the directory, and when this instance reads it.
 #[derive(Debug, Default)]
@@ -31,8 +25,7 @@
 pub(crate) struct Upstreams {
     pub(crate) schedule: ReadSchedule,
     pub(crate) listing: Listing,
-    /// Changes of the last reads, with the offset from which each was read.
-    recent: VecDeque<(Offset, Vec<SentChange>)>,
+    pub(crate) recent: RecentReads,
     /// Until when records that vanished may return.
     grace_until: Option<Instant>,
 }
@@ -63,25 +56,6 @@
         self.schedule.due(pace)
     }
 
-    /// Remembers the changes of a read that began at an offset.
-    pub(crate) fn remember(&mut self, from: Offset, changes: &[Change]) {
-        let sent = changes.iter().cloned().filter_map(SentChange::new).collect();
-        self.recent.push_back((from, sent));
-        if self.recent.len() > SENT_READS {
-            self.recent.pop_front();
-        }
-    }
-
-    /// Returns the last change of each key in the last reads, and the offset of the first of them.
-    pub(crate) fn recent_changes(&self) -> (Option<Offset>, Vec<SentChange>) {
-        let mut newest: IndexMap<&str, &SentChange> = IndexMap::new();
-        for change in self.recent.iter().flat_map(|(_, changes)| changes) {
-            newest.insert(change.key(), change);
-        }
-        let from = self.recent.front().map(|(from, _)| *from);
-        (from, newest.into_values().cloned().collect())
-    }
-
     /// Starts the time in which records that vanished may return: upstreams whose records expired
     /// while the directory was unreachable register again.
     pub(crate) fn start_grace<P>(&mut self, gateway: &Gateway<P>) {
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    directory_news::{encode, record_effects},
+    directory_news::{SentChange, encode, record_effects},
     directory_state::{position, upstream_pace},
     gateway::Gateway,
     port::{Change, Error, Page, Port, Resource, Result},
@@ -208,8 +208,9 @@
         !effects.is_empty()
     });
     // The peers read their first list themselves.
-    upstreams.remember(before?, &effective);
-    let (from, sent) = upstreams.recent_changes();
+    upstreams.recent.insert(before?, effective);
+    let (from, changes) = upstreams.recent.changes();
+    let sent: Vec<SentChange> = changes.into_iter().filter_map(SentChange::new).collect();
     Some(Changes {
         scope: Scope::Upstreams.into(),
         from: from?.0,
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod plain;
 pub mod port;
+mod recent_reads;
 mod registry;
 mod rejection;
 mod retry_budget;
@@ -36,6 +37,7 @@
 pub use event::Splitter;
 pub use instance::{Error, Instance, Result};
 pub use listing::Listing;
+pub use recent_reads::RecentReads;
 
 /// Re-exports the types that most users of this package need.
 pub mod prelude {
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -178,6 +178,17 @@
     },
 }
 
+impl Change {
+    /// Returns the key of the upstream's record, if the change is one of an upstream.
+    pub fn upstream_key(&self) -> Option<&str> {
+        match self {
+            Self::Registered(registration) => Some(registration.upstream.as_str()),
+            Self::Gone(key) | Self::Unreadable { key, .. } => Some(key),
+            Self::Configuration(_) => None,
+        }
+    }
+}
+
 /// A page of changes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Page {
--- a/crates/goldcrestvale_gateway/tests/directory_listing.rs
+++ b/crates/goldcrestvale_gateway/tests/directory_listing.rs
@@ -3,7 +3,7 @@
 
 use goldcrestvale_base::{engine::Layers, id::Offset};
 use goldcrestvale_gateway::{
-    Listing,
+    Listing, RecentReads,
     port::{Change, Holding, Page, Registration},
 };
 use proptest::prelude::*;
@@ -65,6 +65,34 @@
     assert_eq!(listing.get("e-1").unwrap().revision, 2);
 }
 
+fn gone(names: std::ops::Range<u32>) -> Vec<Change> {
+    names.map(|name| Change::Gone(format!("e-{name}"))).collect()
+}
+
+#[test]
+fn recent_reads_are_repeated() {
+    let mut recent = RecentReads::default();
+    for read in 0..6 {
+        recent.insert(Offset(read * 10), vec![Change::Registered(registration("e-1", read, 4))]);
+    }
+    let (from, changes) = recent.changes();
+    assert_eq!(from, Some(Offset(20)));
+    assert_eq!(changes, [Change::Registered(registration("e-1", 5, 4))]);
+}
+
+#[test]
+fn many_changes_are_sent_once() {
+    // All engines of a large deployment load their layers, over several reads.
+    let mut recent = RecentReads::default();
+    recent.insert(Offset(0), gone(0..1_000));
+    recent.insert(Offset(10), gone(1_000..2_000));
+    let (from, changes) = recent.changes();
+    assert_eq!((from, changes.len()), (Some(Offset(10)), 1_000));
+    recent.insert(Offset(20), gone(0..1));
+    let (from, changes) = recent.changes();
+    assert_eq!((from, changes.len()), (Some(Offset(20)), 1));
+}
+
 proptest! {
     // An instance that receives the changes of a reader ends with the same records, also if it
     // receives some of them twice or from readers that read different ranges.
