--- a/crates/goldcrestvale_gateway/src/directory_news.rs
+++ b/crates/goldcrestvale_gateway/src/directory_changes.rs
@@ -63,7 +63,7 @@
     let now = gateway.now();
     let precedes = *from < gateway.settings.name;
     match changes.scope() {
-        Scope::Configuration => gateway.directory.configuration().record_news(now, precedes),
+        Scope::Configuration => gateway.directory.configuration().record_update(now, precedes),
         Scope::Amendments => {
             let Some(sent) = decode(from, &changes.bytes) else { return };
             let registrations: Vec<Registration> = sent
@@ -98,7 +98,7 @@
         gateway.directory.upstreams_wakeup.notify_one();
         return;
     }
-    upstreams.schedule.record_news(now, precedes);
+    upstreams.schedule.record_update(now, precedes);
     let page = Page {
         changes: sent
             .into_iter()
--- a/crates/goldcrestvale_gateway/src/directory_state.rs
+++ b/crates/goldcrestvale_gateway/src/directory_state.rs
@@ -83,5 +83,5 @@
     let times = gateway.settings.directory;
     let interval =
         if gateway.is_degraded() { times.degraded_interval } else { times.upstream_interval };
-    Pace { interval, news_interval: times.upstream_interval }
+    Pace { interval, update_interval: times.upstream_interval }
 }
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    directory_news::{SentChange, encode, record_effects},
+    directory_changes::{SentChange, encode, record_effects},
     directory_state::{position, upstream_pace},
     gateway::Gateway,
     port::{Change, Error, Page, Port, Resource, Result},
@@ -26,7 +26,7 @@
 /// Follows the configuration until the token is cancelled.
 pub(crate) async fn sync_configuration<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let wait = gateway.settings.directory.configuration_wait;
-    let pace = Pace { interval: Duration::ZERO, news_interval: wait };
+    let pace = Pace { interval: Duration::ZERO, update_interval: wait };
     let mut next = None;
     let mut is_reachable = true;
     let mut is_unreadable = false;
@@ -74,8 +74,8 @@
             continue;
         }
         gateway.directory.configuration().record_read(started, gateway.now());
-        let news = Changes { scope: Scope::Configuration.into(), ..Changes::default() };
-        gateway.peers.send_changes(news).await;
+        let update = Changes { scope: Scope::Configuration.into(), ..Changes::default() };
+        gateway.peers.send_changes(update).await;
     }
 }
 
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -6,7 +6,7 @@
 mod body;
 mod catalog;
 mod config_request;
-mod directory_news;
+mod directory_changes;
 mod directory_state;
 mod directory_sync;
 mod error_response;
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -42,7 +42,7 @@
 use crate::{
     catalog::CatalogChange,
     config_request::ConfigRequestLimiter,
-    directory_news::{handle_changes, send_amendments},
+    directory_changes::{handle_changes, send_amendments},
     failover::probe,
     gateway::Gateway,
     port::{Port, Registration},
--- a/crates/goldcrestvale_gateway/src/placement.rs
+++ b/crates/goldcrestvale_gateway/src/placement.rs
@@ -16,7 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    directory_news::send_amendment,
+    directory_changes::send_amendment,
     failover::{SILENT_DURATION, refresh},
     gateway::Gateway,
     port::{Lease, OrderOutcome, Port, Release},
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -305,7 +305,7 @@
         actions: &mut Actions,
     ) {
         let Some(mark) = self.leaving.mark(now, mark) else { return };
-        for to in self.news_targets(from) {
+        for to in self.forward_targets(from) {
             send(actions, to, Message::Leaving(vec![mark.clone()]));
         }
         actions.push(Action::Notify(Notice::Leaving(mark)));
@@ -323,7 +323,7 @@
         if !self.silences.record(now, silence) {
             return;
         }
-        for to in self.news_targets(from) {
+        for to in self.forward_targets(from) {
             send(actions, to, Message::Silent(vec![silence.clone()]));
         }
         if from.is_some() {
@@ -331,12 +331,12 @@
         }
     }
 
-    /// Returns the peers that news from a peer, or of this instance, are sent to.
+    /// Returns the peers that a report from a peer, or of this instance, is sent to.
     ///
     /// Where the instances of all domains are connected to each other, the first sender reaches every
-    /// domain. If each receiver forwarded the news to other domains as well, the bytes between
+    /// domain. If each receiver forwarded the report to other domains as well, the bytes between
     /// domains would grow with the square of the number of instances.
-    fn news_targets(&self, from: Option<&Instance>) -> impl Iterator<Item = &Instance> {
+    fn forward_targets(&self, from: Option<&Instance>) -> impl Iterator<Item = &Instance> {
         let only_near = from.is_some() && self.settings.reports_to_all_domains;
         let own = &self.settings.own.domain;
         let targets = self.view.linked().filter(move |peer| {
--- a/crates/goldcrestvale_member/src/read_schedule.rs
+++ b/crates/goldcrestvale_member/src/read_schedule.rs
@@ -10,7 +10,7 @@
 /// Number of instances of a failure domain that look for the end of an outage at the full rate.
 const FULL_RATE_RANKS: usize = 2;
 
-/// Multiple of the interval for which the second instance of a failure domain waits for news of the
+/// Multiple of the interval for which the second instance of a failure domain waits for an update of the
 /// first one.
 const FIRST_PATIENCE: f64 = 1.5;
 
@@ -34,8 +34,8 @@
     pub struct Pace {
         /// Time from the end of a read of the first instance to its next one.
         pub interval: Duration,
-        /// Time within which the other instances expect news of a read.
-        pub news_interval: Duration,
+        /// Time within which the other instances expect an update.
+        pub update_interval: Duration,
     }
 }
 
@@ -44,7 +44,7 @@
 /// If every instance of a large deployment polled the directory, calls would grow with the number
 /// of instances, and most during an outage, when all of them repeat failed calls. Instead the first
 /// live instance of each failure domain reads and sends what it read to the others. Each of the
-/// others reads itself only if it receives no news for a time that rises with its rank, so that an
+/// others reads itself only if it receives no update for a time that rises with its rank, so that an
 /// instance which is cut off, frozen or rejected by the directory is replaced without an election.
 ///
 /// # Examples
@@ -56,11 +56,11 @@
 /// use goldcrestvale_member::read_schedule::{Pace, Position, ReadSchedule};
 ///
 /// let second = Duration::from_secs(1);
-/// let pace = Pace { interval: second, news_interval: second };
+/// let pace = Pace { interval: second, update_interval: second };
 /// let mut schedule = ReadSchedule::default();
 /// schedule.set_position(Position { rank: 3, members: 24 });
 /// schedule.record_read(Instant(0), Instant(0));
-/// schedule.record_news(Instant(0) + second * 2, true);
+/// schedule.record_update(Instant(0) + second * 2, true);
 /// assert!(schedule.due(pace) > Instant(0) + second * 3);
 /// ```
 #[derive(Debug, Clone)]
@@ -68,15 +68,15 @@
     position: Position,
     /// End of the last read of this instance, successful or not.
     last_attempt: Option<Instant>,
-    /// Last time at which this instance read or received news.
-    last_news: Option<Instant>,
-    /// Last time at which a preceding instance sent news.
+    /// Last time at which this instance read or received an update.
+    last_update: Option<Instant>,
+    /// Last time at which a preceding instance sent an update.
     last_preceding: Option<Instant>,
-    /// Number of failed reads since the last success or news.
+    /// Number of failed reads since the last success or update.
     failures: u32,
     /// Whether this instance reads in place of the preceding ones.
     is_substitute: bool,
-    /// Time of the next read, if news are known to be missing.
+    /// Time of the next read, if updates are known to be missing.
     gap_read: Option<Instant>,
     /// Random number in `0..1` that spreads the retries of the instances.
     draw: f64,
@@ -87,7 +87,7 @@
         Self {
             position: Position { rank: 0, members: 1 },
             last_attempt: None,
-            last_news: None,
+            last_update: None,
             last_preceding: None,
             failures: 0,
             is_substitute: false,
@@ -105,12 +105,12 @@
 
     /// Records a successful read of this instance that began at `started`.
     ///
-    /// The instance then reads in place of the preceding ones, unless one of them sent news during
+    /// The instance then reads in place of the preceding ones, unless one of them sent an update during
     /// the read, which may take long.
     pub fn record_read(&mut self, started: Instant, now: Instant) {
         self.is_substitute = self.last_preceding.is_none_or(|at| at < started);
         self.last_attempt = Some(now);
-        self.last_news = Some(now);
+        self.last_update = Some(now);
         self.failures = 0;
         self.gap_read = None;
     }
@@ -124,10 +124,10 @@
         self.draw = draw;
     }
 
-    /// Records the news of a read of another instance of the failure domain; `precedes` states
+    /// Records an update after a read of another instance of the failure domain; `precedes` states
     /// whether its name precedes the own one.
-    pub fn record_news(&mut self, now: Instant, precedes: bool) {
-        self.last_news = Some(now);
+    pub fn record_update(&mut self, now: Instant, precedes: bool) {
+        self.last_update = Some(now);
         self.failures = 0;
         if precedes {
             self.last_preceding = Some(now);
@@ -135,13 +135,13 @@
         }
     }
 
-    /// Records that news are missing; `draw` is a random number in `0..1` that spreads the reads of
+    /// Records that updates are missing; `draw` is a random number in `0..1` that spreads the reads of
     /// the instances that miss them.
     pub fn record_gap(&mut self, now: Instant, pace: Pace, draw: f64) {
-        self.gap_read.get_or_insert(now + pace.news_interval.mul_f64(draw));
+        self.gap_read.get_or_insert(now + pace.update_interval.mul_f64(draw));
     }
 
-    /// Returns whether the last read of this instance failed and it received no news since.
+    /// Returns whether the last read of this instance failed and it received no update since.
     pub fn is_failing(&self) -> bool {
         self.failures > 0
     }
@@ -151,12 +151,12 @@
         self.position.rank == 0 || self.is_substitute
     }
 
-    /// Returns the time since the last news of the directory.
+    /// Returns the time since the last update of the directory.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.last_news.map(|at| now.since(at))
+        self.last_update.map(|at| now.since(at))
     }
 
-    /// Returns whether the last news of the directory are at least `age` old.
+    /// Returns whether the last update of the directory is at least `age` old.
     pub fn is_older_than(&self, age: Duration, now: Instant) -> bool {
         self.age(now).is_some_and(|own| own >= age)
     }
@@ -167,8 +167,8 @@
         if self.is_failing() {
             return last_attempt + self.retry_delay(pace);
         }
-        let regular = match self.last_news {
-            Some(news) if !self.is_reader() => news + self.patience(pace),
+        let regular = match self.last_update {
+            Some(update) if !self.is_reader() => update + self.patience(pace),
             _ => last_attempt + pace.interval,
         };
         self.gap_read.map_or(regular, |gap| gap.min(regular))
@@ -176,7 +176,7 @@
 
     fn patience(&self, pace: Pace) -> Duration {
         let rank = self.position.rank.clamp(1, MAX_PATIENCE_RANK) - 1;
-        pace.news_interval.mul_f64(FIRST_PATIENCE + PATIENCE_STEP * rank as f64)
+        pace.update_interval.mul_f64(FIRST_PATIENCE + PATIENCE_STEP * rank as f64)
     }
 
     /// Returns the delay after a failed read. It rises to the interval for the first instances. The
@@ -185,10 +185,10 @@
         let draw = self.draw.clamp(0.0, 1.0);
         if self.position.rank >= FULL_RATE_RANKS {
             let members = u32::try_from(self.position.members).unwrap_or(u32::MAX);
-            return (pace.news_interval * members / 2).mul_f64(0.5 + 0.5 * draw);
+            return (pace.update_interval * members / 2).mul_f64(0.5 + 0.5 * draw);
         }
         let doublings = self.failures.saturating_sub(1).min(16);
-        let max = pace.news_interval.max(MIN_RETRY_DELAY);
+        let max = pace.update_interval.max(MIN_RETRY_DELAY);
         (MIN_RETRY_DELAY * 2_u32.pow(doublings)).min(max).mul_f64(0.75 + 0.5 * draw)
     }
 }
--- a/crates/goldcrestvale_member/tests/member_spread.rs
+++ b/crates/goldcrestvale_member/tests/member_spread.rs
@@ -84,7 +84,7 @@
 }
 
 #[test]
-fn news_cross_domains_once() {
+fn reports_cross_domains_once() {
     use std::{cell::RefCell, rc::Rc};
 
     let mut cluster = start(4);
--- a/crates/goldcrestvale_member/tests/read_schedule.rs
+++ b/crates/goldcrestvale_member/tests/read_schedule.rs
@@ -1,5 +1,5 @@
 //! Reads of the directory by all instances of a failure domain, on virtual time: few calls at rest
-//! and in an outage, and news for every instance while one of them can read.
+//! and in an outage, and updates for every instance while one of them can read.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const PACE: Pace =
-    Pace { interval: Duration::from_millis(900), news_interval: Duration::from_millis(900) };
+    Pace { interval: Duration::from_millis(900), update_interval: Duration::from_millis(900) };
 const STEP: Duration = Duration::from_millis(10);
 
 /// The state of an instance and of its path to the directory.
@@ -23,7 +23,7 @@
 
 struct Domain {
     members: Vec<(ReadSchedule, Path)>,
-    /// Offset of the newest news of each member.
+    /// Time of the newest update of each member.
     known_at: Vec<Instant>,
     now: Instant,
     calls: u32,
@@ -77,13 +77,13 @@
             for &other in &live {
                 self.known_at[other] = self.now;
                 if other != index {
-                    self.members[other].0.record_news(self.now, index < other);
+                    self.members[other].0.record_update(self.now, index < other);
                 }
             }
         }
     }
 
-    /// Returns the age of the oldest news that a live member has.
+    /// Returns the age of the oldest update that a live member has.
     fn max_age(&self) -> Duration {
         let live = (0..self.members.len()).filter(|&i| self.members[i].1 != Path::Down);
         live.map(|index| self.now.since(self.known_at[index])).max().unwrap_or_default()
@@ -145,7 +145,7 @@
     let millis = |millis| Instant(0) + Duration::from_millis(millis);
     let mut schedule = ReadSchedule::default();
     schedule.set_position(Position { rank: 3, members: 8 });
-    schedule.record_news(millis(1_000), true);
+    schedule.record_update(millis(1_000), true);
     schedule.record_read(millis(500), millis(2_000));
     assert!(schedule.due(PACE) > millis(2_000) + PACE.interval);
     schedule.record_read(millis(5_000), millis(6_500));
@@ -153,10 +153,10 @@
 }
 
 proptest! {
-    // While at least one live instance can read, no news are older than the longest wait of an
+    // While at least one live instance can read, no update is older than the longest wait of an
     // instance and its retry delay.
     #[test]
-    fn news_arrive_while_a_path_exists(
+    fn updates_arrive_while_a_path_exists(
         members in 1_usize..30,
         events in prop::collection::vec((0_usize..30, 0_u8..3, 100_u64..3_000), 1..40),
     ) {
--- a/crates/goldcrestvale_wire/src/message/changes.rs
+++ b/crates/goldcrestvale_wire/src/message/changes.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-/// Changes of the platform's directory, or the news that it was read and nothing changed.
+/// Changes of the platform's directory, or the notice that it was read and nothing changed.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Changes {
     /// What the message describes.
