--- a/crates/goldcrestvale_entry/src/plans.rs
+++ b/crates/goldcrestvale_entry/src/plans.rs
@@ -173,8 +173,8 @@
 }
 
 /// Returns the round-trip time that an upstream's link is planned with, given the median of its
-/// domain. The upstream's own time counts only if it is an outlier over a full window: a few samples
-/// under local load all exceed the time of the link.
+/// domain. The upstream's own time counts only if it is an outlier over a full window: a few
+/// samples under local load all exceed the time of the link.
 pub fn link_cost(samples: &RoundTrips, median: Duration) -> Duration {
     let lowest = samples.lowest().filter(|_| samples.is_full());
     lowest.filter(|lowest| *lowest > median * LINK_OUTLIER_FACTOR).unwrap_or(median)
@@ -189,8 +189,8 @@
     links.into_iter().map(|(domain, links)| (domain.clone(), domain_link(&links))).collect()
 }
 
-/// Returns the round-trip time to a domain from the samples of its upstreams: the median of the full
-/// windows, or before there are any, the lowest sample.
+/// Returns the round-trip time to a domain from the samples of its upstreams: the median of the
+/// full windows, or before there are any, the lowest sample.
 pub fn domain_link(links: &[&RoundTrips]) -> Duration {
     let full = links.iter().filter(|samples| samples.is_full());
     let mut lowest: Vec<Duration> = full.filter_map(|samples| samples.lowest()).collect();
--- a/crates/goldcrestvale_gateway/src/directory_state.rs
+++ b/crates/goldcrestvale_gateway/src/directory_state.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Returns the place of this instance in its failure domain. Until a peer is known, another instance
-/// is assumed to precede this one.
+/// Returns the place of this instance in its failure domain. Until a peer is known, another
+/// instance is assumed to precede this one.
 pub(crate) fn position<P>(gateway: &Gateway<P>) -> Position {
     let snapshot = gateway.peers.snapshot();
     match (&gateway.settings.peer, snapshot.position) {
--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -125,8 +125,9 @@
 /// Looks for the engine that the streams of a stalled chain wait for.
 ///
 /// The report of the first engine names it, but lags behind: a dead engine is found sooner by
-/// queries of the engines of the chain, unless one of them is known to be lost already. All instances
-/// with streams on the chain notice the stall, so each one queries a share of the engines.
+/// queries of the engines of the chain, unless one of them is known to be lost already. All
+/// instances with streams on the chain notice the stall, so each one queries a share of the
+/// engines.
 async fn diagnose<P: Port>(gateway: &Arc<Gateway<P>>, head: &Upstream) {
     let view = gateway.view.load_full();
     let Some(engine) = view.engine(head).filter(|_| !gateway.is_lost(head)) else { return };
--- a/crates/goldcrestvale_gateway/src/listing.rs
+++ b/crates/goldcrestvale_gateway/src/listing.rs
@@ -8,9 +8,9 @@
 
 /// The newest record of each key of the directory, up to an offset.
 ///
-/// Instances that read the directory up to the same offset hold the same records, so one of them can
-/// send the others what changed since an earlier offset. Heartbeats, which change only the revision
-/// of a record, are no changes.
+/// Instances that read the directory up to the same offset hold the same records, so one of them
+/// can send the others what changed since an earlier offset. Heartbeats, which change only the
+/// revision of a record, are no changes.
 ///
 /// # Examples
 ///
--- a/crates/goldcrestvale_gateway/src/recent_reads.rs
+++ b/crates/goldcrestvale_gateway/src/recent_reads.rs
@@ -14,8 +14,8 @@
 /// their layers at once, repeating them would fill the links of the reader.
 const MAX_REPEATED: usize = 64;
 
-/// The changes of the last reads of the directory, which a message to the peers repeats, so that the
-/// next message makes up for a lost one.
+/// The changes of the last reads of the directory, which a message to the peers repeats, so that
+/// the next message makes up for a lost one.
 ///
 /// # Examples
 ///
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -30,8 +30,8 @@
 /// Maximum number of instances in one message that introduces them.
 const MAX_INTRODUCED: usize = 64;
 
-/// Number of members of its own failure domain that an instance of another one is introduced to. One
-/// of them is enough to reach all others.
+/// Number of members of its own failure domain that an instance of another one is introduced to.
+/// One of them is enough to reach all others.
 const FAR_INTRODUCTIONS: usize = 3;
 
 /// The actions that result from one event, in order.
@@ -333,9 +333,9 @@
 
     /// Returns the peers that a report from a peer, or of this instance, is sent to.
     ///
-    /// Where the instances of all domains are connected to each other, the first sender reaches every
-    /// domain. If each receiver forwarded the report to other domains as well, the bytes between
-    /// domains would grow with the square of the number of instances.
+    /// Where the instances of all domains are connected to each other, the first sender reaches
+    /// every domain. If each receiver forwarded the report to other domains as well, the bytes
+    /// between domains would grow with the square of the number of instances.
     fn forward_targets(&self, from: Option<&Instance>) -> impl Iterator<Item = &Instance> {
         let only_near = from.is_some() && self.settings.reports_to_all_domains;
         let own = &self.settings.own.domain;
--- a/crates/goldcrestvale_member/src/read_schedule.rs
+++ b/crates/goldcrestvale_member/src/read_schedule.rs
@@ -10,8 +10,8 @@
 /// Number of instances of a failure domain that look for the end of an outage at the full rate.
 const FULL_RATE_RANKS: usize = 2;
 
-/// Multiple of the interval for which the second instance of a failure domain waits for an update of the
-/// first one.
+/// Multiple of the interval for which the second instance of a failure domain waits for an update
+/// of the first one.
 const FIRST_PATIENCE: f64 = 1.5;
 
 /// Multiple of the interval by which the wait of each further instance is longer.
@@ -44,8 +44,9 @@
 /// If every instance of a large deployment polled the directory, calls would grow with the number
 /// of instances, and most during an outage, when all of them repeat failed calls. Instead the first
 /// live instance of each failure domain reads and sends what it read to the others. Each of the
-/// others reads itself only if it receives no update for a time that rises with its rank, so that an
-/// instance which is cut off, frozen or rejected by the directory is replaced without an election.
+/// others reads itself only if it receives no update for a time that rises with its rank, so that
+/// an instance which is cut off, frozen or rejected by the directory is replaced without an
+/// election.
 ///
 /// # Examples
 ///
@@ -105,8 +106,8 @@
 
     /// Records a successful read of this instance that began at `started`.
     ///
-    /// The instance then reads in place of the preceding ones, unless one of them sent an update during
-    /// the read, which may take long.
+    /// The instance then reads in place of the preceding ones, unless one of them sent an update
+    /// during the read, which may take long.
     pub fn record_read(&mut self, started: Instant, now: Instant) {
         self.is_substitute = self.last_preceding.is_none_or(|at| at < started);
         self.last_attempt = Some(now);
@@ -135,8 +136,8 @@
         }
     }
 
-    /// Records that updates are missing; `draw` is a random number in `0..1` that spreads the reads of
-    /// the instances that miss them.
+    /// Records that updates are missing; `draw` is a random number in `0..1` that spreads the reads
+    /// of the instances that miss them.
     pub fn record_gap(&mut self, now: Instant, pace: Pace, draw: f64) {
         self.gap_read.get_or_insert(now + pace.update_interval.mul_f64(draw));
     }
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -202,8 +202,8 @@
         }
     }
 
-    /// Requests the platform's list from the instance that places layers, which knows the most while
-    /// the platform is unreachable, or from random peers.
+    /// Requests the platform's list from the instance that places layers, which knows the most
+    /// while the platform is unreachable, or from random peers.
     fn request_list(&mut self) {
         let leads = |link: &&Link| {
             let peer = self.member.view().peer(&link.peer.instance);
--- a/crates/goldcrestvale_peer/src/handle.rs
+++ b/crates/goldcrestvale_peer/src/handle.rs
@@ -140,8 +140,8 @@
         self.command(Command::RequestConfig { to, version }).await
     }
 
-    /// Requests the platform's list from the connected peer that places layers, or from a few random
-    /// ones.
+    /// Requests the platform's list from the connected peer that places layers, or from a few
+    /// random ones.
     ///
     /// # Errors
     ///
--- a/crates/goldcrestvale_route/src/pipeline/activity.rs
+++ b/crates/goldcrestvale_route/src/pipeline/activity.rs
@@ -25,8 +25,8 @@
 
 /// Returns the share of the engines of a stalled chain that an instance probes.
 ///
-/// If each of hundreds of instances probed every engine of every stalled chain, probes would grow with
-/// the square of the deployment. Some of them suffice, since a finding is sent to all.
+/// If each of hundreds of instances probed every engine of every stalled chain, probes would grow
+/// with the square of the deployment. Some of them suffice, since a finding is sent to all.
 ///
 /// # Examples
 ///
@@ -44,8 +44,8 @@
 ///
 /// A chain with a few streams pauses for one pass over its engines; how long that takes depends on
 /// the cards and the load. A chain counts as stalled after a multiple of the longest pause that it
-/// lately made, since callers count a stream as late whose pause is a few passes long. A false alarm
-/// costs one query to each engine of the chain.
+/// lately made, since callers count a stream as late whose pause is a few passes long. A false
+/// alarm costs one query to each engine of the chain.
 ///
 /// # Examples
 ///
--- a/crates/goldcrestvale_route/src/retry/share.rs
+++ b/crates/goldcrestvale_route/src/retry/share.rs
@@ -22,10 +22,10 @@
 ///
 /// The instances do not agree on their number: on both sides of a partition, and while instances
 /// restart, each one sees fewer instances than send retries. An instance therefore divides by the
-/// highest number that it saw within several spans. One that has just started has no share until the
-/// retries of its previous incarnation, and those of others that divided by a lower number, no longer
-/// count. The sum exceeds the total only if instances start on their own side of a partition that
-/// lasts longer than a span.
+/// highest number that it saw within several spans. One that has just started has no share until
+/// the retries of its previous incarnation, and those of others that divided by a lower number, no
+/// longer count. The sum exceeds the total only if instances start on their own side of a partition
+/// that lasts longer than a span.
 ///
 /// # Examples
 ///
