--- a/crates/goldcrestvale_gateway/src/directory_news.rs
+++ b/crates/goldcrestvale_gateway/src/directory_changes.rs
@@ -36,13 +36,6 @@
             Change::Configuration(_) => None,
         }
     }
-
-    pub(crate) fn key(&self) -> &str {
-        match self {
-            Self::Registered(registration) => registration.upstream.as_str(),
-            Self::Gone(key) => key,
-        }
-    }
 }
 
 /// Sends the layers of an upstream, which are newer than its record in the directory, to the peers
@@ -70,7 +63,7 @@
     let now = gateway.now();
     let precedes = *from < gateway.settings.name;
     match changes.scope() {
-        Scope::Configuration => gateway.directory.configuration().record_news(now, precedes),
+        Scope::Configuration => gateway.directory.configuration().record_update(now, precedes),
         Scope::Amendments => {
             let Some(sent) = decode(from, &changes.bytes) else { return };
             let registrations: Vec<Registration> = sent
@@ -105,7 +98,7 @@
         gateway.directory.upstreams_wakeup.notify_one();
         return;
     }
-    upstreams.schedule.record_news(now, precedes);
+    upstreams.schedule.record_update(now, precedes);
     let page = Page {
         changes: sent
             .into_iter()
@@ -117,7 +110,7 @@
         next: Offset(changes.next),
     };
     let Some(applied) = upstreams.listing.apply(&page, false) else { return };
-    upstreams.remember(own, &applied);
+    upstreams.recent.insert(own, applied.clone());
     let grace = Duration::from_millis(changes.grace_ms.into());
     let grace = upstreams.grace(now).max((!grace.is_zero()).then_some(grace));
     let listing = &upstreams.listing;
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    directory_news::{encode, record_effects},
+    directory_changes::{SentChange, encode, record_effects},
     directory_state::{position, upstream_pace},
     gateway::Gateway,
     port::{Change, Error, Page, Port, Resource, Result},
@@ -26,7 +26,7 @@
 /// Follows the configuration until the token is cancelled.
 pub(crate) async fn sync_configuration<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let wait = gateway.settings.directory.configuration_wait;
-    let pace = Pace { interval: Duration::ZERO, news_interval: wait };
+    let pace = Pace { interval: Duration::ZERO, update_interval: wait };
     let mut next = None;
     let mut is_reachable = true;
     let mut is_unreadable = false;
@@ -74,8 +74,8 @@
             continue;
         }
         gateway.directory.configuration().record_read(started, gateway.now());
-        let news = Changes { scope: Scope::Configuration.into(), ..Changes::default() };
-        gateway.peers.send_changes(news).await;
+        let update = Changes { scope: Scope::Configuration.into(), ..Changes::default() };
+        gateway.peers.send_changes(update).await;
     }
 }
 
@@ -208,8 +208,9 @@
         !effects.is_empty()
     });
     // The peers read their first list themselves.
-    upstreams.remember(before?, &effective);
-    let (from, sent) = upstreams.recent_changes();
+    upstreams.recent.insert(before?, effective);
+    let (from, changes) = upstreams.recent.changes();
+    let sent: Vec<SentChange> = changes.into_iter().filter_map(SentChange::new).collect();
     Some(Changes {
         scope: Scope::Upstreams.into(),
         from: from?.0,
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -42,7 +42,7 @@
 use crate::{
     catalog::CatalogChange,
     config_request::ConfigRequestLimiter,
-    directory_news::{handle_changes, send_amendments},
+    directory_changes::{handle_changes, send_amendments},
     failover::probe,
     gateway::Gateway,
     port::{Port, Registration},
@@ -273,8 +273,6 @@
                 }
             }
             Notice::Config { instance, is_near, config } => {
-                // Without a configuration the instance serves nothing.
-                let is_near = is_near || !gateway.is_configured();
                 if !gateway.peers.try_request_config(config.version.0, is_near, gateway.now()) {
                     return;
                 }
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -30,8 +30,8 @@
 /// Maximum number of instances in one message that introduces them.
 const MAX_INTRODUCED: usize = 64;
 
-/// Number of members of its own failure domain that an instance of another one is introduced to. One
-/// of them is enough to reach all others.
+/// Number of members of its own failure domain that an instance of another one is introduced to.
+/// One of them is enough to reach all others.
 const FAR_INTRODUCTIONS: usize = 3;
 
 /// The actions that result from one event, in order.
@@ -184,7 +184,9 @@
         self.sharing.reset(&who.instance);
         let heartbeat = self.next_heartbeat();
         let identified = self.view.peers().filter_map(Peer::identity).count();
-        self.send_leaving(&who.instance, actions);
+        if !self.learns_from_neighbours(who) {
+            self.send_leaving(&who.instance, actions);
+        }
         send(actions, &who.instance, heartbeat);
         // Later messages report only changes.
         if let Some(totals) =
@@ -240,6 +242,19 @@
         }
     }
 
+    /// Returns whether a peer of another failure domain learns the leaving upstreams from its own
+    /// domain. Where all domains are linked, every instance would otherwise send it the same set.
+    fn learns_from_neighbours(&self, who: &Identity) -> bool {
+        let is_neighbour = |peer: &Peer| {
+            peer.state == State::Live
+                && peer.seed.domain == who.domain
+                && peer.seed.instance != who.instance
+        };
+        self.settings.reports_to_all_domains
+            && who.domain != self.settings.own.domain
+            && self.view.peers().any(is_neighbour)
+    }
+
     fn incarnation(&self, instance: &Instance) -> Option<Incarnation> {
         self.view.peer(instance)?.incarnation
     }
@@ -290,7 +305,7 @@
         actions: &mut Actions,
     ) {
         let Some(mark) = self.leaving.mark(now, mark) else { return };
-        for to in self.news_targets(from) {
+        for to in self.forward_targets(from) {
             send(actions, to, Message::Leaving(vec![mark.clone()]));
         }
         actions.push(Action::Notify(Notice::Leaving(mark)));
@@ -308,7 +323,7 @@
         if !self.silences.record(now, silence) {
             return;
         }
-        for to in self.news_targets(from) {
+        for to in self.forward_targets(from) {
             send(actions, to, Message::Silent(vec![silence.clone()]));
         }
         if from.is_some() {
@@ -316,12 +331,12 @@
         }
     }
 
-    /// Returns the peers that news from a peer, or of this instance, are sent to.
+    /// Returns the peers that a report from a peer, or of this instance, is sent to.
     ///
-    /// Where the instances of all domains are connected to each other, the first sender reaches every
-    /// domain. If each receiver forwarded the news to other domains as well, the bytes between
-    /// domains would grow with the square of the number of instances.
-    fn news_targets(&self, from: Option<&Instance>) -> impl Iterator<Item = &Instance> {
+    /// Where the instances of all domains are connected to each other, the first sender reaches
+    /// every domain. If each receiver forwarded the report to other domains as well, the bytes
+    /// between domains would grow with the square of the number of instances.
+    fn forward_targets(&self, from: Option<&Instance>) -> impl Iterator<Item = &Instance> {
         let only_near = from.is_some() && self.settings.reports_to_all_domains;
         let own = &self.settings.own.domain;
         let targets = self.view.linked().filter(move |peer| {
