--- a/crates/goldcrestvale_base/src/lib.rs
+++ b/crates/goldcrestvale_base/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod exchange;
 pub mod id;
+pub mod prompt;
 pub mod time;
 pub mod verdict;
 
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -86,6 +86,7 @@
         Err(error) => return trace.respond(&error),
     };
     trace.route.clone_from(&route.name);
+    trace.parts.clone_from(&head.parts);
     if let Some(customer) = &customer {
         trace.customer.clone_from(&customer.name);
     }
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -8,6 +8,7 @@
 use goldcrestvale_base::{
     engine::Layers,
     id::{Domain, Offset, Service, Upstream},
+    prompt::Parts,
 };
 use goldcrestvale_route::{forward::Configuration, pipeline::Stage};
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -57,6 +58,8 @@
     pub credential: Option<String>,
     /// The last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Parts,
 }
 
 /// Values that are added to a request for an upstream.
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -59,7 +59,8 @@
 #[derive(Debug)]
 pub(crate) struct StreamGuard {
     number: u64,
-    head: Upstream,
+    /// First engine of the chain.
+    pub(crate) head: Upstream,
     registry: Arc<Registry>,
     pub(crate) resume: Arc<Notify>,
 }
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -43,6 +43,8 @@
 /// A stream on a chain.
 struct ActiveStream {
     guard: StreamGuard,
+    /// Id of the last event before those of this chain.
+    resumed_after: Option<u64>,
     body: Incoming,
     connection: PooledConnection,
 }
@@ -95,7 +97,7 @@
     let relay = Relay {
         matched,
         service,
-        active: Some(ActiveStream { guard, body, connection }),
+        active: Some(ActiveStream { guard, resumed_after: last_id, body, connection }),
         splitter: Splitter::new(last_id),
         last_event,
         run_count,
@@ -214,6 +216,7 @@
                 matched.exclusions.insert(&head, gateway.now());
             }
             Some(SendOutcome::Broken(why)) => {
+                matched.trace.record_break(&head, None);
                 *run_count += 1;
                 // One lost answer is no proof of a failure: the engine is probed, but not avoided
                 // yet.
@@ -326,8 +329,8 @@
                         return Some(Ok(events));
                     }
                 }
-                Some(Err(_)) => self.active = None,
-                None if self.splitter.has_partial_event() => self.active = None,
+                Some(Err(_)) => self.break_off(),
+                None if self.splitter.has_partial_event() => self.break_off(),
                 None => {
                     if let Some(active) = self.active.take() {
                         active.connection.return_to_pool();
@@ -339,6 +342,14 @@
         }
     }
 
+    /// Ends the stream on a chain whose first engine has broken off.
+    fn break_off(&mut self) {
+        let Some(active) = self.active.take() else { return };
+        let events =
+            self.splitter.last_id().unwrap_or_default() - active.resumed_after.unwrap_or_default();
+        self.matched.trace.record_break(&active.guard.head, Some(events));
+    }
+
     fn record_events(&mut self) {
         let now = self.matched.gateway.now();
         let trace = &mut self.matched.trace;
@@ -367,7 +378,8 @@
             {
                 OpenOutcome::Open(reply, guard) if reply.head.status == StatusCode::OK => {
                     let (_, body, connection) = reply.into_parts();
-                    self.active = Some(ActiveStream { guard, body, connection });
+                    self.active =
+                        Some(ActiveStream { guard, resumed_after: last_id, body, connection });
                     self.matched.trace.moves += 1;
                     gateway.metrics.count_failover("resumed");
                     gateway.metrics.record_recovery(gateway.now().since(stalled_since));
--- a/crates/goldcrestvale_gateway/src/trace.rs
+++ b/crates/goldcrestvale_gateway/src/trace.rs
@@ -1,8 +1,8 @@
 //! The log line and the metrics of a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt::Display, sync::Arc, time::Duration};
 
-use goldcrestvale_base::{id::Upstream, time::Instant};
+use goldcrestvale_base::{id::Upstream, prompt::Parts, time::Instant};
 use http::{HeaderValue, Response, StatusCode};
 use log::info;
 
@@ -19,6 +19,10 @@
     pub(crate) version: u64,
     /// Upstreams that it was sent to, in order.
     pub(crate) tried: Vec<Upstream>,
+    /// Parts of its prompt that other requests may share.
+    pub(crate) parts: Parts,
+    /// Upstreams that broke off, each with the number of events that it had sent.
+    broken_off: Vec<(Upstream, Option<u64>)>,
     /// Number of chains that it passed through beyond the first.
     pub(crate) moves: u32,
     pub(crate) events: u64,
@@ -41,6 +45,8 @@
             route: String::new(),
             customer: String::new(),
             tried: Vec::new(),
+            parts: Parts::new(),
+            broken_off: Vec::new(),
             moves: 0,
             events: 0,
             first_event: None,
@@ -76,6 +82,11 @@
         self.status = status.as_u16();
     }
 
+    /// Records that an upstream broke off after a number of events; `None` before its answer.
+    pub(crate) fn record_break(&mut self, upstream: &Upstream, events: Option<u64>) {
+        self.broken_off.push((upstream.clone(), events));
+    }
+
     /// Records that the answer is complete.
     pub(crate) fn complete(&mut self) {
         self.outcome = "answered";
@@ -91,14 +102,21 @@
         if let Some(delay) = first_event {
             self.gateway.metrics.record_first_event(delay);
         }
-        let tried: Vec<&str> = self.tried.iter().map(Upstream::as_str).collect();
+        let tried = join(&self.tried);
+        let broken_off = self.broken_off.iter().map(|(upstream, events)| match events {
+            Some(events) => format!("{upstream}:{events}"),
+            None => format!("{upstream}:-"),
+        });
+        let broken_off = join(broken_off);
         info!(
             request = self.id.as_str(),
             route = self.route.as_str(),
             customer = self.customer.as_str(),
             configuration = self.version,
             view_age_ms = now.since(self.gateway.view.load().built).as_millis() as u64,
-            tried = tried.join(","),
+            parts = join(&self.parts),
+            tried,
+            broken_off,
             moves = self.moves,
             events = self.events,
             first_ms = first_event.map_or(0, |delay| delay.as_millis() as u64),
@@ -111,3 +129,12 @@
         );
     }
 }
+
+fn join(items: impl IntoIterator<Item = impl Display>) -> String {
+    let mut text = String::new();
+    for item in items {
+        let comma = if text.is_empty() { "" } else { "," };
+        text.push_str(&format!("{comma}{item}"));
+    }
+    text
+}
