Keep prompts from engines that crash every engine they reach

Cause: a part of a prompt crashed each engine that began to write an answer on it. A stream that broke off was sent to a second engine, which ended too, and no instance related the end of an engine to the prompts on it. The class: input that is harmful whoever runs it, treated as a fault of the one that ran it.

Change: a stream that breaks off at its start makes the instance probe the engine. If it has ended, the parts of the prompts at their start there are suspected, except those on which an engine has written an answer. Two engines and two requests convict a part; instances share crashes, sound parts and convictions. Such prompts are refused before anything is sent (503, Retry-After), and a suspected one is not sent to a second engine. Parts that cannot be told apart yet are kept back only together.

Why it works: a harmful part never gets an answer and a sound one soon does, so the difference does not depend on what else fails; many engines that end at once convict nothing that was answered before.

--- /dev/null
+++ b/crates/goldcrestvale_base/src/crash.rs
@@ -0,0 +1,37 @@
+//! Engines that ended, and the requests that may have caused it.
+
+use crate::{id::Upstream, prompt::Parts};
+
+domain! {
+    copy
+    /// How far the answer to a request had come at an engine.
+    pub enum Progress {
+        /// It was sent; nothing of an answer arrived.
+        Waiting,
+        /// The answer had begun and had no output yet.
+        Begun,
+    }
+}
+
+domain! {
+    value
+    /// A request that was at its start on an engine when the engine ended.
+    pub struct Suspect {
+        /// Short digest of the request's identifier.
+        pub request: u64,
+        /// Parts of its prompt that may be the cause.
+        pub parts: Parts,
+        /// How far its answer had come.
+        pub progress: Progress,
+    }
+
+    /// The end of an engine, as one instance saw it.
+    pub struct Crash {
+        /// The engine.
+        pub upstream: Upstream,
+        /// When this incarnation of it started, in milliseconds since the Unix epoch.
+        pub born_ms: Option<u64>,
+        /// The requests of the instance that were at their start there.
+        pub suspects: Vec<Suspect>,
+    }
+}
--- a/crates/goldcrestvale_base/src/id.rs
+++ b/crates/goldcrestvale_base/src/id.rs
@@ -304,6 +304,13 @@
     pub fn of(bytes: &[u8]) -> Self {
         Self(*blake3::hash(bytes).as_bytes())
     }
+
+    /// Returns the first 8 bytes of the digest as a number.
+    pub fn short(&self) -> u64 {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.0[..8]);
+        u64::from_be_bytes(first)
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/goldcrestvale_base/src/prompt.rs
+++ b/crates/goldcrestvale_base/src/prompt.rs
@@ -28,10 +28,7 @@
     /// assert_ne!(Part::of(b"You are a helpful clerk."), Part::of(b"You are a poet."));
     /// ```
     pub fn of(content: &[u8]) -> Self {
-        let Digest(bytes) = Digest::of(content);
-        let mut first = [0; 8];
-        first.copy_from_slice(&bytes[..8]);
-        Self(u64::from_be_bytes(first))
+        Self(Digest::of(content).short())
     }
 
     /// Returns the part with an identifier in hexadecimal digits; a longer identifier, or one of
--- a/crates/goldcrestvale_config/src/offer.rs
+++ b/crates/goldcrestvale_config/src/offer.rs
@@ -36,13 +36,6 @@
     }
 }
 
-/// Returns the first 8 bytes of a digest, as carried by heartbeats.
-pub fn short_digest(digest: &Digest) -> u64 {
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&digest.0[..8]);
-    u64::from_be_bytes(bytes)
-}
-
 impl Fold {
     /// Returns the version and digest of the local state.
     pub fn offer(&self) -> Offer {
--- a/crates/goldcrestvale_config/src/sync.rs
+++ b/crates/goldcrestvale_config/src/sync.rs
@@ -12,7 +12,7 @@
     time::Instant,
 };
 
-pub use crate::offer::{Comparison, Offer, short_digest};
+pub use crate::offer::{Comparison, Offer};
 use crate::{
     chunk::{Assembler, Chunk, ChunkSet},
     fold::Fold,
@@ -127,7 +127,7 @@
         version: Offset,
         short: u64,
     ) -> Decision {
-        let comparison = fold.compare(version, |digest| short_digest(&digest) == short);
+        let comparison = fold.compare(version, |digest| digest.short() == short);
         self.decide(now, fold, comparison)
     }
 
--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use goldcrestvale_base::id::{Digest, Instance, Offset};
-use goldcrestvale_config::sync::short_digest;
 use goldcrestvale_member::action::Notice;
 use goldcrestvale_peer::{
     events::{AnswerState, Configuration, EventHandler, Reply, ResultQuery, StoredResult},
@@ -62,6 +61,8 @@
             Notice::Silent(silence) => {
                 debug!(upstream:% = silence.upstream; "a peer avoids an upstream");
             }
+            // Drafts do not use the report yet.
+            Notice::Evidence(_) => {}
             Notice::Config { instance, config, .. } => {
                 self.offered(&instance, config.version, config.digest);
             }
@@ -69,7 +70,7 @@
     }
 
     fn config_offered(&self, from: &Instance, version: Offset, digest: Digest) {
-        self.offered(from, version, short_digest(&digest));
+        self.offered(from, version, digest.short());
     }
 
     fn config_requested(&self, from: &Instance, version: Offset) {
--- a/crates/goldcrestvale_entry/src/peers/tasks.rs
+++ b/crates/goldcrestvale_entry/src/peers/tasks.rs
@@ -9,7 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
-use goldcrestvale_config::sync::{Offer, short_digest};
+use goldcrestvale_config::sync::Offer;
 use goldcrestvale_member::{
     event::Event,
     in_flight::UpstreamWork,
@@ -111,7 +111,7 @@
 
 fn status(node: &Node) -> Status {
     let Offer { version, digest } = node.configuration.status().offer;
-    let config = (version.0 > 0).then(|| Config { version, digest: short_digest(&digest) });
+    let config = (version.0 > 0).then(|| Config { version, digest: digest.short() });
     let draining = node.lifecycle.phase() >= Phase::Leaving;
     Status { config, draining, schema: configuration::min_schema(), leads: false }
 }
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -3,10 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use goldcrestvale_base::time::Instant;
+use goldcrestvale_base::{prompt::Part, time::Instant};
 use goldcrestvale_entry::receive::{self, BodyError};
 use goldcrestvale_route::{
     forward::{Customer, Kind, Refusal as NoMatch, Route, Table},
+    quarantine::Hold,
     retry::Exclusions,
 };
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
@@ -14,6 +15,7 @@
 
 use crate::{
     body::Body,
+    crash_watch::parts_text,
     error_response::ErrorResponse,
     gateway::Gateway,
     plain,
@@ -94,6 +96,9 @@
         Ok(body) => body,
         Err(error) => return trace.respond(&error),
     };
+    if let Some(error) = quarantined(&gateway, &head.parts) {
+        return trace.respond(&error);
+    }
     let deadline = trace.started + route.timeout;
     let kind = route.kind;
     let exclusions = Exclusions::default();
@@ -105,6 +110,13 @@
     }
 }
 
+/// Returns the refusal of a prompt that is kept from engines.
+pub(crate) fn quarantined<P>(gateway: &Gateway<P>, parts: &[Part]) -> Option<ErrorResponse> {
+    let Hold { parts, left } = gateway.crash_watch.check(gateway.now(), parts)?;
+    let detail = format!("prompts with {} crash engines", parts_text(&parts));
+    Some(ErrorResponse::not_run("quarantined", detail, left))
+}
+
 type RouteMatch = (Arc<Route>, Option<Arc<Customer>>);
 
 fn match_route(
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    crash_watch::CrashWatch,
     directory_state::DirectoryState,
     metrics::Metrics,
     peers::Peers,
@@ -72,6 +73,7 @@
     pub(crate) registry: Arc<Registry>,
     pub(crate) directory: DirectoryState,
     pub(crate) pool: Pool,
+    pub(crate) crash_watch: CrashWatch,
     /// Wakes up the placement task after a change.
     pub(crate) placement_wakeup: Notify,
     /// Wakes up the failover task when an upstream fails.
@@ -103,6 +105,7 @@
             registry: Arc::default(),
             directory: DirectoryState::default(),
             pool: Pool::new(Protocol::Http1, limits),
+            crash_watch: CrashWatch::default(),
             placement_wakeup: Notify::new(),
             failover_wakeup: Notify::new(),
             upstream_state: Mutex::default(),
@@ -367,6 +370,7 @@
     /// Removes expired entries from the state of the upstreams.
     pub(crate) fn remove_expired(&self) {
         let now = self.now();
+        self.crash_watch.remove_expired(now);
         self.update(|state| {
             let avoided_before = state.avoided.len();
             state.avoided.retain(|_, until| *until > now);
--- a/crates/goldcrestvale_gateway/src/instance.rs
+++ b/crates/goldcrestvale_gateway/src/instance.rs
@@ -18,6 +18,7 @@
 use tower::service_fn;
 
 use crate::{
+    crash_watch::parts_text,
     directory_sync, failover, forward,
     gateway::Gateway,
     metrics::Metrics,
@@ -249,6 +250,12 @@
         "directory_age_ms": gateway.directory.age(gateway.now()).map(|age| age.as_millis() as u64),
         "duty": gateway.is_placement_leader(),
         "streams": gateway.registry.len(),
+        "quarantined": gateway
+            .crash_watch
+            .holds(gateway.now())
+            .iter()
+            .map(|hold| json!({ "parts": parts_text(&hold.parts), "left_s": hold.left.as_secs() }))
+            .collect::<Vec<_>>(),
         "fleets": fleets,
     })
 }
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use goldcrestvale_member::{
     action::Notice,
     event::Event,
+    evidence::Evidence,
     identity::Identity,
     in_flight::UpstreamWork,
     leaving::{Mark, Source},
@@ -42,6 +43,7 @@
 use crate::{
     catalog::CatalogChange,
     config_request::ConfigRequestLimiter,
+    crash_watch::{handle_evidence, holds_report},
     directory_changes::{handle_changes, send_amendments},
     failover::probe,
     gateway::Gateway,
@@ -54,6 +56,10 @@
 /// Interval at which the status and the work in progress are sent to the peers.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of status intervals between two reports of the prompts that are kept from engines. They
+/// reach instances that started or returned since.
+const HOLDS_INTERVALS: u64 = 4;
+
 /// Maximum number of connections to instances of the own failure domain, and of other domains.
 /// Chains serve streams of all instances, so up to this number each one reports its streams to
 /// every other.
@@ -144,6 +150,11 @@
         }));
     }
 
+    /// Sends the peers what this instance knows of prompts that crash engines.
+    pub(crate) fn send_evidence(&self, evidence: Evidence) {
+        self.send(Event::Evidence(evidence));
+    }
+
     /// Requests the list of upstreams from the peers.
     pub(crate) async fn request_list(&self) {
         if let Some(handle) = self.handle.get()
@@ -172,7 +183,7 @@
         if let Some(handle) = self.handle.get()
             && let Err(e) = handle.try_send_event(event)
         {
-            warn!(error:% = e; "peers were not notified of an upstream");
+            warn!(error:% = e; "peers were not notified");
         }
     }
 }
@@ -212,7 +223,14 @@
 pub(crate) async fn run<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let Some(handle) = gateway.peers.handle.get() else { return };
     let mut ticks = tokio::time::interval(STATUS_INTERVAL);
+    let mut interval = 0_u64;
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+        interval += 1;
+        if interval.is_multiple_of(HOLDS_INTERVALS)
+            && let Some(report) = holds_report(&gateway)
+        {
+            gateway.peers.send_evidence(report);
+        }
         let status = Event::Status(Status {
             config: offer(&gateway),
             draining: gateway.is_leaving(),
@@ -274,6 +292,7 @@
                     tokio::spawn(probe(gateway, silence.upstream, ProbeReason::Failure));
                 }
             }
+            Notice::Evidence(evidence) => handle_evidence(&gateway, &evidence),
             Notice::Config { instance, is_near, config } => {
                 if !gateway.peers.try_request_config(config.version.0, is_near, gateway.now()) {
                     return;
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -4,19 +4,25 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use goldcrestvale_base::{id::Service, time::Instant};
+use goldcrestvale_base::{
+    crash::{Progress, Suspect},
+    id::{Digest, Service},
+    time::Instant,
+};
 use goldcrestvale_route::pipeline::{Chain, Choice};
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
-use http::{Response, StatusCode, header, response::Parts};
+use http::{HeaderMap, Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     body::{Body, Broken, full},
+    crash_watch::{record_sound, report_break},
     error_response::ErrorResponse,
     event::Splitter,
     failover::probe,
-    forward::Matched,
+    forward::{Matched, quarantined},
     port::{Dispatch, Port},
     registry::StreamGuard,
     rejection::{ProbeReason, handle_rejection},
@@ -40,15 +46,45 @@
 /// When a caller may retry if there is no chain at all: the load time of a model.
 const NO_CHAIN_RETRY_AFTER: Duration = Duration::from_millis(900);
 
+/// Number of events up to which a stream is at its start: an engine that its prompt crashes sends no
+/// more.
+const START_EVENTS: u64 = 2;
+
+/// Time after its first event from which a stream shows that its prompt is sound: several times as
+/// long as an engine takes to crash.
+const PROOF_TIME: Duration = Duration::from_millis(300);
+
 /// A stream on a chain.
 struct ActiveStream {
     guard: StreamGuard,
     /// Id of the last event before those of this chain.
     resumed_after: Option<u64>,
+    /// Time of the first event of this chain.
+    first_event: Option<Instant>,
+    /// Whether its length or chunks tell its end from a broken connection.
+    is_framed: bool,
+    /// Whether it has shown that its prompt is sound.
+    is_proof: bool,
     body: Incoming,
     connection: PooledConnection,
 }
 
+impl ActiveStream {
+    fn new(reply: StreamingReply, guard: StreamGuard, resumed_after: Option<u64>) -> (Parts, Self) {
+        let (head, body, connection) = reply.into_parts();
+        let is_framed = is_framed(&head.headers);
+        let (first_event, is_proof) = (None, false);
+        let stream =
+            Self { guard, resumed_after, first_event, is_framed, is_proof, body, connection };
+        (head, stream)
+    }
+
+    /// Returns the number of events of this chain, by the id of its last one.
+    fn events(&self, last_id: Option<u64>) -> u64 {
+        last_id.unwrap_or_default() - self.resumed_after.unwrap_or_default()
+    }
+}
+
 /// The state of an answer that is being relayed.
 struct Relay<P> {
     matched: Matched<P>,
@@ -57,6 +93,8 @@
     active: Option<ActiveStream>,
     splitter: Splitter,
     last_event: Instant,
+    /// Cancelled once it is known whether the engine on which the stream broke off has ended.
+    investigation: Option<CancellationToken>,
     /// Number of upstreams on which the request may have run.
     run_count: u32,
     ended: bool,
@@ -86,20 +124,21 @@
         OpenOutcome::Open(reply, guard) => (reply, guard),
         OpenOutcome::Failed(error) => return matched.trace.respond(&error),
     };
-    let (mut head, body, connection) = reply.into_parts();
+    let (mut head, active) = ActiveStream::new(*reply, guard, last_id);
     matched.gateway.port.strip_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     if head.status != StatusCode::OK {
-        return deliver(matched, head, body, connection).await;
+        return deliver(matched, head, active.body, active.connection).await;
     }
     matched.trace.begin_answer(head.status);
     let last_event = matched.gateway.now();
     let relay = Relay {
         matched,
         service,
-        active: Some(ActiveStream { guard, resumed_after: last_id, body, connection }),
+        active: Some(active),
         splitter: Splitter::new(last_id),
         last_event,
+        investigation: None,
         run_count,
         ended: false,
     };
@@ -141,6 +180,9 @@
     let gateway = matched.gateway.clone();
     let mut rejections = 0;
     loop {
+        if let Some(error) = barred(matched) {
+            return OpenOutcome::Failed(error_after_runs(error, *run_count));
+        }
         let Some(fleet) = gateway.fleet(service) else {
             let error =
                 ErrorResponse::not_run("no engines", "no engine is known", NO_CHAIN_RETRY_AFTER);
@@ -220,7 +262,7 @@
                 *run_count += 1;
                 // One lost answer is no proof of a failure: the engine is probed, but not avoided
                 // yet.
-                tokio::spawn(probe(gateway.clone(), head.clone(), ProbeReason::Failure));
+                report_break(&gateway, &head, suspect(matched, Progress::Waiting));
                 matched.exclusions.insert(&head, gateway.now());
                 if !may_resume(matched, *run_count) {
                     return OpenOutcome::Failed(ErrorResponse::may_have_run(
@@ -272,6 +314,33 @@
     }
 }
 
+/// Returns the refusal of a prompt that crashes engines, or that may have crashed the one that it
+/// was sent to before.
+fn barred<P>(matched: &Matched<P>) -> Option<ErrorResponse> {
+    let (gateway, parts) = (&matched.gateway, &matched.head.parts);
+    if parts.is_empty() {
+        return None;
+    }
+    let is_repeat = !matched.trace.tried.is_empty();
+    quarantined(gateway, parts).or_else(|| {
+        let is_barred = is_repeat && gateway.crash_watch.is_suspected(gateway.now(), parts);
+        let detail = "an engine ended when it began to answer this prompt";
+        is_barred.then(|| ErrorResponse::may_have_run("crashed", detail))
+    })
+}
+
+fn suspect<P>(matched: &Matched<P>, progress: Progress) -> Suspect {
+    Suspect {
+        request: Digest::of(matched.trace.id.as_bytes()).short(),
+        parts: matched.head.parts.clone(),
+        progress,
+    }
+}
+
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn may_resume<P>(matched: &Matched<P>, run_count: u32) -> bool {
     matched.route.resumable && run_count < matched.route.attempts
 }
@@ -333,6 +402,10 @@
                 None if self.splitter.has_partial_event() => self.break_off(),
                 None => {
                     if let Some(active) = self.active.take() {
+                        let is_answer = active.events(self.splitter.last_id()) > 0;
+                        if is_answer && active.is_framed && !active.is_proof {
+                            record_sound(&self.matched.gateway, &self.matched.head.parts);
+                        }
                         active.connection.return_to_pool();
                     }
                     self.matched.trace.complete();
@@ -345,9 +418,13 @@
     /// Ends the stream on a chain whose first engine has broken off.
     fn break_off(&mut self) {
         let Some(active) = self.active.take() else { return };
-        let events =
-            self.splitter.last_id().unwrap_or_default() - active.resumed_after.unwrap_or_default();
+        let events = active.events(self.splitter.last_id());
         self.matched.trace.record_break(&active.guard.head, Some(events));
+        if events <= START_EVENTS && !active.is_proof {
+            let suspect = suspect(&self.matched, Progress::Begun);
+            let done = report_break(&self.matched.gateway, &active.guard.head, suspect);
+            self.investigation = Some(done);
+        }
     }
 
     fn record_events(&mut self) {
@@ -359,8 +436,13 @@
             None => trace.first_event = Some(now),
         }
         self.last_event = now;
-        if let Some(active) = &self.active {
+        if let Some(active) = &mut self.active {
             active.guard.record_event(now);
+            let first_event = *active.first_event.get_or_insert(now);
+            if !active.is_proof && now.since(first_event) >= PROOF_TIME {
+                active.is_proof = true;
+                record_sound(&self.matched.gateway, &self.matched.head.parts);
+            }
         }
     }
 
@@ -368,7 +450,11 @@
     async fn resume(&mut self) -> Result<(), String> {
         self.splitter.discard_partial();
         let stalled_since = self.last_event;
+        self.wait_for_investigation().await;
         loop {
+            if let Some(error) = barred(&self.matched) {
+                return Err(error.detail);
+            }
             if !may_resume(&self.matched, self.run_count) {
                 return Err("the chain failed, and the stream may not run again".to_owned());
             }
@@ -377,9 +463,7 @@
             match open_stream(&mut self.matched, &self.service, &mut self.run_count, last_id).await
             {
                 OpenOutcome::Open(reply, guard) if reply.head.status == StatusCode::OK => {
-                    let (_, body, connection) = reply.into_parts();
-                    self.active =
-                        Some(ActiveStream { guard, resumed_after: last_id, body, connection });
+                    self.active = Some(ActiveStream::new(*reply, guard, last_id).1);
                     self.matched.trace.moves += 1;
                     gateway.metrics.count_failover("resumed");
                     gateway.metrics.record_recovery(gateway.now().since(stalled_since));
@@ -399,6 +483,18 @@
         }
     }
 
+    /// Waits until it is known whether the engine on which the stream broke off at its start has
+    /// ended, if its prompt may be the cause.
+    async fn wait_for_investigation(&mut self) {
+        let Some(done) = self.investigation.take() else { return };
+        let gateway = &self.matched.gateway;
+        let now = gateway.now();
+        if gateway.crash_watch.has_unknown(now, &self.matched.head.parts) {
+            let left = self.matched.deadline.since(now);
+            let _ = tokio::time::timeout(left, done.cancelled()).await;
+        }
+    }
+
     /// Ends the answer with an error, so that it does not look complete.
     fn fail(&mut self, detail: &str) -> Option<Result<Bytes, Broken>> {
         self.ended = true;
--- a/crates/goldcrestvale_member/src/action.rs
+++ b/crates/goldcrestvale_member/src/action.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    evidence::Evidence,
     identity::Identity,
     leaving::Mark,
     message::{Config, Message},
@@ -54,6 +55,8 @@
         Leaving(Mark),
         /// A peer reported that an upstream must not be used for a while.
         Silent(Silence),
+        /// A peer reported what it knows of prompts that crash engines.
+        Evidence(Evidence),
         /// A peer has a newer configuration, or another one under the same version.
         Config {
             /// The peer.
--- a/crates/goldcrestvale_member/src/event.rs
+++ b/crates/goldcrestvale_member/src/event.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    evidence::Evidence,
     identity::{Identity, Seed},
     in_flight::UpstreamWork,
     leaving::Mark,
@@ -61,6 +62,8 @@
         Leaving(Mark),
         /// This instance found that an upstream must not be used for a while.
         Silent(Silence),
+        /// This instance learned something about prompts that crash engines.
+        Evidence(Evidence),
         /// An upstream is no longer on the platform's list.
         Removed(Upstream),
         /// The demand of a customer at this instance, in parts of its limit.
--- a/crates/goldcrestvale_member/src/lib.rs
+++ b/crates/goldcrestvale_member/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod action;
 pub mod backoff;
 pub mod event;
+pub mod evidence;
 pub mod identity;
 pub mod in_flight;
 pub mod leaving;
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -14,6 +14,7 @@
     action::{Action, Notice},
     backoff::Backoff,
     event::Event,
+    evidence::{Evidence, Reports},
     identity::Identity,
     in_flight::{LocalWork, PeerWork},
     leaving::{self, Mark},
@@ -75,6 +76,8 @@
     peer_work: PeerWork,
     #[serde(skip)]
     silences: Silences,
+    #[serde(skip)]
+    reports: Reports,
     #[serde(rename = "dials")]
     backoff: Backoff,
     #[serde(skip)]
@@ -94,6 +97,7 @@
             local_work: LocalWork::default(),
             peer_work: PeerWork::default(),
             silences: Silences::default(),
+            reports: Reports::default(),
             backoff: Backoff::default(),
             timers: Timers::new(&settings),
             settings,
@@ -161,6 +165,7 @@
             }
             Event::Leaving(mark) => self.on_leaving(now, &mark, None, &mut actions),
             Event::Silent(silence) => self.on_silent(now, &silence, None, &mut actions),
+            Event::Evidence(evidence) => self.on_evidence(now, evidence, None, &mut actions),
             Event::Removed(upstream) => self.leaving.remove(now, &upstream),
             Event::Demand { customer, parts } => self.sharing.set_demand(&customer, parts),
             Event::WorkInProgress(work) => self.local_work.set(&work),
@@ -239,6 +244,9 @@
                     self.on_silent(now, &silence, Some(from), actions);
                 }
             }
+            Message::Evidence(evidence) => {
+                self.on_evidence(now, evidence, Some(from), actions);
+            }
         }
     }
 
@@ -331,6 +339,26 @@
         }
     }
 
+    /// Sends what this instance knows of prompts that crash engines; forwards a peer's report if it
+    /// is new, and notifies the daemon of it.
+    fn on_evidence(
+        &mut self,
+        now: Instant,
+        evidence: Evidence,
+        from: Option<&Instance>,
+        actions: &mut Actions,
+    ) {
+        let is_new = self.reports.record(now, &evidence);
+        if is_new || from.is_none() {
+            for to in self.forward_targets(from) {
+                send(actions, to, Message::Evidence(evidence.clone()));
+            }
+        }
+        if from.is_some() && (is_new || !evidence.holds.is_empty()) {
+            actions.push(Action::Notify(Notice::Evidence(evidence)));
+        }
+    }
+
     /// Returns the peers that a report from a peer, or of this instance, is sent to.
     ///
     /// Where the instances of all domains are connected to each other, the first sender reaches
--- a/crates/goldcrestvale_member/src/message.rs
+++ b/crates/goldcrestvale_member/src/message.rs
@@ -5,7 +5,9 @@
     id::{Incarnation, Offset},
 };
 
-use crate::{identity::Identity, in_flight, leaving::Mark, limit, silence::Silence};
+use crate::{
+    evidence::Evidence, identity::Identity, in_flight, leaving::Mark, limit, silence::Silence,
+};
 
 domain! {
     copy
@@ -69,5 +71,7 @@
         InFlight(in_flight::Totals),
         /// Upstreams that must not be used for a while.
         Silent(Vec<Silence>),
+        /// What the sender knows of prompts that crash engines.
+        Evidence(Evidence),
     }
 }
--- a/crates/goldcrestvale_member/tests/member_spread.rs
+++ b/crates/goldcrestvale_member/tests/member_spread.rs
@@ -5,7 +5,8 @@
 mod cluster;
 
 use cluster::{Cluster, SECOND};
-use goldcrestvale_member::{prelude::*, silence::Silence};
+use goldcrestvale_base::prompt::Part;
+use goldcrestvale_member::{evidence::Evidence, prelude::*, silence::Silence};
 
 /// Number of instances of the large deployment, in five failure domains.
 const INSTANCES: usize = 118;
@@ -106,6 +107,28 @@
     assert!(crossings < INSTANCES, "{crossings} messages between domains");
 }
 
+#[test]
+fn evidence_reaches_all_instances() {
+    use std::{cell::RefCell, rc::Rc};
+
+    let mut cluster = start(4);
+    cluster.run(10 * SECOND);
+    let sent: Rc<RefCell<Vec<(usize, usize)>>> = Rc::default();
+    let record = sent.clone();
+    cluster.on_send = Box::new(move |from, to, message| {
+        if matches!(message, Message::Evidence(_)) {
+            record.borrow_mut().push((from, to));
+        }
+    });
+    cluster.feed(17, Event::Evidence(Evidence { sound: vec![Part(7)], ..Evidence::default() }));
+    cluster.run(SECOND / 10);
+    let reached: std::collections::BTreeSet<usize> =
+        sent.borrow().iter().map(|(_, to)| *to).collect();
+    assert!(reached.len() >= INSTANCES - 1, "{}", reached.len());
+    let crossings = sent.borrow().iter().filter(|(from, to)| from % 5 != to % 5).count();
+    assert!(crossings < INSTANCES, "{crossings} messages between domains");
+}
+
 #[test]
 fn restarted_instance_learns_leaving_upstreams_from_its_domain() {
     use std::{cell::RefCell, rc::Rc};
--- a/crates/goldcrestvale_peer/examples/control_cost.rs
+++ b/crates/goldcrestvale_peer/examples/control_cost.rs
@@ -69,6 +69,7 @@
         Message::Use(_) => "limits",
         Message::InFlight(_) => "sends",
         Message::Silent(_) => "silent",
+        Message::Evidence(_) => "evidence",
     }
 }
 
--- a/crates/goldcrestvale_peer/src/convert.rs
+++ b/crates/goldcrestvale_peer/src/convert.rs
@@ -1,7 +1,13 @@
 //! Conversion between the messages of the membership and of the wire protocol.
 
-use goldcrestvale_base::{id::Offset, time::Wall};
+use goldcrestvale_base::{
+    crash::{Crash, Progress, Suspect},
+    id::Offset,
+    prompt::Part,
+    time::Wall,
+};
 use goldcrestvale_member::{
+    evidence::{Evidence, Hold},
     identity::Identity,
     in_flight::{Total, Totals, UpstreamHash},
     leaving::{Mark, Source},
@@ -54,6 +60,7 @@
         Message::Silent(silences) => {
             wire::Silent { upstreams: silences.iter().map(encode_silence).collect() }.into()
         }
+        Message::Evidence(evidence) => encode_evidence(evidence).into(),
     }
 }
 
@@ -79,6 +86,7 @@
         wire::Message::Silent(body) => {
             Message::Silent(body.upstreams.iter().map(decode_silence).collect::<Result<_>>()?)
         }
+        wire::Message::Evidence(body) => Message::Evidence(decode_evidence(body)?),
         _ => return Ok(None),
     }))
 }
@@ -201,3 +209,53 @@
     let upstream = field::text("upstream", &silence.upstream)?;
     Ok(Silence { upstream, left_ms: silence.left_ms, refuses: silence.refuses })
 }
+
+fn encode_evidence(evidence: &Evidence) -> wire::Evidence {
+    let holds = evidence.holds.iter().map(|hold| wire::Hold {
+        parts: hold.parts.iter().map(|part| part.0).collect(),
+        left_ms: hold.left_ms,
+    });
+    wire::Evidence {
+        crashes: evidence.crashes.iter().map(encode_crash).collect(),
+        sound: evidence.sound.iter().map(|part| part.0).collect(),
+        holds: holds.collect(),
+    }
+}
+
+fn decode_evidence(evidence: &wire::Evidence) -> Result<Evidence> {
+    let holds = evidence.holds.iter().map(|hold| Hold {
+        parts: hold.parts.iter().copied().map(Part).collect(),
+        left_ms: hold.left_ms,
+    });
+    Ok(Evidence {
+        crashes: evidence.crashes.iter().map(decode_crash).collect::<Result<_>>()?,
+        sound: evidence.sound.iter().copied().map(Part).collect(),
+        holds: holds.collect(),
+    })
+}
+
+fn encode_crash(crash: &Crash) -> wire::Crash {
+    let suspects = crash.suspects.iter().map(|suspect| wire::Suspect {
+        request: suspect.request,
+        parts: suspect.parts.iter().map(|part| part.0).collect(),
+        begun: suspect.progress == Progress::Begun,
+    });
+    wire::Crash {
+        upstream: crash.upstream.to_string(),
+        born_ms: crash.born_ms.unwrap_or_default(),
+        suspects: suspects.collect(),
+    }
+}
+
+fn decode_crash(crash: &wire::Crash) -> Result<Crash> {
+    let suspects = crash.suspects.iter().map(|suspect| Suspect {
+        request: suspect.request,
+        parts: suspect.parts.iter().copied().map(Part).collect(),
+        progress: if suspect.begun { Progress::Begun } else { Progress::Waiting },
+    });
+    Ok(Crash {
+        upstream: field::text("upstream", &crash.upstream)?,
+        born_ms: (crash.born_ms != 0).then_some(crash.born_ms),
+        suspects: suspects.collect(),
+    })
+}
--- a/crates/goldcrestvale_route/src/lib.rs
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod pipeline;
 pub mod prefix;
+pub mod quarantine;
 pub mod retry;
 
 /// Re-exports the most commonly used types of this package.
--- a/crates/goldcrestvale_wire/src/message.rs
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod changes;
 mod config;
+mod evidence;
 mod leaving;
 mod list;
 mod membership;
@@ -20,6 +21,7 @@
     answer::{Answer, AnswerAsk, AnswerState, Header},
     changes::{Changes, Scope},
     config::{ConfigAsk, ConfigOffer, ConfigState},
+    evidence::{Crash, Evidence, Hold, Suspect},
     leaving::{Leaving, Mark, Source},
     list::{List, ListAsk},
     membership::{Goodbye, Heartbeat, Hello, Known, Members},
@@ -125,4 +127,6 @@
     Silent = 15,
     /// Changes of the platform's directory.
     Changes = 16,
+    /// What the sender knows of prompts that crash engines.
+    Evidence = 17,
 }
--- /dev/null
+++ b/crates/goldcrestvale_wire/src/message/evidence.rs
@@ -0,0 +1,54 @@
+//! Messages about prompts that crash engines.
+
+/// What the sender knows of prompts that crash engines.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Evidence {
+    /// Engines that ended.
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: Vec<Crash>,
+    /// Prompt parts under suspicion on which an engine has written an answer.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub sound: Vec<u64>,
+    /// Prompts that the sender keeps from engines.
+    #[prost(message, repeated, tag = "3")]
+    pub holds: Vec<Hold>,
+}
+
+/// The end of an engine.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Crash {
+    /// Name of the engine.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// When it started, in milliseconds since the Unix epoch; 0 if unknown.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+    /// The requests that may have caused the end.
+    #[prost(message, repeated, tag = "3")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that was at its start on an engine when the engine ended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Suspect {
+    /// Short digest of its identifier.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Prompt parts that may be the cause.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+    /// Whether its answer had begun.
+    #[prost(bool, tag = "3")]
+    pub begun: bool,
+}
+
+/// Prompts that are kept from engines.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hold {
+    /// The parts that all of them have.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
+    /// Remaining time, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub left_ms: u32,
+}
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -91,5 +91,15 @@
             bytes: bytes(b'[', 1),
         }
         .into(),
+        Evidence {
+            crashes: vec![Crash {
+                upstream: "engine-4".into(),
+                born_ms: 1_700_000_000_000,
+                suspects: vec![Suspect { request: 5, parts: vec![6, u64::MAX], begun: true }],
+            }],
+            sound: vec![7],
+            holds: vec![Hold { parts: vec![8], left_ms: 600_000 }],
+        }
+        .into(),
     ]
 }
