Limit the size and time of buffered answers of upstreams

What callers would see: an upstream that sends bytes without end in a body makes the instance read until the route's timeout and keep all of it in memory; a failure of an engine without end is never given up, also past the route's timeout.

Cause: a gateway read the bodies of plain services and of engines' failures without the limit that other calls have, and the latter without a deadline. The limit of the pool applies to whole calls only, not to answers that are opened and then read.

The own front end reads every answer through Pool::call, which has the limit.

--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -47,9 +47,6 @@
 /// of the upstreams, so that a request is seldom sent on a connection that is being closed.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Maximum size of an answer of a plain service, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// Minimum interval between probes of an upstream that rejects streams.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -93,7 +90,6 @@
         let limits = Limits {
             connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
-            max_answer_bytes: MAX_ANSWER_BYTES,
             ..Limits::default()
         };
         let clock = Clock::start();
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -9,10 +9,9 @@
 };
 use goldcrestvale_route::forward::Kind;
 use http::{Response, StatusCode, header, response::Parts};
-use http_body_util::BodyExt;
 
 use crate::{
-    body::{Body, full},
+    body::{Body, collect, full},
     error_response::ErrorResponse,
     forward::Matched,
     port::{Dispatch, Port},
@@ -171,12 +170,12 @@
         match outcome {
             SendOutcome::Answered(reply, _) => {
                 let (head, body, connection) = reply.into_parts();
-                match body.collect().await {
+                match collect(body).await {
                     Ok(body) => {
                         connection.return_to_pool();
-                        AttemptOutcome::Complete(Box::new(head), body.to_bytes())
+                        AttemptOutcome::Complete(Box::new(head), body)
                     }
-                    Err(e) => AttemptOutcome::Broken(format!("the answer broke off: {e}")),
+                    Err(e) => AttemptOutcome::Broken(e.to_string()),
                 }
             }
             SendOutcome::NotRun(status, _) => {
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    body::{Body, Broken, full},
+    body::{Body, Broken, collect, full},
     crash_watch::{record_sound, report_break},
     error_response::ErrorResponse,
     event::Splitter,
@@ -156,17 +156,17 @@
     body: Incoming,
     connection: PooledConnection,
 ) -> Response<Body> {
-    match body.collect().await {
-        Ok(body) => {
+    let left = matched.deadline.since(matched.gateway.now());
+    let error = match tokio::time::timeout(left, collect(body)).await {
+        Ok(Ok(body)) => {
             connection.return_to_pool();
             matched.trace.end("answered", head.status, "");
-            Response::from_parts(head, full(body.to_bytes()))
+            return Response::from_parts(head, full(body));
         }
-        Err(e) => {
-            let error = ErrorResponse::may_have_run("upstream failed", e.to_string());
-            matched.trace.respond(&error)
-        }
-    }
+        Ok(Err(e)) => ErrorResponse::may_have_run("upstream failed", e.to_string()),
+        Err(_) => ErrorResponse::timed_out("no whole answer in time"),
+    };
+    matched.trace.respond(&error)
 }
 
 /// Chooses chains and sends the request to them, until one answers or no further attempt is
