Limit the size of one event of a stream

What callers would see: an engine that sends bytes without the end of an event makes the instance keep all of them and search them again with each piece, until no other request of the instance is served.

Cause: the splitter had no limit for an incomplete event, and searched it from its start each time.

Splitter tests: long_events_are_found_in_pieces, event_without_end_is_oversized.

--- a/crates/goldcrestvale_gateway/src/event.rs
+++ b/crates/goldcrestvale_gateway/src/event.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of one event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Buffers the bytes of an event stream and returns complete events only.
 ///
 /// An upstream may fail in the middle of an event. The bytes returned so far always end at an event
@@ -20,6 +23,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Splitter {
     partial: BytesMut,
+    /// Number of bytes of the incomplete event that hold no end of an event.
+    searched: usize,
     last_id: Option<u64>,
     has_gap: bool,
 }
@@ -45,9 +50,15 @@
         self.has_gap
     }
 
+    /// Returns whether the incomplete event is longer than an event may be.
+    pub fn is_oversized(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards an incomplete event, before another upstream continues the stream.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
         self.has_gap = false;
     }
 
@@ -55,8 +66,9 @@
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
-        while let Some(end) = find_end(&self.partial) {
-            let event = self.partial.split_to(end);
+        while let Some(end) = find_end(&self.partial[self.searched..]) {
+            let event = self.partial.split_to(self.searched + end);
+            self.searched = 0;
             match (event_id(&event), self.last_id) {
                 (Some(id), Some(last)) if id <= last => continue,
                 (Some(id), Some(last)) if id > last + 1 => {
@@ -72,6 +84,8 @@
                 false => complete.extend_from_slice(&event),
             }
         }
+        // The last byte may be the first one of an end.
+        self.searched = self.partial.len().saturating_sub(1);
         complete.freeze()
     }
 }
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -393,6 +393,9 @@
                         self.active = None;
                         continue;
                     }
+                    if self.splitter.is_oversized() {
+                        self.break_off();
+                    }
                     if !events.is_empty() {
                         self.record_events();
                         return Some(Ok(events));
--- a/crates/goldcrestvale_gateway/tests/event_split.rs
+++ b/crates/goldcrestvale_gateway/tests/event_split.rs
@@ -60,3 +60,28 @@
         prop_assert_eq!(received, stream(1, events));
     }
 }
+
+#[test]
+fn long_events_are_found_in_pieces() {
+    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(900_000));
+    let mut splitter = Splitter::new(None);
+    let mut complete = Vec::new();
+    for piece in event.as_bytes().chunks(7) {
+        complete.extend_from_slice(&splitter.push(piece));
+        assert!(!splitter.is_oversized());
+    }
+    assert_eq!(complete, event.as_bytes());
+}
+
+#[test]
+fn event_without_end_is_oversized() {
+    let mut splitter = Splitter::new(None);
+    splitter.push(b"id: 1\ndata: a\n\n");
+    assert!((0..200).any(|_| {
+        splitter.push(&[b'x'; 10_000]);
+        splitter.is_oversized()
+    }));
+    splitter.discard_partial();
+    assert!(!splitter.is_oversized());
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n").as_ref(), b"id: 2\ndata: b\n\n");
+}
