Break off a stream that ends without length, chunks or events

What callers would see: the end of an engine before its first event passes as a complete, empty answer if the stream has neither a length nor chunks.

Cause: the end of such a connection counted as the end of the answer whenever no event was incomplete.

Evidence: unframed_stream_without_events_is_broken_off failed before (the reply was complete) and passes. A resumed stream with nothing left to send is not affected: events were delivered before.

--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -402,7 +402,7 @@
                     }
                 }
                 Some(Err(_)) => self.break_off(),
-                None if self.splitter.has_partial_event() => self.break_off(),
+                None if self.is_cut_off() => self.break_off(),
                 None => {
                     if let Some(active) = self.active.take() {
                         let is_answer = active.events(self.splitter.last_id()) > 0;
@@ -418,6 +418,14 @@
         }
     }
 
+    /// Returns whether a stream that has ended is incomplete: inside an event, or without any if only
+    /// its connection shows the end.
+    fn is_cut_off(&self) -> bool {
+        let is_empty = self.splitter.last_id().is_none();
+        let is_framed = self.active.as_ref().is_some_and(|active| active.is_framed);
+        self.splitter.has_partial_event() || (is_empty && !is_framed)
+    }
+
     /// Ends the stream on a chain whose first engine has broken off.
     fn break_off(&mut self) {
         let Some(active) = self.active.take() else { return };
