Keep drafts from engines that their prompt crashes

What callers would see on the project's own interface: one draft ends up to 33 engines, as the draft is rebuilt on the next engine after each loss, and the next caller's draft with the same text does the same.

A lost stage was always a fault of the engine, never of the prompt.

Change: what an instance and its peers know of harmful prompts moves to goldcrestvale_entry::crash_watch, which both front ends use. The parts of a draft are blocks of 64 tokens of its prompt. A draft that two engines did not survive at its start is given up; sound drafts still recover from the loss of one engine there.

--- a/crates/goldcrestvale_entry/src/callers/draft.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod crash;
 mod driver;
 mod request;
 
--- a/crates/goldcrestvale_entry/src/callers/draft/call.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/call.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::BoxFuture;
 use goldcrestvale_base::{
+    crash::Suspect,
     engine::{Layers, Step},
     id::Request,
 };
@@ -17,6 +18,7 @@
 };
 use smallvec::{SmallVec, smallvec};
 
+use super::crash;
 use crate::{node::Node, table::Row};
 
 /// The events that result from one call.
@@ -25,7 +27,8 @@
 /// A call in progress.
 pub(super) type Call = BoxFuture<'static, Events>;
 
-/// Sends a step.
+/// Sends a step; `suspect` is the draft if it is at its start, which the loss of the engine may be
+/// due to.
 ///
 /// After the timeout a failure of the engine is recorded, but the call still waits for the
 /// answer: the draft decides whether it can use it.
@@ -35,6 +38,7 @@
     step: Step,
     expected: Duration,
     timeout: Duration,
+    suspect: Option<Suspect>,
 ) -> Call {
     Box::pin(async move {
         let _guard = row.enter_step(step.input.positions());
@@ -66,6 +70,9 @@
                     node.peers.record_refusal(&row, node.clock.wall());
                 }
                 log::debug!(upstream:% = row.name, error:% = error; "step failed");
+                if let Some(suspect) = suspect.filter(|_| matches!(error, Error::Broken { .. })) {
+                    crash::report_break(&node, &row, suspect).await;
+                }
                 (Outcome::Failed(fault), smallvec![Event::Failed { name: step.name, fault }])
             }
         };
--- a/crates/goldcrestvale_entry/src/callers/draft/driver.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/driver.rs
@@ -4,8 +4,11 @@
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use goldcrestvale_base::{
+    crash::{Progress, Suspect},
     id::{Digest, Request, Upstream},
+    prompt::Parts,
     time::Instant,
+    verdict::Verdict,
 };
 use goldcrestvale_peer::snapshot::Snapshot;
 use goldcrestvale_route::{
@@ -21,12 +24,19 @@
     request::DraftRequest,
 };
 use crate::{
+    crash_watch::parts_text,
     node::Node,
     plans::Plans,
     refusal::{Cause, Refusal, Result},
     table::Row,
 };
 
+/// Number of tokens of an answer that show that its prompt is sound.
+const PROOF_TOKENS: usize = 4;
+
+/// Number of engines that may end when they begin to answer a draft before it is given up.
+const MAX_ENGINES_ENDED: usize = 2;
+
 /// The next output of a draft.
 #[derive(Debug)]
 pub(super) enum Next {
@@ -58,6 +68,10 @@
     /// Engines that were reported to the draft as leaving or ejected.
     reported: SmallVec<[Upstream; 2]>,
     decoder: Decoder,
+    /// Parts of the prompt.
+    parts: Parts,
+    /// Whether the answer has shown that the prompt is sound.
+    is_proof: bool,
 }
 
 impl Driver {
@@ -69,6 +83,11 @@
     ) -> Result<Self> {
         let plans = Plans::current(&node);
         let started = node.clock.now();
+        let parts = request.parts();
+        if let Some(hold) = node.crash_watch.check(started, &parts) {
+            let detail = format!("prompts with {} crash engines", parts_text(&hold.parts));
+            return Err(Refusal::unsent(Cause::Quarantined, detail).retry_after(hold.left));
+        }
         let settings = Settings {
             timeout_ceiling: node.settings.upstream.step_timeout,
             ..Settings::default()
@@ -93,6 +112,8 @@
             checked: plans,
             reported: SmallVec::new(),
             decoder: Decoder::default(),
+            parts,
+            is_proof: false,
         })
     }
 
@@ -121,10 +142,45 @@
                 }
             }
             let event = self.next_event().await;
+            if matches!(event, Event::Failed { .. }) && self.may_be_harmful() {
+                let detail = "engines ended when they began to answer this prompt";
+                return Err(Refusal::new(Verdict::MayHaveRun, Cause::Upstream, detail));
+            }
             self.handle(event);
         }
     }
 
+    /// Returns whether the prompt crashes engines, or has been on too many that ended.
+    fn may_be_harmful(&self) -> bool {
+        let (watch, now) = (&self.node.crash_watch, self.node.clock.now());
+        watch.check(now, &self.parts).is_some()
+            || watch.engines_ended(now, self.digest(), &self.parts) >= MAX_ENGINES_ENDED
+    }
+
+    fn digest(&self) -> u64 {
+        Digest::of(self.id.0.as_bytes()).short()
+    }
+
+    /// Returns the draft as a suspect for the loss of an engine, if it is at its start.
+    fn suspect(&self) -> Option<Suspect> {
+        (!self.is_proof).then(|| Suspect {
+            request: self.digest(),
+            parts: self.parts.clone(),
+            progress: Progress::Begun,
+        })
+    }
+
+    /// Records that the prompt is sound once there is an answer to it.
+    fn record_progress(&mut self, tokens: usize) {
+        if !self.is_proof && tokens >= PROOF_TOKENS {
+            self.is_proof = true;
+            let report = self.node.crash_watch.record_sound(self.node.clock.now(), &self.parts);
+            if let Some(report) = report {
+                self.node.peers.send_evidence(report);
+            }
+        }
+    }
+
     async fn next_event(&mut self) -> Event {
         loop {
             if let Some(event) = self.events.pop_front() {
@@ -182,7 +238,8 @@
                 match self.row(&upstream) {
                     Some(row) => {
                         let node = self.node.clone();
-                        self.calls.push(call::step(node, row, step, expected, timeout));
+                        let suspect = self.suspect();
+                        self.calls.push(call::step(node, row, step, expected, timeout, suspect));
                     }
                     None => {
                         let fault = Fault::NotHeld;
@@ -220,6 +277,7 @@
                 );
             }
             Action::Finish { count, digest } => {
+                self.record_progress(PROOF_TOKENS);
                 return Ok(Some(Next::End(Summary { count, digest })));
             }
             Action::Fail(failure) => return Err(refusal(&failure)),
@@ -229,6 +287,7 @@
 
     fn token(&mut self, position: u32, token: u32) -> Next {
         let position = position - self.request.prompt.len() as u32;
+        self.record_progress(position as usize + 1 - self.request.resume.len());
         if position as usize == self.request.resume.len() {
             let elapsed = self.node.clock.now().since(self.started);
             self.node.metrics.first_token.record(elapsed.as_secs_f64(), &[]);
--- a/crates/goldcrestvale_entry/src/callers/draft/request.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft/request.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use goldcrestvale_base::id::Model;
+use goldcrestvale_base::{
+    id::Model,
+    prompt::{Part, Parts},
+};
 use goldcrestvale_config::record;
 use serde::Deserialize;
 
@@ -84,10 +87,21 @@
     }
 }
 
+/// Number of tokens in a part of a prompt, counted from its beginning.
+const PART_TOKENS: usize = 64;
+
 /// Number of prompt positions that take as long as one token of an answer.
 const PROMPT_POSITIONS_PER_TOKEN: usize = 32;
 
 impl DraftRequest {
+    /// Returns the parts of the prompt. Prompts with the same text at the same position share a part.
+    pub(super) fn parts(&self) -> Parts {
+        let bytes = |tokens: &[u32]| -> Vec<u8> {
+            tokens.iter().flat_map(|token| token.to_le_bytes()).collect()
+        };
+        self.prompt.chunks(PART_TOKENS).map(|tokens| Part::of(&bytes(tokens))).collect()
+    }
+
     /// Returns the expected work, in tokens of an answer.
     pub(super) fn cost(&self) -> u32 {
         let prompt = self.prompt.len().div_ceil(PROMPT_POSITIONS_PER_TOKEN) as u32;
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod clock;
 pub mod configuration;
+pub mod crash_watch;
 pub mod daemon;
 pub mod gate;
 pub mod header;
--- a/crates/goldcrestvale_entry/src/metrics.rs
+++ b/crates/goldcrestvale_entry/src/metrics.rs
@@ -126,6 +126,11 @@
         })
     }
 
+    /// Returns the meter that builds further instruments.
+    pub fn meter(&self) -> Meter {
+        self.recorder.meter()
+    }
+
     /// Registers a gauge that is read when the metrics are scraped.
     pub fn insert_gauge(&self, name: &'static str, read: impl Fn() -> u64 + Send + Sync + 'static) {
         let meter = self.recorder.meter();
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -16,9 +16,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admission::Admission, claims::Claims, clock::Clock, configuration::Manager, gate::Gate,
-    health::Health, limits::Limits, metrics::Metrics, peers::Peers, phase::Lifecycle, plans::Plans,
-    settings::Settings, table::Table,
+    admission::Admission, claims::Claims, clock::Clock, configuration::Manager,
+    crash_watch::CrashWatch, gate::Gate, health::Health, limits::Limits, metrics::Metrics,
+    peers::Peers, phase::Lifecycle, plans::Plans, settings::Settings, table::Table,
 };
 
 /// Retries that each first attempt adds to the budget, in thousandths.
@@ -58,6 +58,8 @@
     pub drafts: Admission,
     /// Admission of calls of plain services.
     pub calls: Admission,
+    /// Prompts that crash engines.
+    pub crash_watch: CrashWatch,
     /// Budget of retries of idempotent calls.
     pub retries: Budget,
     /// Metrics.
@@ -109,6 +111,7 @@
             health: Health::default(),
             plans: ArcSwap::default(),
             gate: Gate::new(settings.callers.streams),
+            crash_watch: CrashWatch::new(&metrics.meter()),
             metrics,
             engines: Engine::new(limits),
             services: Service::new(limits),
--- a/crates/goldcrestvale_entry/src/peers.rs
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -19,6 +19,7 @@
 };
 use goldcrestvale_member::{
     event::Event,
+    evidence::Evidence,
     identity::{Identity, Seed},
     leaving::{Mark, Source},
     settings::Settings as MembershipSettings,
@@ -239,6 +240,15 @@
         }
     }
 
+    /// Sends the peers what this instance knows of prompts that crash engines.
+    pub fn send_evidence(&self, evidence: Evidence) {
+        if let Some(handle) = self.handle()
+            && let Err(e) = handle.try_send_event(Event::Evidence(evidence))
+        {
+            log::warn!(error:% = e; "peers were not notified of prompts that crash engines");
+        }
+    }
+
     /// Marks an upstream as leaving, and waits until this instance sends it no new work.
     pub async fn mark_leaving(
         &self,
--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -4,14 +4,16 @@
 
 use bytes::Bytes;
 use goldcrestvale_base::id::{Digest, Instance, Offset};
-use goldcrestvale_member::action::Notice;
+use goldcrestvale_member::{action::Notice, evidence::Evidence};
 use goldcrestvale_peer::{
     events::{AnswerState, Configuration, EventHandler, Reply, ResultQuery, StoredResult},
     snapshot::Snapshot,
 };
 use log::{debug, info, warn};
+use rand::Rng;
 
 use crate::{
+    crash_watch::MAX_REPLY_DELAY,
     node::Node,
     table::{Row, Table},
 };
@@ -35,6 +37,23 @@
     }
 }
 
+/// Applies what a peer knows of prompts that crash engines, and tells the peers which parts are
+/// known to be sound here, unless another instance has done so.
+fn handle_evidence(node: Arc<Node>, evidence: &Evidence) {
+    let received = node.clock.now();
+    let known = node.crash_watch.apply(received, evidence);
+    if known.is_empty() {
+        return;
+    }
+    tokio::spawn(async move {
+        let delay = node.with_rng(Rng::random::<f64>);
+        tokio::time::sleep(MAX_REPLY_DELAY.mul_f64(delay)).await;
+        if let Some(reply) = node.crash_watch.reply(received, known) {
+            node.peers.send_evidence(reply);
+        }
+    });
+}
+
 impl EventHandler for NodeEventHandler {
     fn published(&self, snapshot: &Arc<Snapshot>) {
         let Some(node) = self.node.upgrade() else { return };
@@ -61,8 +80,11 @@
             Notice::Silent(silence) => {
                 debug!(upstream:% = silence.upstream; "a peer avoids an upstream");
             }
-            // Drafts do not use the report yet.
-            Notice::Evidence(_) => {}
+            Notice::Evidence(evidence) => {
+                if let Some(node) = self.node.upgrade() {
+                    handle_evidence(node, &evidence);
+                }
+            }
             Notice::Config { instance, config, .. } => {
                 self.offered(&instance, config.version, config.digest);
             }
--- a/crates/goldcrestvale_entry/src/peers/tasks.rs
+++ b/crates/goldcrestvale_entry/src/peers/tasks.rs
@@ -91,6 +91,11 @@
 async fn run(node: Arc<Node>, handle: Handle, dump: Arc<CachedDump>, stop: CancellationToken) {
     let mut ticks = tokio::time::interval(STATUS_INTERVAL);
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+        let now = node.clock.now();
+        node.crash_watch.remove_expired(now);
+        if let Some(report) = node.crash_watch.report(now) {
+            node.peers.send_evidence(report);
+        }
         let sent = handle.send_event(Event::Status(status(&node))).await;
         let sent = sent.and(handle.send_event(Event::WorkInProgress(in_progress(&node))).await);
         let refreshed = if dump.is_due() { dump.refresh(&handle).await } else { Ok(()) };
--- a/crates/goldcrestvale_entry/src/refusal.rs
+++ b/crates/goldcrestvale_entry/src/refusal.rs
@@ -41,6 +41,8 @@
     Deadline,
     /// No available upstream can serve the request.
     NoUpstream,
+    /// Prompts like this one crash engines.
+    Quarantined,
     /// The call needs an idempotency key.
     KeyMissing,
     /// The idempotency key is malformed, too old or issued in the future.
@@ -78,6 +80,7 @@
             Self::Limit => "limit",
             Self::Deadline => "deadline",
             Self::NoUpstream => "no-upstream",
+            Self::Quarantined => "quarantined",
             Self::KeyMissing => "key-missing",
             Self::KeyInvalid => "key-invalid",
             Self::KeyReused => "key-reused",
@@ -109,6 +112,7 @@
             Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
             Self::Busy
             | Self::NoUpstream
+            | Self::Quarantined
             | Self::LogOut
             | Self::Starting
             | Self::Stopping
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use goldcrestvale_base::{prompt::Part, time::Instant};
-use goldcrestvale_entry::receive::{self, BodyError};
+use goldcrestvale_entry::{
+    crash_watch::parts_text,
+    receive::{self, BodyError},
+};
 use goldcrestvale_route::{
     forward::{Customer, Kind, Refusal as NoMatch, Route, Table},
     quarantine::Hold,
@@ -15,7 +18,6 @@
 
 use crate::{
     body::Body,
-    crash_watch::parts_text,
     error_response::ErrorResponse,
     gateway::Gateway,
     plain,
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -14,7 +14,7 @@
     id::{Service, Upstream},
     time::Instant,
 };
-use goldcrestvale_entry::clock::Clock;
+use goldcrestvale_entry::{clock::Clock, crash_watch::CrashWatch};
 use goldcrestvale_member::leaving::Source;
 use goldcrestvale_route::{
     forward::{Configuration, Table},
@@ -27,7 +27,6 @@
 use tokio::sync::Notify;
 
 use crate::{
-    crash_watch::CrashWatch,
     directory_state::DirectoryState,
     metrics::Metrics,
     peers::Peers,
@@ -95,13 +94,13 @@
         let clock = Clock::start();
         Self {
             port,
-            metrics,
             table: ArcSwap::default(),
             view: ArcSwap::default(),
             registry: Arc::default(),
             directory: DirectoryState::default(),
             pool: Pool::new(Protocol::Http1, limits),
-            crash_watch: CrashWatch::default(),
+            crash_watch: CrashWatch::new(&metrics.recorder().meter()),
+            metrics,
             placement_wakeup: Notify::new(),
             failover_wakeup: Notify::new(),
             upstream_state: Mutex::default(),
--- a/crates/goldcrestvale_gateway/src/instance.rs
+++ b/crates/goldcrestvale_gateway/src/instance.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use goldcrestvale_entry::{
+    crash_watch::parts_text,
     metrics::{self, Recorder},
     server::{Bounds, ServerHandle},
 };
@@ -18,7 +19,6 @@
 use tower::service_fn;
 
 use crate::{
-    crash_watch::parts_text,
     directory_sync, failover, forward,
     gateway::Gateway,
     metrics::Metrics,
--- a/crates/goldcrestvale_gateway/src/metrics.rs
+++ b/crates/goldcrestvale_gateway/src/metrics.rs
@@ -21,7 +21,6 @@
     directory_reads: Counter<u64>,
     directory_failures: Counter<u64>,
     orders: Counter<u64>,
-    quarantined: Counter<u64>,
 }
 
 impl Metrics {
@@ -37,7 +36,6 @@
             directory_reads: meter.u64_counter("goldcrestvale_directory_reads").build(),
             directory_failures: meter.u64_counter("goldcrestvale_directory_failures").build(),
             orders: meter.u64_counter("goldcrestvale_engine_orders").build(),
-            quarantined: meter.u64_counter("goldcrestvale_quarantined_prompts").build(),
             recorder,
         }
     }
@@ -76,11 +74,6 @@
         self.directory_failures.add(1, &[KeyValue::new("call", call)]);
     }
 
-    /// Counts prompts that are kept from engines from now on.
-    pub(crate) fn count_quarantined(&self) {
-        self.quarantined.add(1, &[]);
-    }
-
     pub(crate) fn count_order(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
     }
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -43,7 +43,7 @@
 use crate::{
     catalog::CatalogChange,
     config_request::ConfigRequestLimiter,
-    crash_watch::{handle_evidence, holds_report},
+    crash_watch::handle_evidence,
     directory_changes::{handle_changes, send_amendments},
     failover::probe,
     gateway::Gateway,
@@ -227,7 +227,7 @@
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         interval += 1;
         if interval.is_multiple_of(HOLDS_INTERVALS)
-            && let Some(report) = holds_report(&gateway)
+            && let Some(report) = gateway.crash_watch.report(gateway.now())
         {
             gateway.peers.send_evidence(report);
         }
--- a/crates/goldcrestvale_route/src/quarantine.rs
+++ b/crates/goldcrestvale_route/src/quarantine.rs
@@ -225,6 +225,17 @@
         })
     }
 
+    /// Returns how many engines have ended when they began to answer one request.
+    pub fn engines_ended(&self, now: Instant, request: u64, parts: &[Part]) -> usize {
+        let engines = |part: &Part| {
+            let charges = self.suspected.get(part).into_iter().flatten();
+            let own = charges
+                .filter(|c| c.counts(now) && c.request == request && c.progress == Progress::Begun);
+            own.map(|charge| (&charge.upstream, charge.born_ms)).collect::<HashSet<_>>().len()
+        };
+        self.unknown(now, parts).iter().map(engines).max().unwrap_or_default()
+    }
+
     /// Returns the prompts that are kept from engines.
     pub fn holds(&self, now: Instant) -> Vec<Hold> {
         let active = self.groups.iter().filter(|group| group.until > now);
--- a/crates/goldcrestvale_standin/src/engine/api.rs
+++ b/crates/goldcrestvale_standin/src/engine/api.rs
@@ -3,7 +3,7 @@
 use std::{future::pending, time::Duration};
 
 use goldcrestvale_upstream::message::{
-    Cancel, Kv, Load, Order, Refusal, RefusalBody, Step, StepAnswer,
+    Cancel, Kv, Load, Order, Refusal, RefusalBody, Step, StepAnswer, StepInput,
 };
 use http::{Method, StatusCode};
 use hyper::{Request, Response, body::Incoming};
@@ -85,7 +85,7 @@
             Ok(step) => step,
             Err(refusal) => return Ok(self.answer_with::<()>(Err(refusal))),
         };
-        self.apply_step_faults().await;
+        self.apply_step_faults(&step).await;
         let outcome = if self.faults.get().busy {
             refuse(Refusal::Busy, "busy by a fault setting")
         } else if self.settings.time_scale > 0.0 {
@@ -105,7 +105,14 @@
     }
 
     /// Applies the faults that keep a step from running.
-    async fn apply_step_faults(&self) {
+    async fn apply_step_faults(&self, step: &Step) {
+        let sequence = self.faults.get().die_on;
+        if !sequence.is_empty()
+            && let StepInput::Tokens(tokens) = &step.input
+            && tokens.windows(sequence.len()).any(|window| window == sequence)
+        {
+            self.faults.change(|faults| faults.die = true);
+        }
         let counted = self.faults.take(|faults| &mut faults.die_at_step);
         if counted && self.faults.get().die_at_step == 0 {
             self.faults.change(|faults| faults.die = true);
--- a/crates/goldcrestvale_standin/src/engine/fault.rs
+++ b/crates/goldcrestvale_standin/src/engine/fault.rs
@@ -12,6 +12,8 @@
     pub die: bool,
     /// Ends the engine before it runs the step with this number, counted from now; 0 for never.
     pub die_at_step: u32,
+    /// Ends the engine when it receives a step with this sequence of tokens; empty for never.
+    pub die_on: Vec<u32>,
     /// Steps are neither run nor answered.
     pub hang: bool,
     /// Steps are run and not answered.
