Share the request rate that an overloaded upstream takes

Cause: the header was not read. Each answer was used for itself, and no state said how many requests the instances send together.

Change: the adapter decodes the limit, from answers and from reports, into a rate. Each instance uses the part of it that its streams in progress have among those of all instances, as peers report them; unused shares accumulate for half a second only, and shares below one request are used by chance, so that hundreds of instances add up to no burst. A chain whose first engine takes no more now is passed over, as a plain upstream is; a request that finds none is refused at once, not run, with a time to return. The limit ends with the first answer that does not name it.

--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -79,6 +79,9 @@
 /// Reads an engine's state, and records what the answer says of the engine itself.
 pub(crate) async fn query<P: Port>(gateway: &Gateway<P>, engine: &Engine) -> Result<Report> {
     let result = gateway.port.report(engine.address).await;
+    if let Ok(report) = &result {
+        gateway.limits.record(&engine.upstream, report.rate_limit, gateway.now());
+    }
     match &result {
         Ok(report) if report.is_leaving => gateway.mark_leaving(&engine.upstream),
         Err(Error::Refused { retry_after: Some(duration), .. }) => {
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -18,7 +18,8 @@
 use goldcrestvale_member::leaving::Source;
 use goldcrestvale_route::{
     forward::{Configuration, Table},
-    pipeline::{Chain, Choice, Load},
+    pipeline::{Chain, Choice, Load, Occupancy},
+    rate_share,
     retry::Exclusions,
 };
 use goldcrestvale_upstream::pool::{Limits, Pool, Protocol};
@@ -34,6 +35,7 @@
     rejection::ProbeReason,
     retry_budget::RetryBudgets,
     settings::{Retry, Settings},
+    upstream_limits::UpstreamLimits,
     upstream_state::{FaultKind, FaultPeriod, UpstreamState},
     view::{Fleet, View},
 };
@@ -52,9 +54,23 @@
 /// Maximum time for which an upstream may want no requests; a longer one is more likely an error.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
 
+/// Number of instances that share the limit of an upstream while this one does not know it.
+const UNKNOWN_INSTANCES: u32 = 8;
+
 /// How long a rejection counts for the upstream that was responsible for it.
 const REJECTION_MEMORY: Duration = Duration::from_millis(1_500);
 
+/// The reason why no chain takes a stream; the caller may retry after the time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum NoChain {
+    /// No chain has capacity.
+    Full(Duration, Occupancy),
+    /// The first engines of all chains with capacity take no more requests now.
+    Limited(Duration),
+    /// No chain holds every layer.
+    Broken(Duration),
+}
+
 /// The shared state of a gateway instance.
 #[derive(Debug)]
 pub(crate) struct Gateway<P> {
@@ -70,6 +86,8 @@
     pub(crate) directory: DirectoryState,
     pub(crate) pool: Pool,
     pub(crate) crash_watch: CrashWatch,
+    /// Request rates that overloaded upstreams take.
+    pub(crate) limits: UpstreamLimits,
     /// Wakes up the placement task after a change.
     pub(crate) placement_wakeup: Notify,
     /// Wakes up the failover task when an upstream fails.
@@ -100,6 +118,7 @@
             directory: DirectoryState::default(),
             pool: Pool::new(Protocol::Http1, limits),
             crash_watch: CrashWatch::new(&metrics.recorder().meter()),
+            limits: UpstreamLimits::default(),
             metrics,
             placement_wakeup: Notify::new(),
             failover_wakeup: Notify::new(),
@@ -375,6 +394,7 @@
             let faults_before = state.faults.len();
             state.faults.retain(|_, period| period.until > now);
             let gone = state.catalog.expire(now);
+            self.limits.retain(|upstream| state.catalog.contains(upstream));
             avoided_before != state.avoided.len()
                 || paused_before != state.paused.len()
                 || faults_before != state.faults.len()
@@ -402,26 +422,51 @@
         self.view.load().fleets.get(service).cloned()
     }
 
-    /// Chooses a chain for a stream, without those whose first engine is excluded.
+    /// Takes a request from the rate that an upstream takes; returns whether it may be sent.
+    pub(crate) fn try_take_limit(&self, upstream: &Upstream) -> bool {
+        let part = || {
+            let own = self.registry.own_streams(upstream);
+            let instances = match self.settings.peer {
+                Some(_) => self.peers.instance_count().unwrap_or(UNKNOWN_INSTANCES),
+                None => 1,
+            };
+            rate_share::part(own, self.peers.stream_count(upstream), instances)
+        };
+        self.limits.try_take(upstream, self.now(), part, self.random_unit())
+    }
+
+    /// Chooses a chain for a stream, without those whose first engine is excluded. The stream is
+    /// counted for the limit of the first engine.
     pub(crate) fn choose_chain(
         &self,
         fleet: &Fleet,
         exclusions: &Exclusions,
-    ) -> Result<Arc<Chain>, Choice> {
+    ) -> Result<Arc<Chain>, NoChain> {
         let now = self.now();
-        let chains: Vec<&Arc<Chain>> = fleet
-            .chains
+        let is_included = |chain: &&Arc<Chain>| !exclusions.contains(&chain.head().upstream, now);
+        let mut chains: Vec<&Arc<Chain>> = fleet.chains.iter().filter(is_included).collect();
+        let mut candidates: Vec<(&Chain, Load)> = chains
             .iter()
-            .filter(|chain| !exclusions.contains(&chain.head().upstream, now))
+            .map(|chain| (Arc::as_ref(chain), self.load(&chain.head().upstream)))
             .collect();
-        let load = |chain: &Chain| self.load(&chain.head().upstream);
-        let candidates: Vec<(&Chain, Load)> =
-            chains.iter().map(|chain| (chain.as_ref(), load(chain))).collect();
         let domain = &self.settings.domain;
-        let random = self.random_unit();
-        match Choice::new(&fleet.model, &candidates, domain, now, random) {
-            Choice::Take(index) => Ok(chains[index].clone()),
-            other => Err(other),
+        let mut is_limited = false;
+        loop {
+            match Choice::new(&fleet.model, &candidates, domain, now, self.random_unit()) {
+                Choice::Take(index) => {
+                    candidates.swap_remove(index);
+                    let chain = chains.swap_remove(index);
+                    if self.try_take_limit(&chain.head().upstream) {
+                        return Ok(chain.clone());
+                    }
+                    is_limited = true;
+                }
+                Choice::Full(retry_after, least) => return Err(NoChain::Full(retry_after, least)),
+                Choice::Broken(retry_after) if is_limited => {
+                    return Err(NoChain::Limited(retry_after));
+                }
+                Choice::Broken(retry_after) => return Err(NoChain::Broken(retry_after)),
+            }
         }
     }
 
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod settings;
 mod stream;
 mod trace;
+mod upstream_limits;
 mod upstream_state;
 mod view;
 
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -28,6 +28,9 @@
 /// When a caller may retry whose request found no upstream with capacity.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
 
+/// Longest time after which a caller is told to retry: one that an upstream may want no requests for.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Multiple of the latency target after which a retryable request is sent to another upstream if
 /// the first one has not answered.
 const HEDGE_FACTOR: f64 = 1.5;
@@ -107,8 +110,7 @@
         true if matched.time_left(now).is_zero() => ErrorResponse::timed_out(last_failure),
         true => ErrorResponse::may_have_run("upstream failed", last_failure),
         false => {
-            let pause_left = matched.gateway.pause_left(&service);
-            let retry_after = pause_left.map_or(RETRY_AFTER, |left| left.max(RETRY_AFTER));
+            let retry_after = retry_after(&matched, &service);
             ErrorResponse::not_run("no upstream", last_failure, retry_after)
         }
     };
@@ -124,8 +126,8 @@
     Response::from_parts(head, full(body))
 }
 
-/// Picks an upstream that was not tried yet: first those that are not avoided, of these first those
-/// in the own failure domain.
+/// Picks an upstream that was not tried yet and takes another request: first those that are not
+/// avoided, of these first those in the own failure domain.
 fn pick<P: Port>(matched: &Matched<P>, service: &Service) -> Option<PlainUpstream> {
     let gateway = &matched.gateway;
     let now = gateway.now();
@@ -135,12 +137,26 @@
         let is_remote = plain.registration.domain != gateway.settings.domain;
         (plain.avoided_until > now, is_remote, plain.registration.upstream.clone())
     };
-    let upstreams = view.plain.get(service)?;
-    upstreams
-        .iter()
+    let upstreams = view.plain.get(service)?.iter();
+    let mut upstreams: Vec<&PlainUpstream> = upstreams
         .filter(|plain| !was_tried(&plain.registration.upstream) && plain.paused_until <= now)
-        .min_by_key(rank)
-        .cloned()
+        .collect();
+    upstreams.sort_by_key(rank);
+    let takes_another =
+        |plain: &&&PlainUpstream| gateway.try_take_limit(&plain.registration.upstream);
+    upstreams.iter().find(takes_another).copied().cloned()
+}
+
+/// Returns when a caller may retry whose request found no upstream with capacity: when the first
+/// one takes requests again that wanted none for a while or limits them.
+fn retry_after<P: Port>(matched: &Matched<P>, service: &Service) -> Duration {
+    let gateway = &matched.gateway;
+    let view = gateway.view.load();
+    let upstreams = view.plain.get(service).into_iter().flatten();
+    let interval =
+        upstreams.filter_map(|plain| gateway.limits.interval(&plain.registration.upstream)).min();
+    let left = gateway.pause_left(service).or(interval).unwrap_or_default();
+    left.clamp(RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
 async fn attempt<P: Port>(
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -105,6 +105,8 @@
     pub is_leaving: bool,
     /// How long the upstream wants no further request, if it is overloaded.
     pub retry_after: Option<Duration>,
+    /// Requests per second that the upstream takes from all instances together, if it is overloaded.
+    pub rate_limit: Option<f64>,
 }
 
 /// Reads and writes the headers of requests and answers.
@@ -249,6 +251,8 @@
     pub stalled: Vec<StalledStream>,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Requests per second that it takes from all instances together, if it is overloaded.
+    pub rate_limit: Option<f64>,
 }
 
 /// How an engine treats the streams that pass through layers that it releases.
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -114,6 +114,11 @@
         })
     }
 
+    /// Returns the number of streams in progress of this instance on a chain.
+    pub(crate) fn own_streams(&self, head: &Upstream) -> u32 {
+        self.lock().heads.get(head).map_or(0, |head| head.activity.streams())
+    }
+
     /// Records the load that the first engine of a chain reported.
     pub(crate) fn record_load(&self, head: &Upstream, load: crate::port::Load, now: Instant) {
         let mut state = self.lock();
--- a/crates/goldcrestvale_gateway/src/send.rs
+++ b/crates/goldcrestvale_gateway/src/send.rs
@@ -59,6 +59,9 @@
     if id.is_some() && head.id.is_some() && head.id.as_ref() != id {
         return SendOutcome::Broken("the answer names another request".to_owned());
     }
+    if head.is_signed || head.is_not_run || head.rate_limit.is_some() {
+        gateway.limits.record(dispatch.upstream, head.rate_limit, gateway.now());
+    }
     if head.is_not_run {
         return SendOutcome::NotRun(status, head);
     }
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -9,7 +9,7 @@
     id::{Digest, Service},
     time::Instant,
 };
-use goldcrestvale_route::pipeline::{Chain, Choice};
+use goldcrestvale_route::pipeline::Chain;
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
 use http::{HeaderMap, Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
@@ -23,6 +23,7 @@
     event::Splitter,
     failover::probe,
     forward::{Matched, quarantined},
+    gateway::NoChain,
     port::{Dispatch, Port},
     registry::StreamGuard,
     rejection::{ProbeReason, handle_rejection},
@@ -190,10 +191,10 @@
         };
         let chain = match gateway.choose_chain(&fleet, &matched.exclusions) {
             Ok(chain) => chain,
-            Err(choice) => {
+            Err(no_chain) => {
                 let chains = fleet.chains.len();
-                let (cause, retry_after, detail) = match choice {
-                    Choice::Full(retry_after, least) => {
+                let (cause, retry_after, detail) = match no_chain {
+                    NoChain::Full(retry_after, least) => {
                         let limit =
                             least.limit.map_or(String::new(), |l| format!(", limit {l:.0}"));
                         let (streams, capacity) = (least.streams, least.capacity);
@@ -204,12 +205,14 @@
                             format!("{chains} chains, {rejections} refusals, {least}"),
                         )
                     }
-                    Choice::Broken(retry_after) => {
+                    NoChain::Limited(retry_after) => {
+                        ("limited", retry_after, format!("{chains} chains, {rejections} refusals"))
+                    }
+                    NoChain::Broken(retry_after) => {
                         let pause_left = gateway.pause_left(service);
                         let retry_after = pause_left.unwrap_or(retry_after);
                         ("no chain", retry_after, format!("{rejections} refusals"))
                     }
-                    Choice::Take(_) => ("no chain", NO_CHAIN_RETRY_AFTER, String::new()),
                 };
                 let error = ErrorResponse::not_run(cause, detail, retry_after);
                 return OpenOutcome::Failed(error_after_runs(error, *run_count));
--- a/crates/goldcrestvale_route/src/lib.rs
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod pipeline;
 pub mod prefix;
 pub mod quarantine;
+pub mod rate_share;
 pub mod retry;
 
 /// Re-exports the most commonly used types of this package.
