Wait for the peers' word before a stream is given up at its start

What callers saw: on an instance that has just started, a sound stream whose engine ends at its start is broken off instead of resumed, as the instance has seen no answer on the shared part of its prompt yet.

Cause: the peers' reply on sound parts takes up to 50 ms; the decision was made as soon as the engine was known to have ended.

--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -9,6 +9,7 @@
     id::{Digest, Service},
     time::Instant,
 };
+use goldcrestvale_entry::crash_watch::MAX_REPLY_DELAY;
 use goldcrestvale_route::pipeline::Chain;
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
 use http::{HeaderMap, Response, StatusCode, header, response::Parts};
@@ -55,6 +56,9 @@
 /// long as an engine takes to crash.
 const PROOF_TIME: Duration = Duration::from_millis(300);
 
+/// Time in which the peers say which of the reported parts are sound.
+const PEER_REPLY_TIME: Duration = MAX_REPLY_DELAY.saturating_add(Duration::from_millis(20));
+
 /// A stream on a chain.
 struct ActiveStream {
     guard: StreamGuard,
@@ -498,7 +502,8 @@
     }
 
     /// Waits until it is known whether the engine on which the stream broke off at its start has
-    /// ended, if its prompt may be the cause.
+    /// ended, if its prompt may be the cause, and until the peers have said which of its parts are
+    /// sound.
     async fn wait_for_investigation(&mut self) {
         let Some(done) = self.investigation.take() else { return };
         let gateway = &self.matched.gateway;
@@ -506,6 +511,9 @@
         if gateway.crash_watch.has_unknown(now, &self.matched.head.parts) {
             let left = self.matched.deadline.since(now);
             let _ = tokio::time::timeout(left, done.cancelled()).await;
+            if gateway.crash_watch.is_suspected(gateway.now(), &self.matched.head.parts) {
+                tokio::time::sleep(PEER_REPLY_TIME).await;
+            }
         }
     }
 
