Convict a part with answers only by crashes over a second

A prompt part with many callers could be kept back when many engines ended at the same moment under answers that had just begun: five of them were enough.

--- a/crates/goldcrestvale_route/src/quarantine.rs
+++ b/crates/goldcrestvale_route/src/quarantine.rs
@@ -49,9 +49,13 @@
 const THRESHOLD: f64 = 2.0;
 
 /// Score from which a part is kept from engines although there were answers on it, none of them
-/// since these crashes. A single crash of many engines must not reach it.
+/// since these crashes.
 const SOUND_THRESHOLD: f64 = 5.0;
 
+/// Time over which these crashes must be spread. Many engines that end at once are one failure, and
+/// a sound part is answered by others meanwhile.
+const SOUND_SPAN: Duration = Duration::from_secs(1);
+
 /// Score of a crash for a request that had no answer yet: it may only have been waiting.
 const WAITING_SCORE: f64 = 0.5;
 
@@ -325,8 +329,12 @@
         }
         let score: f64 = engines.values().map(|progress| score(*progress)).sum();
         let requests: HashSet<u64> = charges.iter().map(|charge| charge.request).collect();
-        let threshold = if self.is_sound(now, part) { SOUND_THRESHOLD } else { THRESHOLD };
-        requests.len() >= MIN_REQUESTS && score >= threshold
+        let first = charges.iter().map(|charge| charge.at).min().unwrap_or(now);
+        let is_enough = match self.is_sound(now, part) {
+            true => score >= SOUND_THRESHOLD && now.since(first) >= SOUND_SPAN,
+            false => score >= THRESHOLD,
+        };
+        requests.len() >= MIN_REQUESTS && is_enough
     }
 
     fn is_sound(&self, now: Instant, part: Part) -> bool {
