--- a/crates/goldcrestvale_entry/src/crash_watch.rs
+++ b/crates/goldcrestvale_entry/src/crash_watch.rs
@@ -29,6 +29,22 @@
 pub const MAX_REPLY_DELAY: Duration = Duration::from_millis(50);
 
 /// The prompts that are kept from engines, and the requests that may show others.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_base::{prompt::Part, time::Instant};
+/// use goldcrestvale_entry::{crash_watch::CrashWatch, metrics::Recorder};
+///
+/// let recorder = Recorder::new()?;
+/// let watch = CrashWatch::new(&recorder.meter());
+/// assert!(watch.check(Instant(0), &[Part(1)]).is_none());
+/// assert!(watch.has_unknown(Instant(0), &[Part(1)]));
+/// // An engine has written an answer on a prompt with this part.
+/// assert!(watch.record_sound(Instant(0), &[Part(1)]).is_none());
+/// assert!(!watch.has_unknown(Instant(0), &[Part(1)]));
+/// # Ok::<(), goldcrestvale_entry::metrics::Error>(())
+/// ```
 #[derive(Debug)]
 pub struct CrashWatch {
     quarantine: Mutex<Quarantine>,
--- a/crates/goldcrestvale_route/src/quarantine.rs
+++ b/crates/goldcrestvale_route/src/quarantine.rs
@@ -24,14 +24,14 @@
 /// enough for an answer on the others.
 const UNCERTAIN_DURATION: Duration = Duration::from_secs(5);
 
-/// How long a crash counts against a part.
+/// How long a crash is taken into account.
 const CRASH_MEMORY: Duration = Duration::from_secs(60);
 
 /// How long a part counts as sound after an answer on it. Longer than any outage, since after one
 /// nothing else tells the parts that all prompts share from a harmful one.
 const SOUND_MEMORY: Duration = Duration::from_secs(600);
 
-/// How long an answer on a part counts for more than the word of a peer.
+/// How long after an answer on a part a peer's report that the part is harmful is ignored.
 const RECENT_ANSWER: Duration = Duration::from_secs(5);
 
 /// Maximum number of sound parts that are remembered; those without an answer for the longest time
@@ -59,7 +59,7 @@
 /// Score of a crash for a request that had no answer yet: it may only have been waiting.
 const WAITING_SCORE: f64 = 0.5;
 
-/// Minimum number of different requests that make a part harmful.
+/// Minimum number of different requests under which engines ended before a part counts as harmful.
 const MIN_REQUESTS: usize = 2;
 
 /// Which prompt parts crash engines, as far as an instance and its peers know it.
@@ -94,7 +94,7 @@
 pub struct Quarantine {
     /// Parts on which answers were written, by the time of the last one.
     sound: HashMap<Part, Instant>,
-    suspected: HashMap<Part, Vec<Charge>>,
+    suspected: HashMap<Part, Vec<Observation>>,
     /// Prompts that are kept from engines, or were until a moment ago.
     groups: Vec<Group>,
 }
@@ -110,9 +110,9 @@
     until: Instant,
 }
 
-/// A crash that counts against a part.
+/// A request with a part that was at its start on an engine when the engine ended.
 #[derive(Debug, Clone)]
-struct Charge {
+struct Observation {
     upstream: Upstream,
     born_ms: Option<u64>,
     request: u64,
@@ -164,15 +164,15 @@
             return Vec::new();
         }
         for suspect in &crash.suspects {
-            for part in self.blamed(now, suspect) {
-                self.charge(now, crash, suspect, part);
+            for part in self.possible_causes(now, suspect) {
+                self.observe(now, crash, suspect, part);
             }
         }
         let mut holds = Vec::new();
         for suspect in &crash.suspects {
-            let blamed = self.blamed(now, suspect);
+            let causes = self.possible_causes(now, suspect);
             let parts: Parts =
-                blamed.into_iter().filter(|part| self.is_harmful(now, *part)).collect();
+                causes.into_iter().filter(|part| self.is_harmful(now, *part)).collect();
             if parts.is_empty() || self.check(now, &suspect.parts).is_some() {
                 continue;
             }
@@ -224,18 +224,22 @@
     /// ended, and no answer is known on that part. Such a request is not sent to a second engine.
     pub fn is_suspected(&self, now: Instant, parts: &[Part]) -> bool {
         self.unknown(now, parts).iter().any(|part| {
-            let charges = self.suspected.get(part).into_iter().flatten();
-            charges.filter(|charge| charge.counts(now)).any(|c| c.progress == Progress::Begun)
+            let observations = self.suspected.get(part).into_iter().flatten();
+            observations
+                .filter(|observation| observation.counts(now))
+                .any(|c| c.progress == Progress::Begun)
         })
     }
 
     /// Returns how many engines have ended when they began to answer one request.
     pub fn engines_ended(&self, now: Instant, request: u64, parts: &[Part]) -> usize {
         let engines = |part: &Part| {
-            let charges = self.suspected.get(part).into_iter().flatten();
-            let own = charges
+            let observations = self.suspected.get(part).into_iter().flatten();
+            let own = observations
                 .filter(|c| c.counts(now) && c.request == request && c.progress == Progress::Begun);
-            own.map(|charge| (&charge.upstream, charge.born_ms)).collect::<HashSet<_>>().len()
+            own.map(|observation| (&observation.upstream, observation.born_ms))
+                .collect::<HashSet<_>>()
+                .len()
         };
         self.unknown(now, parts).iter().map(engines).max().unwrap_or_default()
     }
@@ -270,15 +274,15 @@
     /// Removes what no longer counts.
     pub fn remove_expired(&mut self, now: Instant) {
         self.groups.retain(|group| now.since(group.until) < CRASH_MEMORY);
-        self.suspected.retain(|_, charges| {
-            charges.retain(|charge| charge.counts(now));
-            !charges.is_empty()
+        self.suspected.retain(|_, observations| {
+            observations.retain(|observation| observation.counts(now));
+            !observations.is_empty()
         });
     }
 
     /// Returns the parts of a suspect that may have caused the crash: those without an answer, or
     /// all of them if there was one on each.
-    fn blamed(&self, now: Instant, suspect: &Suspect) -> Parts {
+    fn possible_causes(&self, now: Instant, suspect: &Suspect) -> Parts {
         let unknown = self.unknown(now, &suspect.parts);
         match unknown.is_empty() && suspect.progress == Progress::Begun {
             true => suspect.parts.clone(),
@@ -297,19 +301,19 @@
         self.sound.retain(|_, at| *at > median);
     }
 
-    fn charge(&mut self, now: Instant, crash: &Crash, suspect: &Suspect, part: Part) {
+    fn observe(&mut self, now: Instant, crash: &Crash, suspect: &Suspect, part: Part) {
         if self.suspected.len() >= MAX_SUSPECTED && !self.suspected.contains_key(&part) {
             return;
         }
-        let charges = self.suspected.entry(part).or_default();
-        charges.retain(|charge| charge.counts(now));
-        let is_known = |charge: &Charge| {
-            charge.is_of(crash)
-                && charge.request == suspect.request
-                && charge.progress >= suspect.progress
+        let observations = self.suspected.entry(part).or_default();
+        observations.retain(|observation| observation.counts(now));
+        let is_known = |observation: &Observation| {
+            observation.is_of(crash)
+                && observation.request == suspect.request
+                && observation.progress >= suspect.progress
         };
-        if !charges.iter().any(is_known) {
-            charges.push(Charge {
+        if !observations.iter().any(is_known) {
+            observations.push(Observation {
                 upstream: crash.upstream.clone(),
                 born_ms: crash.born_ms,
                 request: suspect.request,
@@ -320,16 +324,18 @@
     }
 
     fn is_harmful(&self, now: Instant, part: Part) -> bool {
-        let Some(charges) = self.suspected.get(&part) else { return false };
+        let Some(observations) = self.suspected.get(&part) else { return false };
         let mut engines: HashMap<(&Upstream, Option<u64>), Progress> = HashMap::new();
-        for charge in charges {
-            let progress =
-                engines.entry((&charge.upstream, charge.born_ms)).or_insert(charge.progress);
-            *progress = charge.progress.max(*progress);
+        for observation in observations {
+            let progress = engines
+                .entry((&observation.upstream, observation.born_ms))
+                .or_insert(observation.progress);
+            *progress = observation.progress.max(*progress);
         }
         let score: f64 = engines.values().map(|progress| score(*progress)).sum();
-        let requests: HashSet<u64> = charges.iter().map(|charge| charge.request).collect();
-        let first = charges.iter().map(|charge| charge.at).min().unwrap_or(now);
+        let requests: HashSet<u64> =
+            observations.iter().map(|observation| observation.request).collect();
+        let first = observations.iter().map(|observation| observation.at).min().unwrap_or(now);
         let is_enough = match self.is_sound(now, part) {
             true => score >= SOUND_THRESHOLD && now.since(first) >= SOUND_SPAN,
             false => score >= THRESHOLD,
@@ -352,7 +358,7 @@
     }
 }
 
-impl Charge {
+impl Observation {
     fn counts(&self, now: Instant) -> bool {
         now.since(self.at) < CRASH_MEMORY
     }
--- a/crates/goldcrestvale_route/tests/prompt_quarantine.rs
+++ b/crates/goldcrestvale_route/tests/prompt_quarantine.rs
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn second_engine_convicts() {
+fn second_engine_starts_quarantine() {
     let mut quarantine = Quarantine::default();
     quarantine.record_sound(at(0), &[SHARED]);
     assert!(quarantine.record_crash(at(10), &begun(1, &[SHARED, HARMFUL])).is_empty());
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn one_request_convicts_nothing() {
+fn one_request_starts_no_quarantine() {
     // It may be on several engines of one failure domain by its own retries.
     let mut quarantine = Quarantine::default();
     for engine in 0..10 {
@@ -100,7 +100,7 @@
 }
 
 #[test]
-fn crash_of_a_domain_convicts_no_sound_part() {
+fn domain_crash_holds_no_sound_part() {
     // Fifty engines end at once, each with a request that shares the first part; the answers of
     // thirty had begun.
     let mut quarantine = Quarantine::default();
