Correct the example of a rate share

The doc test of RateShare expected the second request to be refused after 250 ms, when the share still holds one and a quarter. The share itself is unchanged. All doc tests pass.

--- a/crates/goldcrestvale_route/src/rate_share.rs
+++ b/crates/goldcrestvale_route/src/rate_share.rs
@@ -50,7 +50,7 @@
 /// // Ten requests per second, of which this instance uses all.
 /// let mut share = RateShare::new(10.0, Instant(0));
 /// assert!(!share.try_take(Instant(0), 1.0, 0.9));
-/// let later = Instant(0) + Duration::from_millis(250);
+/// let later = Instant(0) + Duration::from_millis(150);
 /// assert!(share.try_take(later, 1.0, 0.9));
 /// assert!(!share.try_take(later, 1.0, 0.99));
 /// ```
