Add case 4 of the review, an entry of another writer

An entry with an unknown service and the address of a server takes the server away from all machines of a zone but the one that reads the list.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
     echo "run the build of the deploy file and review/build.sh first" >&2
     exit 2
 }
-exec target/review/review-harness deadline "$folder"
+exec target/review/review-harness foreign "$folder"
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 
 mod case_deadline;
 mod case_drain;
+mod case_foreign;
 mod case_limit;
 mod case_order;
 mod gateway;
@@ -67,10 +68,14 @@
 }
 
 impl Setup {
-    /// Writes the configuration to the store.
+    /// Writes the first configuration to the store.
     pub fn configure(&self, routes: &[String], services: &[String]) {
+        self.configure_version(3, routes, services);
+    }
+
+    pub fn configure_version(&self, version: u64, routes: &[String], services: &[String]) {
         let configuration = format!(
-            r#"{{"version":3,"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#,
+            r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#,
             routes.join(","),
             services.join(",")
         );
@@ -173,6 +178,7 @@
         "limit" => case_limit::run(&setup),
         "order" => case_order::run(&setup),
         "drain" => case_drain::run(&setup),
+        "foreign" => case_foreign::run(&setup),
         "deadline" => case_deadline::run(&setup),
         _ => Err("no such case".to_owned()),
     };
