Let case 3 of the review not depend on which machine reads first

With both servers in one zone, every machine sends to the first of them for as long as it is listed.

--- a/review/harness/case_drain.rs
+++ b/review/harness/case_drain.rs
@@ -20,12 +20,12 @@
 pub fn run(setup: &Setup) -> Outcome {
     setup.configure(&[route("book", "unsafe", "ledger", 2, 1_500)], &[plain_service("ledger")]);
     let mut servers = Vec::new();
-    for zone in ["bole", "kirkos", "yeka"] {
-        let id = format!("ledger-{zone}");
+    // All are in one zone, so each machine sends to the same one for as long as it is listed.
+    for id in ["ledger-1", "ledger-2"] {
         let settings = Settings {
-            id: &id,
+            id,
             service: "ledger",
-            zone,
+            zone: "bole",
             address: None,
             card: None,
             pace: PLAIN,
@@ -59,7 +59,7 @@
     leaving.unlist();
     sleep(Duration::from_millis(20));
     let gone_at = Instant::now();
-    setup.record.line("the entry of ledger-bole is removed (ack)");
+    setup.record.line("the entry of ledger-1 is removed (ack)");
     setup.store.drop_watched(&leaving.id, setup.has_trouble);
     let mut stable_at = gone_at;
     if setup.has_trouble {
@@ -84,11 +84,11 @@
     let late: Vec<_> = arrivals.iter().filter(|(at, _)| *at > gone_at + DRAIN).collect();
     let late_stable = late.iter().filter(|(at, _)| *at > stable_at).count();
     setup.record.say(&format!(
-        "read first by {readers:?}; {} requests reached ledger-bole later than {} ms after the ack, {late_stable} of them while the store had been stable for {} ms; {} requests ended without an answer or with 502 or 504",
+        "read first by {readers:?}; {} requests reached ledger-1 later than {} ms after the ack, {late_stable} of them while the store had been stable for {} ms; {} requests ended without an answer or with 502 or 504",
         late.len(), DRAIN.as_millis(), STABLE_WINDOW.as_millis(), lost.lock().unwrap()
     ));
     if arrivals.is_empty() {
-        return Err("ledger-bole was never used".to_owned());
+        return Err("ledger-1 was never used".to_owned());
     }
     Ok(late_stable == 0)
 }
