Keep a stream on its chain until another one has taken it

Callers saw streams end beside planned work although their upstreams would have served them: a new path was refused (409), or an engine was leaving, and the stream's task closed its connection first and looked for another chain afterwards. With all chains full, or no retry left, it was broken off 4 s after its last event, or its caller had left. The same happened to a stream that was not answered yet.

Cause: the connection and the place at the upstream were dropped before the replacement was secured.

Change: a stream that is to be moved is opened on another chain beside its own one, which it leaves when the other has begun to answer. What its own chain sends meanwhile is held back, for up to 1 s, and passed on if the stream stays; a stalled chain that goes on is kept at once. A stream whose new path was refused keeps its old path in the registry, and is moved again after a growing delay.

--- a/crates/goldcrestvale_gateway/src/crash_watch.rs
+++ b/crates/goldcrestvale_gateway/src/crash_watch.rs
@@ -4,7 +4,7 @@
 
 use goldcrestvale_base::{
     content::Content,
-    crash::Suspect,
+    crash::{Progress, Suspect},
     id::Upstream,
     prompt::{Part, Parts},
 };
@@ -20,6 +20,11 @@
     upstream_state::FaultKind,
 };
 
+/// Returns the request with its progress, as a possible cause of the end of an upstream.
+pub(crate) fn suspect<P>(matched: &Matched<P>, progress: Progress) -> Suspect {
+    Suspect { request: matched.content, parts: matched.head.parts.clone(), progress }
+}
+
 /// Records that an engine wrote an answer on a prompt with these parts.
 pub(crate) fn record_sound<P>(gateway: &Gateway<P>, parts: &[Part]) {
     if let Some(report) = gateway.crash_watch.record_sound(gateway.now(), parts) {
--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -303,12 +303,16 @@
     let view = gateway.view.load_full();
     for (service, fleet) in &view.fleets {
         for (upstream, window) in engines_to_evacuate(&view, fleet, gateway.now()) {
-            let is_affected =
-                |stream: &Stream| stream.service == *service && stream.chain.contains(&upstream);
+            let now = gateway.now();
+            let is_affected = |stream: &Stream| {
+                stream.service == *service
+                    && stream.chain.contains(&upstream)
+                    && stream.moves.is_due(now)
+            };
             let mut streams = gateway.registry.find(is_affected);
             // The newest streams have the most events left; the others may end on their own.
             streams.sort_by_key(|(number, _)| std::cmp::Reverse(*number));
-            let elapsed = gateway.now().since(window.start);
+            let elapsed = now.since(window.start);
             streams.truncate(paced_count(streams.len(), elapsed, window.length, CHECK_INTERVAL));
             for (number, stream) in streams {
                 move_stream(gateway, fleet, number, stream);
@@ -320,6 +324,7 @@
         let is_cut_off = |stream: &Stream| {
             stream.service == *service
                 && now.since(stream.last_event) >= STALL_TIMEOUT
+                && stream.moves.is_due(now)
                 && !stream.chain.is_held(&fleet.engines)
         };
         for (number, stream) in gateway.registry.find(is_cut_off) {
@@ -337,14 +342,18 @@
 fn resume_stuck<P>(gateway: &Gateway<P>, fleet: &Fleet, service: &Service, timeout: Duration) {
     let now = gateway.now();
     let is_stuck = |stream: &Stream| {
-        stream.service == *service && stream.may_resume && now.since(stream.last_event) >= timeout
+        stream.service == *service
+            && stream.may_resume
+            && now.since(stream.last_event) >= timeout
+            && stream.moves.is_due(now)
     };
-    for (_, stream) in gateway.registry.find(is_stuck) {
+    for (number, stream) in gateway.registry.find(is_stuck) {
         let head = &stream.chain.head().upstream;
         if gateway.has_capacity_elsewhere(fleet, head) {
             let idle_ms = now.since(stream.last_event).as_millis() as u64;
             info!(request = stream.id.as_str(), head:% = head, idle_ms; "stuck stream goes on elsewhere");
             gateway.metrics.count_failover("stuck");
+            gateway.registry.record_move(number, now);
             stream.resume.notify_one();
         }
     }
@@ -358,21 +367,22 @@
         Failover::Stay | Failover::Wait => {}
         Failover::Resume => {
             info!(request = stream.id.as_str(), head:% = stream.chain.head().upstream; "stream goes on elsewhere");
+            gateway.registry.record_move(number, now);
             stream.resume.notify_one();
         }
         Failover::Repath(chain) => {
             // The stream counts as moved before the answer arrives, so that only one order is sent.
             gateway.registry.repath(number, Arc::new(chain.clone()));
+            gateway.registry.record_move(number, now);
             let gateway = gateway.clone();
             tokio::spawn(async move {
                 if repath(&gateway, &stream.id, &chain).await {
                     return;
                 }
+                // It stays, and is checked again, unless another chain takes it.
+                gateway.registry.repath(number, stream.chain);
                 if stream.may_resume {
                     stream.resume.notify_one();
-                } else {
-                    // It may not run again, so it stays and is checked again.
-                    gateway.registry.repath(number, stream.chain);
                 }
             });
         }
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod instance;
 mod listing;
 mod metrics;
+mod opening;
 mod peers;
 mod placement;
 mod plain;
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use goldcrestvale_base::{
-    crash::{Progress, Suspect},
+    crash::Progress,
     id::{Digest, Service, Upstream},
     time::Instant,
 };
@@ -14,7 +14,7 @@
 
 use crate::{
     body::{Body, collect, full},
-    crash_watch::{record_answer, report_break, wait_if_suspected},
+    crash_watch::{record_answer, report_break, suspect, wait_if_suspected},
     error_response::ErrorResponse,
     forward::{Matched, quarantined},
     port::{Dispatch, Port},
@@ -113,7 +113,8 @@
                 let upstream = &upstream.registration.upstream;
                 matched.trace.record_break(upstream, None);
                 let (gateway, attempt) = (&matched.gateway, &matched.trace.attempt);
-                let done = report_break(gateway, upstream, suspect(&matched), attempt);
+                let done =
+                    report_break(gateway, upstream, suspect(&matched, Progress::Waiting), attempt);
                 has_broken = true;
                 attempts += 1;
                 may_have_run = true;
@@ -153,11 +154,6 @@
     matched.trace.respond(&error)
 }
 
-fn suspect<P>(matched: &Matched<P>) -> Suspect {
-    let parts = matched.head.parts.clone();
-    Suspect { request: matched.content, parts, progress: Progress::Waiting }
-}
-
 fn deliver<P: Port>(matched: &mut Matched<P>, mut head: Parts, body: Bytes) -> Response<Body> {
     // A failing upstream may not have run the request.
     if !head.status.is_server_error() {
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -10,7 +10,9 @@
     id::{Service, Upstream},
     time::Instant,
 };
-use goldcrestvale_route::pipeline::{Activity, Chain, Limit, Load, PeerLoad, PlaceShare, Report};
+use goldcrestvale_route::pipeline::{
+    Activity, Backoff, Chain, Limit, Load, PeerLoad, PlaceShare, Report,
+};
 use tokio::sync::Notify;
 
 use crate::{
@@ -48,6 +50,8 @@
     pub(crate) may_resume: bool,
     /// Time of its last event, or the time at which it was sent.
     pub(crate) last_event: Instant,
+    /// The attempts to move it to another chain.
+    pub(crate) moves: Backoff,
     /// Expected tokens, if its size is estimated.
     cost: Option<StreamCost>,
 }
@@ -100,6 +104,7 @@
             resume: resume.clone(),
             may_resume,
             last_event: now,
+            moves: Backoff::default(),
             cost: None,
         };
         state.streams.insert(number, stream);
@@ -212,6 +217,13 @@
         }
     }
 
+    /// Records an attempt to move a stream.
+    pub(crate) fn record_move(&self, number: u64, now: Instant) {
+        if let Some(stream) = self.lock().streams.get_mut(&number) {
+            stream.moves.record(now);
+        }
+    }
+
     /// Returns the number of streams in progress by first engine.
     pub(crate) fn stream_counts(&self) -> Vec<(Upstream, u32)> {
         let state = self.lock();
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -1,62 +1,40 @@
 //! Forwards streams to chains of engines and resumes them on another chain when one fails.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use goldcrestvale_base::{
-    crash::{Progress, Suspect},
-    customer_load::Phase,
-    id::Service,
-    time::Instant,
-};
-use goldcrestvale_entry::{
-    crash_watch::MAX_REPLY_DELAY,
-    trial_log::{SpentTrial, Trial},
-};
-use goldcrestvale_route::pipeline::Chain;
+use goldcrestvale_base::{crash::Progress, id::Service, time::Instant};
+use goldcrestvale_entry::crash_watch::MAX_REPLY_DELAY;
+use goldcrestvale_route::{pipeline::STALL_TIMEOUT, retry::Runs};
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
 use http::{HeaderMap, Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use log::info;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     body::{Body, Broken, collect, full},
     contention, cost,
-    crash_watch::{record_answer, record_sound, report_break, wait_if_suspected},
-    customer_load::over_share,
+    crash_watch::{record_answer, record_sound, report_break, suspect, wait_if_suspected},
     error_response::ErrorResponse,
     event::Splitter,
-    failover::probe,
-    forward::{Matched, quarantined, quarantined_prompt},
-    gateway::NoChain,
-    port::{Dispatch, Port},
+    forward::Matched,
+    opening::{NO_CHAIN_RETRY_AFTER, Opening, Outcome, SEARCH_INTERVAL, barred, may_resume},
+    port::Port,
     registry::StreamGuard,
-    rejection::{ProbeReason, handle_rejection},
     relay::{self, may_relay},
-    send::{SendOutcome, send},
-    trial_log,
-    view::Fleet,
 };
 
-/// How long a first engine that could not be reached is avoided: until a probe has shown whether it
-/// is alive.
-const AVOID_FAILED: Duration = Duration::from_millis(500);
-
-/// Number of sends of one request that may end in "not run" before the request fails.
-const MAX_REJECTIONS: u32 = 3;
+/// How long the events of a chain that serves are held back while another one begins: less than
+/// callers wait for the next event.
+const MAX_HELD_BACK: Duration = Duration::from_millis(1_000);
 
 /// How long a stream waits for another chain: longer than callers wait for the next event, so that
 /// the instance does not give up before the caller while a chain may still become available.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(4_000);
 
-/// Interval at which a stream without a chain looks for one.
-const RESUME_INTERVAL: Duration = Duration::from_millis(100);
-
-/// When a caller may retry if there is no chain at all: the load time of a model.
-const NO_CHAIN_RETRY_AFTER: Duration = Duration::from_millis(900);
-
 /// Number of events up to which a stream is at its start: an engine that its prompt crashes sends no
 /// more.
 const START_EVENTS: u64 = 2;
@@ -80,19 +58,52 @@
     /// Whether it has shown that its prompt is sound.
     is_proof: bool,
     body: Incoming,
+    /// What was read of the body while another chain was looked for.
+    ahead: VecDeque<ReadFrame>,
     connection: PooledConnection,
 }
 
+/// A frame of a body; `None` at its end.
+type ReadFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 impl ActiveStream {
     fn new(reply: StreamingReply, guard: StreamGuard, resumed_after: Option<u64>) -> (Parts, Self) {
         let (head, body, connection) = reply.into_parts();
         let is_framed = is_framed(&head.headers);
         let (first_event, is_proof) = (None, false);
-        let stream =
-            Self { guard, resumed_after, first_event, is_framed, is_proof, body, connection };
+        let ahead = VecDeque::new();
+        let stream = Self {
+            guard,
+            resumed_after,
+            first_event,
+            is_framed,
+            is_proof,
+            body,
+            ahead,
+            connection,
+        };
         (head, stream)
     }
 
+    /// Returns the next frame of the body.
+    async fn frame(&mut self) -> ReadFrame {
+        match self.ahead.pop_front() {
+            Some(frame) => frame,
+            None => self.body.frame().await,
+        }
+    }
+
+    /// Reads a frame of the body that is returned later.
+    async fn read_ahead(&mut self) {
+        let frame = self.body.frame().await;
+        self.ahead.push_back(frame);
+    }
+
+    /// Returns whether the body has ended in what was read ahead.
+    fn has_ended(&self) -> bool {
+        matches!(self.ahead.back(), Some(None | Some(Err(_))))
+    }
+
     /// Returns the number of events of this chain, by the id of its last one.
     fn events(&self, last_id: Option<u64>) -> u64 {
         last_id.unwrap_or_default() - self.resumed_after.unwrap_or_default()
@@ -109,17 +120,11 @@
     last_event: Instant,
     /// Cancelled once it is known whether the engine on which the stream broke off has ended.
     investigation: Option<CancellationToken>,
-    /// Number of upstreams on which the request may have run.
-    run_count: u32,
+    /// The upstreams on which the request may have run.
+    runs: Runs,
     ended: bool,
 }
 
-/// The outcome of opening a stream.
-enum OpenOutcome {
-    Open(Box<StreamingReply>, StreamGuard),
-    Failed(ErrorResponse),
-}
-
 pub(crate) async fn serve<P: Port>(mut matched: Matched<P>) -> Response<Body> {
     let service =
         matched.gateway.table.load().pick(&matched.route, matched.gateway.random_unit()).cloned();
@@ -131,15 +136,21 @@
         );
         return matched.trace.respond(&error);
     };
-    let mut run_count = 0;
+    let mut runs = Runs::default();
     let last_id = matched.head.last_event;
-    let outcome = open_stream(&mut matched, &service, &mut run_count, None).await;
-    let (reply, guard) = match outcome {
-        OpenOutcome::Open(reply, guard) => (reply, guard),
-        OpenOutcome::Failed(_) if run_count == 0 && may_relay(&matched) => {
+    let opening = Opening {
+        matched: &mut matched,
+        service: &service,
+        runs: &mut runs,
+        last_event: None,
+        held: None,
+    };
+    let (reply, guard) = match opening.run().await {
+        Outcome::Open(reply, guard) => (reply, guard),
+        Outcome::Failed(_) if runs.is_empty() && may_relay(&matched) => {
             return relay::serve(matched).await;
         }
-        OpenOutcome::Failed(error) => return matched.trace.respond(&error),
+        Outcome::Failed(error) => return matched.trace.respond(&error),
     };
     let (mut head, active) = ActiveStream::new(*reply, guard, last_id);
     matched.gateway.port.strip_hop_headers(&mut head.headers);
@@ -157,7 +168,7 @@
         splitter: Splitter::new(last_id),
         last_event,
         investigation: None,
-        run_count,
+        runs,
         ended: false,
     };
     let frames = unfold(relay, |mut relay| async move {
@@ -191,212 +202,6 @@
     matched.trace.respond(&error)
 }
 
-/// Chooses chains and sends the request to them, until one answers or no further attempt is
-/// allowed.
-async fn open_stream<P: Port>(
-    matched: &mut Matched<P>,
-    service: &Service,
-    run_count: &mut u32,
-    last_event: Option<u64>,
-) -> OpenOutcome {
-    let gateway = matched.gateway.clone();
-    let mut rejections = 0;
-    loop {
-        if let Some(error) = barred(matched) {
-            return OpenOutcome::Failed(error_after_runs(error, *run_count));
-        }
-        let Some(fleet) = gateway.fleet(service) else {
-            let error =
-                ErrorResponse::not_run("no engines", "no engine is known", NO_CHAIN_RETRY_AFTER);
-            return OpenOutcome::Failed(error_after_runs(error, *run_count));
-        };
-        if let Some(error) = over_share(matched, service, last_event) {
-            return OpenOutcome::Failed(error);
-        }
-        exclude_trials(matched, &fleet);
-        let progress = cost::estimate(matched, service, &fleet.model, last_event);
-        let is_first = last_event.is_none() && *run_count == 0;
-        let size = progress.size();
-        let chain = match contention::choose_chain(matched, service, &fleet, is_first, size).await {
-            Ok(chain) => chain,
-            Err(no_chain) => {
-                let chains = fleet.chains.len();
-                let (cause, retry_after, detail) = match no_chain {
-                    NoChain::Full(retry_after, least) => {
-                        let limit =
-                            least.limit.map_or(String::new(), |l| format!(", limit {l:.0}"));
-                        let (streams, capacity) = (least.streams, least.capacity);
-                        let least = format!("least: {streams:.0} of {capacity:.0} streams{limit}");
-                        (
-                            "full",
-                            retry_after,
-                            format!("{chains} chains, {rejections} refusals, {least}"),
-                        )
-                    }
-                    NoChain::Limited(retry_after) => {
-                        ("limited", retry_after, format!("{chains} chains, {rejections} refusals"))
-                    }
-                    NoChain::Broken(retry_after) => {
-                        let pause_left = gateway.pause_left(service);
-                        let retry_after = pause_left.unwrap_or(retry_after);
-                        ("no chain", retry_after, format!("{rejections} refusals"))
-                    }
-                };
-                let error = ErrorResponse::not_run(cause, detail, retry_after);
-                return OpenOutcome::Failed(error_after_runs(error, *run_count));
-            }
-        };
-        // Another attempt of the request may have ended an engine while this one waited.
-        let barred = matched.trace.wait.and_then(|_| barred(matched));
-        if let Some(error) = barred {
-            return OpenOutcome::Failed(error_after_runs(error, *run_count));
-        }
-        let now = gateway.now();
-        if matched.deadline <= now || matched.time_left(now).is_zero() {
-            return OpenOutcome::Failed(timed_out(*run_count));
-        }
-        if let Err(error) = trial_log::claim(matched, &chain.head().upstream).await {
-            return OpenOutcome::Failed(error_after_runs(error, *run_count));
-        }
-        let now = gateway.now();
-        if matched.trace.tried.is_empty() {
-            gateway.count_first(service);
-        } else if rejections >= MAX_REJECTIONS || !gateway.try_retry(service) {
-            let detail = format!("{rejections} refusals, or the retry budget is spent");
-            let error = ErrorResponse::not_run("refused", detail, NO_CHAIN_RETRY_AFTER);
-            return OpenOutcome::Failed(error_after_runs(error, *run_count));
-        }
-        let head = chain.head().upstream.clone();
-        matched.trace.tried.push(head.clone());
-        let guard = gateway.registry.register(
-            &matched.trace.id,
-            service,
-            &chain,
-            may_resume(matched, *run_count + 1),
-            gateway.count_stream(service, matched.customer_name(), Phase::Running),
-            now,
-        );
-        progress.count(&guard);
-        let trial = matched.trial.take().map(Trial::spend);
-        match send_to_chain(matched, &chain, &guard, last_event).await {
-            Some(SendOutcome::Answered(reply, answer)) => {
-                if let Some(load) = answer.load {
-                    gateway.registry.record_load(&head, load, gateway.now());
-                }
-                *run_count += 1;
-                return OpenOutcome::Open(reply, guard);
-            }
-            Some(SendOutcome::NotRun(status, answer)) => {
-                rejections += 1;
-                matched.has_arrived = true;
-                matched.trial = trial.and_then(|trial| trial.rejected(matched.content));
-                if let Some(load) = answer.load {
-                    gateway.registry.record_load(&head, load, gateway.now());
-                }
-                handle_rejection(matched, service, &chain, status, &answer);
-                matched.exclusions.insert(&head, gateway.now());
-            }
-            Some(SendOutcome::Unsent(why)) => {
-                matched.trial = trial.map(SpentTrial::unsent);
-                if gateway.avoid(&head, AVOID_FAILED, &why) {
-                    tokio::spawn(probe(gateway.clone(), head.clone(), ProbeReason::Failure));
-                }
-                matched.exclusions.insert(&head, gateway.now());
-            }
-            Some(SendOutcome::Broken(why)) => {
-                matched.trace.record_break(&head, None);
-                *run_count += 1;
-                // One lost answer is no proof of a failure: the engine is probed, but not avoided
-                // yet.
-                let suspect = suspect(matched, Progress::Waiting);
-                let done = report_break(&gateway, &head, suspect, &matched.trace.attempt);
-                wait_if_suspected(matched, &done).await;
-                matched.exclusions.insert(&head, gateway.now());
-                if !may_resume(matched, *run_count) {
-                    return OpenOutcome::Failed(ErrorResponse::may_have_run(
-                        "upstream failed",
-                        why,
-                    ));
-                }
-            }
-            // The chain stalled before the first event, or the deadline has passed.
-            None => {
-                *run_count += 1;
-                matched.exclusions.insert(&head, gateway.now());
-                if gateway.now() >= matched.deadline {
-                    return OpenOutcome::Failed(timed_out(*run_count));
-                }
-                if !may_resume(matched, *run_count) {
-                    let why = "the chain stopped before the first event";
-                    return OpenOutcome::Failed(ErrorResponse::may_have_run("chain stopped", why));
-                }
-            }
-        }
-    }
-}
-
-/// Sends to a chain; returns `None` if the stream has to resume elsewhere or the deadline has
-/// passed.
-async fn send_to_chain<P: Port>(
-    matched: &Matched<P>,
-    chain: &Chain,
-    guard: &StreamGuard,
-    last_event: Option<u64>,
-) -> Option<SendOutcome> {
-    let gateway = &matched.gateway;
-    let now = gateway.now();
-    let dispatch = Dispatch {
-        time_left: matched.time_left(now),
-        upstream: &chain.head().upstream,
-        customer: matched.customer_name(),
-        chain: Some(&chain.stages),
-        last_event: last_event.or(matched.head.last_event),
-    };
-    let id = matched.head.id.as_ref();
-    let body = matched.body.clone();
-    let sent = send(gateway, chain.head().address, &matched.parts, body, &dispatch, id);
-    tokio::select! {
-        sent = sent => Some(sent),
-        () = guard.resume.notified() => None,
-        () = tokio::time::sleep(matched.deadline.since(now)) => None,
-    }
-}
-
-/// Returns the refusal of a prompt that crashes engines, or that may have crashed the one that it
-/// was sent to before.
-fn barred<P>(matched: &Matched<P>) -> Option<ErrorResponse> {
-    let (gateway, parts) = (&matched.gateway, &matched.head.parts);
-    let is_repeat = !matched.trace.tried.is_empty();
-    // A granted trial keeps all others of the request back, but not itself.
-    let refusal = match matched.trial {
-        Some(_) => quarantined_prompt(gateway, parts),
-        None => quarantined(gateway, matched.content, parts),
-    };
-    refusal.or_else(|| {
-        let is_barred = is_repeat && gateway.crash_watch.is_suspected(gateway.now(), parts);
-        let detail = "an engine ended when it began to answer this prompt";
-        is_barred.then(|| ErrorResponse::may_have_run("crashed", detail))
-    })
-}
-
-/// Excludes the chains on which other requests are in trials for one that may need a trial itself, if
-/// there are others.
-fn exclude_trials<P>(matched: &mut Matched<P>, fleet: &Fleet) {
-    let (gateway, now) = (matched.gateway.clone(), matched.gateway.now());
-    if !gateway.crash_watch.is_in_trials(matched.content) {
-        return;
-    }
-    let in_trials = gateway.crash_watch.trial_upstreams(now, matched.content);
-    let mut heads = fleet.chains.iter().map(|chain| &chain.head().upstream);
-    if heads.any(|head| !in_trials.contains(head) && !matched.exclusions.contains(head, now)) {
-        in_trials.iter().for_each(|head| matched.exclusions.insert(head, now));
-    }
-}
-
-fn suspect<P>(matched: &Matched<P>, progress: Progress) -> Suspect {
-    Suspect { request: matched.content, parts: matched.head.parts.clone(), progress }
-}
-
 /// Records that the answer to a stream shows that its request and its prompt are sound.
 fn record_proof<P>(matched: &Matched<P>) {
     record_answer(&matched.gateway, matched.content);
@@ -407,21 +212,36 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn may_resume<P>(matched: &Matched<P>, run_count: u32) -> bool {
-    matched.route.resumable && run_count < matched.route.attempts
-}
-
-fn error_after_runs(error: ErrorResponse, run_count: u32) -> ErrorResponse {
-    match run_count {
-        0 => error,
-        _ => ErrorResponse::may_have_run("upstream failed", error.detail),
-    }
-}
-
-fn timed_out(run_count: u32) -> ErrorResponse {
-    match run_count {
-        0 => ErrorResponse::rejected(StatusCode::GATEWAY_TIMEOUT, "late", "never sent"),
-        _ => ErrorResponse::timed_out("no whole answer in time"),
+/// Opens a stream on another chain while its own one may go on; `None` if it stays there, since that
+/// has sent the whole answer, or something for longer than `max_held_back`.
+async fn open_beside<P: Port>(
+    opening: Opening<'_, P>,
+    active: &mut ActiveStream,
+    max_held_back: Duration,
+) -> Option<Outcome> {
+    let opening = opening.run();
+    tokio::pin!(opening);
+    let mut held_back_until = None;
+    loop {
+        let held_back = async {
+            match held_back_until {
+                Some(until) => tokio::time::sleep_until(until).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            outcome = &mut opening => return Some(outcome),
+            () = active.read_ahead(), if !active.has_ended() => match active.ahead.back() {
+                Some(Some(Ok(_))) => {
+                    let until = tokio::time::Instant::now() + max_held_back;
+                    held_back_until.get_or_insert(until);
+                }
+                Some(Some(Err(_))) => held_back_until = None,
+                Some(None) | None => return None,
+            },
+            () = held_back => return None,
+        }
     }
 }
 
@@ -447,10 +267,12 @@
                 }
                 continue;
             };
+            let resume = active.guard.resume.clone();
             let frame = tokio::select! {
-                frame = active.body.frame() => frame,
-                () = active.guard.resume.notified() => {
-                    self.active = None;
+                biased;
+                frame = active.frame() => frame,
+                () = resume.notified() => {
+                    self.replace().await;
                     continue;
                 }
                 () = tokio::time::sleep(remaining) => continue,
@@ -530,7 +352,60 @@
         }
     }
 
-    /// Resumes the stream on another chain, after the last event that the caller received.
+    /// Moves the stream to another chain, after the last event that the caller received. It stays on
+    /// its chain until the other one has begun to answer.
+    async fn replace(&mut self) {
+        let Self { matched, service, active: Some(active), runs, .. } = self else { return };
+        if barred(matched).is_some() || !may_resume(matched, runs) {
+            return;
+        }
+        let gateway = matched.gateway.clone();
+        let stalled_since = self.last_event;
+        let is_stalled = gateway.now().since(stalled_since) >= STALL_TIMEOUT;
+        // A stalled chain that goes on is as good as another one.
+        let max_held_back = if is_stalled { Duration::ZERO } else { MAX_HELD_BACK };
+        let last_event = self.splitter.last_id();
+        let _precedence = contention::resume(matched);
+        let head = active.guard.head.clone();
+        let opened = loop {
+            let opening = Opening { matched, service, runs, last_event, held: Some(&head) };
+            match open_beside(opening, active, max_held_back).await {
+                Some(Outcome::Open(reply, guard)) if reply.head.status == StatusCode::OK => {
+                    break Some((reply, guard));
+                }
+                Some(Outcome::Failed(error)) => {
+                    let detail = error.detail.as_str();
+                    info!(request = matched.trace.id.as_str(), head:% = head, cause = error.cause, detail; "stream stays on its chain");
+                    gateway.metrics.count_failover("stayed");
+                }
+                Some(Outcome::Open(..)) | None => break None,
+            }
+            let is_over = matched.time_left(gateway.now()).is_zero();
+            if !is_stalled || !active.ahead.is_empty() || is_over || !may_resume(matched, runs) {
+                break None;
+            }
+            tokio::select! {
+                () = active.read_ahead() => break None,
+                () = tokio::time::sleep(SEARCH_INTERVAL) => {}
+            }
+        };
+        if let Some((reply, guard)) = opened {
+            self.splitter.discard_partial();
+            self.switch(*reply, guard, stalled_since);
+        }
+    }
+
+    /// Goes on with the answer of another chain.
+    fn switch(&mut self, reply: StreamingReply, guard: StreamGuard, stalled_since: Instant) {
+        let gateway = &self.matched.gateway;
+        gateway.metrics.count_failover("resumed");
+        gateway.metrics.record_recovery(gateway.now().since(stalled_since));
+        self.active = Some(ActiveStream::new(reply, guard, self.splitter.last_id()).1);
+        self.matched.trace.moves += 1;
+    }
+
+    /// Resumes a stream without a chain on another one, after the last event that the caller
+    /// received.
     async fn resume(&mut self) -> Result<(), String> {
         self.splitter.discard_partial();
         let stalled_since = self.last_event;
@@ -540,31 +415,27 @@
             if let Some(error) = barred(&self.matched) {
                 return Err(error.detail);
             }
-            if !may_resume(&self.matched, self.run_count) {
+            if !may_resume(&self.matched, &self.runs) {
                 return Err("the chain failed, and the stream may not run again".to_owned());
             }
-            let last_id = self.splitter.last_id();
-            let gateway = self.matched.gateway.clone();
-            match open_stream(&mut self.matched, &self.service, &mut self.run_count, last_id).await
-            {
-                OpenOutcome::Open(reply, guard) if reply.head.status == StatusCode::OK => {
-                    self.active = Some(ActiveStream::new(*reply, guard, last_id).1);
-                    self.matched.trace.moves += 1;
-                    gateway.metrics.count_failover("resumed");
-                    gateway.metrics.record_recovery(gateway.now().since(stalled_since));
+            let last_event = self.splitter.last_id();
+            let Self { matched, service, runs, .. } = self;
+            let opening = Opening { matched, service, runs, last_event, held: None };
+            let error = match opening.run().await {
+                Outcome::Open(reply, guard) if reply.head.status == StatusCode::OK => {
+                    self.switch(*reply, guard, stalled_since);
                     return Ok(());
                 }
-                OpenOutcome::Open(reply, _) => {
+                Outcome::Open(reply, _) => {
                     return Err(format!("the resumption was answered {}", reply.head.status));
                 }
-                OpenOutcome::Failed(error) => {
-                    let waited = gateway.now().since(stalled_since);
-                    if waited + RESUME_INTERVAL > RESUME_TIMEOUT {
-                        return Err(format!("{}: {}", error.cause, error.detail));
-                    }
-                    tokio::time::sleep(RESUME_INTERVAL).await;
-                }
+                Outcome::Failed(error) => error,
+            };
+            let waited = self.matched.gateway.now().since(stalled_since);
+            if waited + SEARCH_INTERVAL > RESUME_TIMEOUT {
+                return Err(format!("{}: {}", error.cause, error.detail));
             }
+            tokio::time::sleep(SEARCH_INTERVAL).await;
         }
     }
 
--- a/crates/goldcrestvale_route/src/pipeline.rs
+++ b/crates/goldcrestvale_route/src/pipeline.rs
@@ -5,6 +5,7 @@
 //! its layers are held again.
 
 mod activity;
+mod backoff;
 mod chain;
 mod choice;
 mod engine;
@@ -24,6 +25,7 @@
 mod stuck;
 
 pub use activity::{Activity, STALL_TIMEOUT, probe_share};
+pub use backoff::Backoff;
 pub use chain::{Chain, Stage, alternate, find_chains};
 pub use choice::{Choice, Load, Occupancy, Report};
 pub use engine::Engine;
--- a/crates/goldcrestvale_route/src/retry.rs
+++ b/crates/goldcrestvale_route/src/retry.rs
@@ -3,11 +3,13 @@
 mod attempts;
 mod budget;
 mod exclusions;
+mod runs;
 mod share;
 mod window;
 
 pub use attempts::{Attempts, Refusal, Result};
 pub use budget::Budget;
 pub use exclusions::Exclusions;
+pub use runs::{Run, Runs};
 pub use share::Share;
 pub use window::Window;
--- /dev/null
+++ b/crates/goldcrestvale_route/src/retry/runs.rs
@@ -0,0 +1,65 @@
+//! The upstreams on which one request may have run.
+
+use std::net::SocketAddr;
+
+use goldcrestvale_base::{domain, id::Upstream};
+use smallvec::SmallVec;
+
+domain! {
+    value
+    /// An upstream on which a request may have run.
+    pub struct Run {
+        /// The upstream.
+        pub upstream: Upstream,
+        /// Its address.
+        pub address: SocketAddr,
+        /// When this incarnation of it started, in milliseconds since the Unix epoch.
+        pub born_ms: Option<u64>,
+    }
+}
+
+/// The upstreams on which one request may have run.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestvale_route::retry::{Run, Runs};
+///
+/// let upstream: goldcrestvale_base::id::Upstream = "engine-1".parse()?;
+/// let address = "127.0.0.1:7201".parse().unwrap();
+/// let mut runs = Runs::default();
+/// runs.insert(Run { upstream: upstream.clone(), address, born_ms: None });
+/// assert_eq!(runs.remaining(1), 0);
+/// runs.remove(&upstream);
+/// assert_eq!(runs.remaining(1), 1);
+/// assert!(runs.is_empty());
+/// # Ok::<(), goldcrestvale_base::id::Error>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Runs {
+    counted: SmallVec<[Run; 2]>,
+}
+
+impl Runs {
+    /// Records that the request is sent to an upstream, where it may run.
+    pub fn insert(&mut self, run: Run) {
+        self.counted.push(run);
+    }
+
+    /// Records that an upstream did not run the request that was last sent to it.
+    pub fn remove(&mut self, upstream: &Upstream) {
+        if let Some(index) = self.counted.iter().rposition(|run| run.upstream == *upstream) {
+            self.counted.remove(index);
+        }
+    }
+
+    /// Returns whether the request has run nowhere.
+    pub fn is_empty(&self) -> bool {
+        self.counted.is_empty()
+    }
+
+    /// Returns how many more runs are allowed if `max` is the limit of the route.
+    pub fn remaining(&self, max: u32) -> u32 {
+        max.saturating_sub(u32::try_from(self.counted.len()).unwrap_or(u32::MAX))
+    }
+}
