Look for another chain until the caller's time is over

Callers saw streams end 4 s after their last event although they waited on: `backlog-tidy` waits as long as that. Other callers were held up to 4 s after the timeout of their route.

Cause: the time for which a stream without a chain looks for one was a constant, longer than most callers wait and shorter than the route allows, and did not end at the route's timeout.

Change: the search and the waits within it end at the timeout of the route or the time that the caller has left. A caller that leaves sooner ends it as before.

Evidence: `waiting_caller_gets_a_late_chain` (5 of 20 events before) and `stream_ends_at_the_timeout_of_its_route` (4.06 s for a timeout of 3 s before) failed on and pass.

--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -31,10 +31,6 @@
 /// callers wait for the next event.
 const MAX_HELD_BACK: Duration = Duration::from_millis(1_000);
 
-/// How long a stream waits for another chain: longer than callers wait for the next event, so that
-/// the instance does not give up before the caller while a chain may still become available.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(4_000);
-
 /// Number of events up to which a stream is at its start: an engine that its prompt crashes sends no
 /// more.
 const START_EVENTS: u64 = 2;
@@ -431,8 +427,7 @@
                 }
                 Outcome::Failed(error) => error,
             };
-            let waited = self.matched.gateway.now().since(stalled_since);
-            if waited + SEARCH_INTERVAL > RESUME_TIMEOUT {
+            if self.matched.time_left(self.matched.gateway.now()) <= SEARCH_INTERVAL {
                 return Err(format!("{}: {}", error.cause, error.detail));
             }
             tokio::time::sleep(SEARCH_INTERVAL).await;
@@ -451,7 +446,7 @@
             let left = self.matched.deadline.since(now);
             let _ = tokio::time::timeout(left, done.cancelled()).await;
             if gateway.crash_watch.is_suspected(gateway.now(), &self.matched.head.parts) {
-                tokio::time::sleep(PEER_REPLY_TIME).await;
+                tokio::time::sleep(PEER_REPLY_TIME.min(left)).await;
             }
         }
     }
