Leave ended upstreams out of the attempts of a stream

Cause: `maxAttempts` counted every upstream on which a stream had run. The rule leaves out those that have ended.

Change: a stream that has used up its attempts finds out which of its upstreams have ended: they refuse connections, have left the directory and do not answer, or run as another incarnation. The first two that ended do not count; a third one does, since the request itself may be the cause. One that is listed and does not answer keeps the stream waiting; if all accept connections, the stream fails at once.

--- a/crates/goldcrestvale_gateway/src/crash_watch.rs
+++ b/crates/goldcrestvale_gateway/src/crash_watch.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use futures_util::future::join_all;
 use goldcrestvale_base::{
     content::Content,
     crash::{Progress, Suspect},
@@ -10,6 +11,8 @@
 };
 use goldcrestvale_entry::crash_watch::{Attempt, COLLECT_TIME, MAX_REPLY_DELAY};
 use goldcrestvale_member::evidence::Evidence;
+use goldcrestvale_route::retry::{Run, Runs};
+use goldcrestvale_upstream::pool::Acceptance;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -20,11 +23,45 @@
     upstream_state::FaultKind,
 };
 
+/// What has become of an upstream that ran a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Alive,
+    Ended,
+    /// It is listed and does not answer, so it may only be out of reach.
+    Unknown,
+}
+
 /// Returns the request with its progress, as a possible cause of the end of an upstream.
 pub(crate) fn suspect<P>(matched: &Matched<P>, progress: Progress) -> Suspect {
     Suspect { request: matched.content, parts: matched.head.parts.clone(), progress }
 }
 
+/// Finds out which upstreams that ran a request have ended since; returns whether the fate of one is
+/// unknown.
+pub(crate) async fn find_ended<P>(gateway: &Gateway<P>, runs: &mut Runs) -> bool {
+    let fates =
+        runs.counted().iter().map(|run| async { (run.upstream.clone(), fate(gateway, run).await) });
+    let fates = join_all(fates).await;
+    for (upstream, _) in fates.iter().filter(|(_, fate)| *fate == Fate::Ended) {
+        runs.record_end(upstream);
+    }
+    fates.iter().any(|(_, fate)| *fate == Fate::Unknown)
+}
+
+/// Returns what has become of the incarnation of an upstream that ran a request.
+async fn fate<P>(gateway: &Gateway<P>, run: &Run) -> Fate {
+    let listed = gateway.read_state(|state| Some(state.catalog.get(&run.upstream)?.born_ms));
+    if listed.is_some_and(|born| born.zip(run.born_ms).is_some_and(|(now, then)| now != then)) {
+        return Fate::Ended;
+    }
+    match gateway.pool.try_connect(run.address).await {
+        Acceptance::Accepted => Fate::Alive,
+        Acceptance::Silent if listed.is_some() => Fate::Unknown,
+        Acceptance::Refused | Acceptance::Silent => Fate::Ended,
+    }
+}
+
 /// Records that an engine wrote an answer on a prompt with these parts.
 pub(crate) fn record_sound<P>(gateway: &Gateway<P>, parts: &[Part]) {
     if let Some(report) = gateway.crash_watch.record_sound(gateway.now(), parts) {
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -17,7 +17,9 @@
 use crate::{
     body::{Body, Broken, collect, full},
     contention, cost,
-    crash_watch::{record_answer, record_sound, report_break, suspect, wait_if_suspected},
+    crash_watch::{
+        find_ended, record_answer, record_sound, report_break, suspect, wait_if_suspected,
+    },
     error_response::ErrorResponse,
     event::Splitter,
     forward::Matched,
@@ -411,29 +413,48 @@
             if let Some(error) = barred(&self.matched) {
                 return Err(error.detail);
             }
-            if !may_resume(&self.matched, &self.runs) {
-                return Err("the chain failed, and the stream may not run again".to_owned());
-            }
+            self.find_ended().await?;
             let last_event = self.splitter.last_id();
             let Self { matched, service, runs, .. } = self;
-            let opening = Opening { matched, service, runs, last_event, held: None };
-            let error = match opening.run().await {
-                Outcome::Open(reply, guard) if reply.head.status == StatusCode::OK => {
-                    self.switch(*reply, guard, stalled_since);
-                    return Ok(());
-                }
-                Outcome::Open(reply, _) => {
-                    return Err(format!("the resumption was answered {}", reply.head.status));
+            let mut detail = "the upstreams on which it ran may still run it".to_owned();
+            if may_resume(matched, runs) {
+                let opening = Opening { matched, service, runs, last_event, held: None };
+                match opening.run().await {
+                    Outcome::Open(reply, guard) if reply.head.status == StatusCode::OK => {
+                        self.switch(*reply, guard, stalled_since);
+                        return Ok(());
+                    }
+                    Outcome::Open(reply, _) => {
+                        return Err(format!("the resumption was answered {}", reply.head.status));
+                    }
+                    Outcome::Failed(error) => detail = format!("{}: {}", error.cause, error.detail),
                 }
-                Outcome::Failed(error) => error,
-            };
+            }
             if self.matched.time_left(self.matched.gateway.now()) <= SEARCH_INTERVAL {
-                return Err(format!("{}: {}", error.cause, error.detail));
+                return Err(detail);
             }
             tokio::time::sleep(SEARCH_INTERVAL).await;
         }
     }
 
+    /// Finds out whether upstreams on which the request ran have ended, if it may not run again
+    /// otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none of them can have ended.
+    async fn find_ended(&mut self) -> Result<(), String> {
+        let Self { matched, runs, .. } = self;
+        if may_resume(matched, runs) {
+            return Ok(());
+        }
+        let is_unknown = matched.route.resumable && find_ended(&matched.gateway, runs).await;
+        match is_unknown || may_resume(matched, runs) {
+            true => Ok(()),
+            false => Err("the chain failed, and the stream may not run again".to_owned()),
+        }
+    }
+
     /// Waits until it is known whether the engine on which the stream broke off at its start has
     /// ended, if its prompt may be the cause, and until the peers have said which of its parts are
     /// sound.
--- a/crates/goldcrestvale_route/src/retry/runs.rs
+++ b/crates/goldcrestvale_route/src/retry/runs.rs
@@ -5,6 +5,9 @@
 use goldcrestvale_base::{domain, id::Upstream};
 use smallvec::SmallVec;
 
+/// Number of ended upstreams that do not count. After more ends the request itself may be the cause.
+const MAX_EXCUSED: u32 = 2;
+
 domain! {
     value
     /// An upstream on which a request may have run.
@@ -18,7 +21,10 @@
     }
 }
 
-/// The upstreams on which one request may have run.
+/// The upstreams on which one request may have run, and which of them have ended since.
+///
+/// A route limits the number of upstreams at which a request may be in progress or have been run. One
+/// that has ended holds nothing of the request any more, so it does not count.
 ///
 /// # Examples
 ///
@@ -30,14 +36,16 @@
 /// let mut runs = Runs::default();
 /// runs.insert(Run { upstream: upstream.clone(), address, born_ms: None });
 /// assert_eq!(runs.remaining(1), 0);
-/// runs.remove(&upstream);
+/// runs.record_end(&upstream);
 /// assert_eq!(runs.remaining(1), 1);
-/// assert!(runs.is_empty());
+/// assert!(!runs.is_empty());
 /// # Ok::<(), goldcrestvale_base::id::Error>(())
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Runs {
     counted: SmallVec<[Run; 2]>,
+    /// Number of upstreams whose runs do not count, since they have ended.
+    excused: u32,
 }
 
 impl Runs {
@@ -53,9 +61,24 @@
         }
     }
 
+    /// Records that an upstream to which the request was sent has ended. Its runs no longer count,
+    /// for the first upstreams that end.
+    pub fn record_end(&mut self, upstream: &Upstream) {
+        let is_known = self.counted.iter().any(|run| run.upstream == *upstream);
+        if is_known && self.excused < MAX_EXCUSED {
+            self.counted.retain(|run| run.upstream != *upstream);
+            self.excused += 1;
+        }
+    }
+
+    /// Returns the runs that count.
+    pub fn counted(&self) -> &[Run] {
+        &self.counted
+    }
+
     /// Returns whether the request has run nowhere.
     pub fn is_empty(&self) -> bool {
-        self.counted.is_empty()
+        self.counted.is_empty() && self.excused == 0
     }
 
     /// Returns how many more runs are allowed if `max` is the limit of the route.
--- a/crates/goldcrestvale_upstream/src/pool.rs
+++ b/crates/goldcrestvale_upstream/src/pool.rs
@@ -65,6 +65,17 @@
     }
 }
 
+/// How an address answers a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Acceptance {
+    /// It accepts it.
+    Accepted,
+    /// Its host answers, and nothing listens at the address.
+    Refused,
+    /// Nothing answers in time.
+    Silent,
+}
+
 /// A connection that carries an answer. Dropping this value closes the connection.
 #[derive(Debug)]
 pub struct PooledConnection {
@@ -213,9 +224,15 @@
     /// Returns whether the host of an address answers and refuses connections to it, as after the
     /// end of its process.
     pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        self.try_connect(address).await == Acceptance::Refused
+    }
+
+    /// Returns how an address answers a connection, which is closed at once.
+    pub async fn try_connect(&self, address: SocketAddr) -> Acceptance {
         match timeout(self.limits.connect_timeout, TcpStream::connect(address)).await {
-            Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
+            Ok(Ok(_)) => Acceptance::Accepted,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Acceptance::Refused,
+            Ok(Err(_)) | Err(_) => Acceptance::Silent,
         }
     }
 
