Let a stream run again once an upstream has ended under it

Callers saw streams stand still on a dead chain until they left: the stream had used up its attempts, and the upstream that ended before was only left out of them when the last chain broke off.

Cause: whether a stream may run once more was decided when it was sent, and kept. A given-up opening left it too high, an ended upstream too low.

Change: a stream without attempts that pauses for 1 s looks whether its upstreams have ended. The registry has the current state. Runs are told apart by incarnation, and an address that another upstream has taken over shows an end. A refused order restores the path only if no other one was ordered since; the delay between moves does not hold back a stream whose engine turns silent; a stalled chain that goes on does not cancel the last attempt; a 5xx of a resumption does not end the stream.

--- a/crates/goldcrestvale_gateway/src/crash_watch.rs
+++ b/crates/goldcrestvale_gateway/src/crash_watch.rs
@@ -40,19 +40,26 @@
 /// Finds out which upstreams that ran a request have ended since; returns whether the fate of one is
 /// unknown.
 pub(crate) async fn find_ended<P>(gateway: &Gateway<P>, runs: &mut Runs) -> bool {
-    let fates =
-        runs.counted().iter().map(|run| async { (run.upstream.clone(), fate(gateway, run).await) });
+    let fates = runs.counted().iter().map(|run| async { (run.clone(), fate(gateway, run).await) });
     let fates = join_all(fates).await;
-    for (upstream, _) in fates.iter().filter(|(_, fate)| *fate == Fate::Ended) {
-        runs.record_end(upstream);
+    for (run, _) in fates.iter().filter(|(_, fate)| *fate == Fate::Ended) {
+        runs.record_end(run);
     }
     fates.iter().any(|(_, fate)| *fate == Fate::Unknown)
 }
 
 /// Returns what has become of the incarnation of an upstream that ran a request.
 async fn fate<P>(gateway: &Gateway<P>, run: &Run) -> Fate {
-    let listed = gateway.read_state(|state| Some(state.catalog.get(&run.upstream)?.born_ms));
-    if listed.is_some_and(|born| born.zip(run.born_ms).is_some_and(|(now, then)| now != then)) {
+    let (listed, is_reused) = gateway.read_state(|state| {
+        let listed = state.catalog.get(&run.upstream).map(|registration| registration.born_ms);
+        let is_reused = state
+            .catalog
+            .iter()
+            .any(|(other, _)| other.address == run.address && other.upstream != run.upstream);
+        (listed, is_reused)
+    });
+    let is_restarted = |born: Option<u64>| born.zip(run.born_ms).is_some_and(|(a, b)| a != b);
+    if listed.is_some_and(is_restarted) || (listed.is_none() && is_reused) {
         return Fate::Ended;
     }
     match gateway.pool.try_connect(run.address).await {
--- a/crates/goldcrestvale_gateway/src/failover.rs
+++ b/crates/goldcrestvale_gateway/src/failover.rs
@@ -307,7 +307,7 @@
             let is_affected = |stream: &Stream| {
                 stream.service == *service
                     && stream.chain.contains(&upstream)
-                    && stream.moves.is_due(now)
+                    && stream.moves.is_due_after(now, window.start)
             };
             let mut streams = gateway.registry.find(is_affected);
             // The newest streams have the most events left; the others may end on their own.
@@ -372,15 +372,16 @@
         }
         Failover::Repath(chain) => {
             // The stream counts as moved before the answer arrives, so that only one order is sent.
-            gateway.registry.repath(number, Arc::new(chain.clone()));
+            let ordered = Arc::new(chain);
+            gateway.registry.repath(number, ordered.clone());
             gateway.registry.record_move(number, now);
             let gateway = gateway.clone();
             tokio::spawn(async move {
-                if repath(&gateway, &stream.id, &chain).await {
+                if repath(&gateway, &stream.id, &ordered).await {
                     return;
                 }
                 // It stays, and is checked again, unless another chain takes it.
-                gateway.registry.repath(number, stream.chain);
+                gateway.registry.restore_path(number, &ordered, stream.chain);
                 if stream.may_resume {
                     stream.resume.notify_one();
                 }
--- a/crates/goldcrestvale_gateway/src/registry.rs
+++ b/crates/goldcrestvale_gateway/src/registry.rs
@@ -217,6 +217,16 @@
         }
     }
 
+    /// Records that a stream did not move to the path that was ordered, unless another one has been
+    /// ordered since.
+    pub(crate) fn restore_path(&self, number: u64, ordered: &Arc<Chain>, previous: Arc<Chain>) {
+        if let Some(stream) = self.lock().streams.get_mut(&number)
+            && Arc::ptr_eq(&stream.chain, ordered)
+        {
+            stream.chain = previous;
+        }
+    }
+
     /// Records an attempt to move a stream.
     pub(crate) fn record_move(&self, number: u64, now: Instant) {
         if let Some(stream) = self.lock().streams.get_mut(&number) {
@@ -252,6 +262,13 @@
         }
     }
 
+    /// Sets whether the stream may run on one more upstream.
+    pub(crate) fn set_may_resume(&self, may_resume: bool) {
+        if let Some(stream) = self.registry.lock().streams.get_mut(&self.number) {
+            stream.may_resume = may_resume;
+        }
+    }
+
     /// Records an event of the stream.
     pub(crate) fn record_event(&self, now: Instant) {
         let mut state = self.registry.lock();
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -33,6 +33,10 @@
 /// callers wait for the next event.
 const MAX_HELD_BACK: Duration = Duration::from_millis(1_000);
 
+/// Pause after which a stream that has used up its attempts looks whether its upstreams have ended:
+/// shorter than callers wait for the next event.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Number of events up to which a stream is at its start: an engine that its prompt crashes sends no
 /// more.
 const START_EVENTS: u64 = 2;
@@ -266,6 +270,8 @@
                 continue;
             };
             let resume = active.guard.resume.clone();
+            let is_exhausted =
+                self.matched.route.resumable && !may_resume(&self.matched, &self.runs);
             let frame = tokio::select! {
                 biased;
                 frame = active.frame() => frame,
@@ -273,6 +279,11 @@
                     self.replace().await;
                     continue;
                 }
+                () = tokio::time::sleep(RECHECK_INTERVAL), if is_exhausted => {
+                    // Another chain may take the stream once one of its upstreams has ended.
+                    self.recheck_runs().await;
+                    continue;
+                }
                 () = tokio::time::sleep(remaining) => continue,
             };
             match frame {
@@ -360,8 +371,10 @@
         let gateway = matched.gateway.clone();
         let stalled_since = self.last_event;
         let is_stalled = gateway.now().since(stalled_since) >= STALL_TIMEOUT;
-        // A stalled chain that goes on is as good as another one.
-        let max_held_back = if is_stalled { Duration::ZERO } else { MAX_HELD_BACK };
+        // A stalled chain that goes on is as good as another one, unless the send to that one was the
+        // last attempt.
+        let is_last = runs.remaining(matched.route.attempts) == 1;
+        let max_held_back = if is_stalled && !is_last { Duration::ZERO } else { MAX_HELD_BACK };
         let last_event = self.splitter.last_id();
         let _precedence = contention::resume(matched);
         let head = active.guard.head.clone();
@@ -375,6 +388,8 @@
                     let detail = error.detail.as_str();
                     info!(request = matched.trace.id.as_str(), head:% = head, cause = error.cause, detail; "stream stays on its chain");
                     gateway.metrics.count_failover("stayed");
+                    // Others wait for the trial.
+                    matched.trial = None;
                 }
                 Some(Outcome::Open(..)) | None => break None,
             }
@@ -387,9 +402,23 @@
                 () = tokio::time::sleep(SEARCH_INTERVAL) => {}
             }
         };
-        if let Some((reply, guard)) = opened {
-            self.splitter.discard_partial();
-            self.switch(*reply, guard, stalled_since);
+        let Some((reply, guard)) = opened else {
+            active.guard.set_may_resume(may_resume(matched, runs));
+            return;
+        };
+        if matches!(active.ahead.back(), Some(Some(Err(_)))) {
+            self.break_off();
+        }
+        self.splitter.discard_partial();
+        self.switch(*reply, guard, stalled_since);
+    }
+
+    /// Finds out whether upstreams on which the request ran have ended, so that it may run once more.
+    async fn recheck_runs(&mut self) {
+        let Self { matched, active, runs, .. } = self;
+        find_ended(&matched.gateway, runs).await;
+        if let Some(active) = active {
+            active.guard.set_may_resume(may_resume(matched, runs));
         }
     }
 
@@ -425,7 +454,10 @@
                         return Ok(());
                     }
                     Outcome::Open(reply, _) => {
-                        return Err(format!("the resumption was answered {}", reply.head.status));
+                        detail = format!("the resumption was answered {}", reply.head.status);
+                        if !reply.head.status.is_server_error() {
+                            return Err(detail);
+                        }
                     }
                     Outcome::Failed(error) => detail = format!("{}: {}", error.cause, error.detail),
                 }
@@ -448,7 +480,14 @@
         if may_resume(matched, runs) {
             return Ok(());
         }
-        let is_unknown = matched.route.resumable && find_ended(&matched.gateway, runs).await;
+        let left = matched.deadline.since(matched.gateway.now());
+        let is_unknown = match matched.route.resumable {
+            true => {
+                let search = find_ended(&matched.gateway, runs);
+                tokio::time::timeout(left, search).await.unwrap_or(true)
+            }
+            false => false,
+        };
         match is_unknown || may_resume(matched, runs) {
             true => Ok(()),
             false => Err("the chain failed, and the stream may not run again".to_owned()),
--- a/crates/goldcrestvale_route/src/pipeline/backoff.rs
+++ b/crates/goldcrestvale_route/src/pipeline/backoff.rs
@@ -28,22 +28,30 @@
 /// backoff.record(Instant(0));
 /// assert!(!backoff.is_due(Instant(0) + Duration::from_millis(50)));
 /// assert!(backoff.is_due(Instant(0) + Duration::from_millis(100)));
+/// let changed = Instant(0) + Duration::from_millis(50);
+/// assert!(backoff.is_due_after(changed, changed));
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Backoff {
-    next: Instant,
+    /// Time of the last attempt.
+    last: Instant,
     delay: Duration,
 }
 
 impl Backoff {
     /// Returns whether another attempt may be made.
     pub fn is_due(&self, now: Instant) -> bool {
-        now >= self.next
+        now >= self.last + self.delay
+    }
+
+    /// Returns whether another attempt may be made after something changed that concerns the stream.
+    pub fn is_due_after(&self, now: Instant, changed: Instant) -> bool {
+        self.last < changed || self.is_due(now)
     }
 
     /// Records an attempt; the next one follows after twice the delay of the last.
     pub fn record(&mut self, now: Instant) {
         self.delay = (self.delay * 2).clamp(MIN_DELAY, MAX_DELAY);
-        self.next = now + self.delay;
+        self.last = now;
     }
 }
--- a/crates/goldcrestvale_route/src/retry/runs.rs
+++ b/crates/goldcrestvale_route/src/retry/runs.rs
@@ -31,12 +31,12 @@
 /// ```
 /// use goldcrestvale_route::retry::{Run, Runs};
 ///
-/// let upstream: goldcrestvale_base::id::Upstream = "engine-1".parse()?;
 /// let address = "127.0.0.1:7201".parse().unwrap();
+/// let run = Run { upstream: "engine-1".parse()?, address, born_ms: None };
 /// let mut runs = Runs::default();
-/// runs.insert(Run { upstream: upstream.clone(), address, born_ms: None });
+/// runs.insert(run.clone());
 /// assert_eq!(runs.remaining(1), 0);
-/// runs.record_end(&upstream);
+/// runs.record_end(&run);
 /// assert_eq!(runs.remaining(1), 1);
 /// assert!(!runs.is_empty());
 /// # Ok::<(), goldcrestvale_base::id::Error>(())
@@ -61,12 +61,12 @@
         }
     }
 
-    /// Records that an upstream to which the request was sent has ended. Its runs no longer count,
-    /// for the first upstreams that end.
-    pub fn record_end(&mut self, upstream: &Upstream) {
-        let is_known = self.counted.iter().any(|run| run.upstream == *upstream);
-        if is_known && self.excused < MAX_EXCUSED {
-            self.counted.retain(|run| run.upstream != *upstream);
+    /// Records that the incarnation of an upstream to which the request was sent has ended. Its runs
+    /// no longer count, for the first upstreams that end.
+    pub fn record_end(&mut self, ended: &Run) {
+        let is_same = |run: &Run| run.upstream == ended.upstream && run.born_ms == ended.born_ms;
+        if self.counted.iter().any(is_same) && self.excused < MAX_EXCUSED {
+            self.counted.retain(|run| !is_same(run));
             self.excused += 1;
         }
     }
--- a/crates/goldcrestvale_route/tests/request_runs.rs
+++ b/crates/goldcrestvale_route/tests/request_runs.rs
@@ -26,11 +26,11 @@
     let mut runs = Runs::default();
     for name in ["a", "b"] {
         runs.insert(run(name));
-        runs.record_end(&run(name).upstream);
+        runs.record_end(&run(name));
         assert_eq!(runs.remaining(1), 1);
     }
     assert!(!runs.is_empty());
-    runs.record_end(&run("c").upstream);
+    runs.record_end(&run("c"));
     runs.insert(run("c"));
     assert_eq!(runs.remaining(1), 0);
 }
@@ -41,8 +41,19 @@
     let mut runs = Runs::default();
     for name in ["a", "b", "c"] {
         runs.insert(run(name));
-        runs.record_end(&run(name).upstream);
+        runs.record_end(&run(name));
     }
     assert_eq!(runs.remaining(1), 0);
     assert_eq!(runs.remaining(2), 1);
 }
+
+#[test]
+fn restarted_upstream_counts() {
+    // An upstream that restarted under its name is another one.
+    let mut runs = Runs::default();
+    let [before, after] = [1, 2].map(|born_ms| Run { born_ms: Some(born_ms), ..run("a") });
+    runs.insert(before.clone());
+    runs.insert(after);
+    runs.record_end(&before);
+    assert_eq!(runs.remaining(2), 1);
+}
