Go on with the search of an unanswered stream after three refusals

Callers saw a stream wait on a chain that was leaving until the timeout of its route, although other chains had places again.

Cause: the number of refusals that one request may get was kept for the whole search, so the search ended after three.

Change: it bounds one round of the search. Exclusions and the retry budget bound the rounds.

`refused_search_goes_on` failed before (no answer within 10 s) and passes.

--- a/crates/goldcrestvale_gateway/src/opening.rs
+++ b/crates/goldcrestvale_gateway/src/opening.rs
@@ -107,7 +107,8 @@
             let is_stalled = pending.iter().all(|chain| chain.is_stalled);
             let left = self.matched.deadline.since(gateway.now());
             match wait(&mut pending, is_stalled, left).await {
-                Wakeup::Retry => {}
+                // The chains that refused it may have places again.
+                Wakeup::Retry => rejections = 0,
                 Wakeup::Stalled(index) => pending[index].is_stalled = true,
                 Wakeup::Expired => return Outcome::Failed(timed_out(self.runs)),
                 Wakeup::Sent(index, sent) => {
@@ -146,7 +147,7 @@
             return Err(error_after_runs(error, self.runs));
         };
         if let Some(error) = over_share(matched, service, last_event) {
-            return Err(error);
+            return Err(error_after_runs(error, self.runs));
         }
         exclude_trials(matched, &fleet);
         let progress = cost::estimate(matched, service, &fleet.model, last_event);
