Keep a safe request on its upstream until another one has answered

Callers of plain services got an error for safe requests whose upstream would have answered within their time: once it had been silent for one and a half times the target, the request was given up there, also if no other upstream took it or no retry was left. An upstream that refused the request afterwards ended it as well.

Cause: the exchange was dropped at the limit, before another upstream was picked, a retry granted and a trial claimed.

Change: at the limit the replacement is secured first, and the request sent there beside the first exchange; the first whole answer wins. Without a replacement the request stays, and looks for one until it is answered or its time is over. A server error is kept while another exchange may still answer. An exchange in progress no longer says of a request that its upstream rejects late that it may have run. A silent upstream is avoided from its limit on as before; each send counts as an attempt, and all but the first take a retry.

An answer that arrives while a trial is claimed is delivered after the claim.

--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The decisions are made in `goldcrestvale_route`; the tasks here supply their input and carry
 //! them out. [`port`] defines the interface that a platform has to implement.
 
+mod attempt;
 mod body;
 mod catalog;
 mod chain_limits;
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -6,48 +6,54 @@
 use goldcrestvale_base::{
     crash::Progress,
     id::{Digest, Service, Upstream},
-    time::Instant,
 };
-use goldcrestvale_entry::trial_log::{SpentTrial, Trial};
+use goldcrestvale_entry::trial_log::SpentTrial;
 use goldcrestvale_route::forward::Kind;
-use http::{Response, StatusCode, header, response::Parts};
+use http::{Response, header, response::Parts};
+use smallvec::SmallVec;
 
 use crate::{
-    body::{Body, collect, full},
+    attempt::{self, Attempt, Outcome, Wakeup},
+    body::{Body, full},
     crash_watch::{record_answer, report_break, suspect, wait_if_suspected},
     error_response::ErrorResponse,
     forward::{Matched, quarantined},
-    port::{Dispatch, Port},
+    opening::SEARCH_INTERVAL,
+    port::Port,
     relay::{self, may_relay},
-    send::{SendOutcome, send},
     trial_log,
     view::PlainUpstream,
 };
 
-/// How long an upstream that was unreachable or broke off an answer is avoided.
-const AVOID_FAILED: Duration = Duration::from_millis(1_500);
-
-/// How long an upstream that was full is avoided.
-const AVOID_FULL: Duration = Duration::from_millis(60);
-
 /// When a caller may retry whose request found no upstream with capacity.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
 
 /// Longest time after which a caller is told to retry: one that an upstream may want no requests for.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
-/// Multiple of the latency target after which a retryable request is sent to another upstream if
-/// the first one has not answered.
+/// Multiple of the latency target after which a retryable request is sent to another upstream
+/// beside the first one if that has not answered.
 const HEDGE_FACTOR: f64 = 1.5;
 
-/// The outcome of one attempt.
-enum AttemptOutcome {
-    Complete(Box<Parts>, Bytes),
-    NotRun(String),
-    /// No connection could be opened.
-    Unsent,
-    Broken(String),
-    Silent,
+/// A request that is sent to upstreams of one service until one of them has answered.
+struct Sending {
+    service: Service,
+    /// Number of sends that have reached an upstream or may do so.
+    sends: u32,
+    has_broken: bool,
+    /// Whether an attempt that has ended may have run.
+    may_have_run: bool,
+    /// Whether a trial was refused, after which nothing is sent any more.
+    is_held: bool,
+    last_failure: String,
+}
+
+/// Why a request is not sent to another upstream.
+enum Stop {
+    /// No other upstream takes it, or it may not be sent again.
+    Exhausted,
+    /// A trial was refused.
+    Held(ErrorResponse),
 }
 
 pub(crate) async fn serve<P: Port>(mut matched: Matched<P>) -> Response<Body> {
@@ -61,79 +67,91 @@
             }
         };
     let is_retryable = matched.route.kind == Kind::Safe;
-    let mut may_have_run = false;
+    let mut sending = Sending {
+        service,
+        sends: 0,
+        has_broken: false,
+        may_have_run: false,
+        is_held: false,
+        last_failure: String::new(),
+    };
     let mut failed_answer: Option<(Box<Parts>, Bytes)> = None;
-    let mut last_failure = String::new();
-    let mut attempts = 0;
-    let mut has_broken = false;
-    while let Some(upstream) = pick(&matched, &service, has_broken) {
-        let now = matched.gateway.now();
-        let time_left = matched.time_left(now);
-        if time_left.is_zero() || matched.deadline <= now {
-            break;
-        }
-        if attempts == 0 {
-            matched.gateway.count_first(&service);
-        } else if attempts >= matched.route.attempts || !matched.gateway.try_retry(&service) {
-            break;
-        }
-        if let Err(error) = trial_log::claim(&mut matched, &upstream.registration.upstream).await {
-            if !may_have_run {
-                return matched.trace.respond(&error);
+    let mut attempts: SmallVec<[Attempt; 2]> = SmallVec::new();
+    loop {
+        if attempts.iter().all(Attempt::is_overdue) {
+            match sending.begin(&mut matched).await {
+                Ok(attempt) => attempts.push(attempt),
+                Err(Stop::Held(error)) if attempts.is_empty() => {
+                    if !sending.may_have_run {
+                        return matched.trace.respond(&error);
+                    }
+                    sending.last_failure = error.detail;
+                    break;
+                }
+                Err(_) if attempts.is_empty() || failed_answer.is_some() => break,
+                Err(Stop::Held(_)) => sending.is_held = true,
+                Err(Stop::Exhausted) => {}
             }
-            last_failure = error.detail;
-            break;
         }
         let time_left = matched.time_left(matched.gateway.now());
-        matched.trace.tried.push(upstream.registration.upstream.clone());
-        let can_retry = is_retryable && attempts + 1 < matched.route.attempts;
-        let trial = matched.trial.take().map(Trial::spend);
-        let outcome = attempt(&matched, &upstream, time_left, can_retry).await;
-        matched.has_arrived |= !matches!(outcome, AttemptOutcome::Unsent);
-        matched.trial = match outcome {
-            AttemptOutcome::Unsent => trial.map(SpentTrial::unsent),
-            AttemptOutcome::NotRun(_) => trial.and_then(|trial| trial.rejected(matched.content)),
-            _ => None,
+        let pause = sending.pause(&matched, &attempts).min(time_left);
+        let (index, outcome) = match attempt::wait(&mut attempts, pause).await {
+            Wakeup::Ended(index, outcome) => (index, outcome),
+            Wakeup::Elapsed => {
+                let now = matched.gateway.now();
+                let is_over = matched.time_left(now).is_zero();
+                let is_late =
+                    |attempt: &&mut Attempt| is_over || attempt.due().is_some_and(|due| due <= now);
+                for attempt in attempts.iter_mut().filter(is_late) {
+                    attempt.set_overdue(&matched);
+                    "no answer".clone_into(&mut sending.last_failure);
+                }
+                if is_over {
+                    sending.may_have_run = true;
+                    break;
+                }
+                continue;
+            }
         };
+        let Attempt { upstream, trial, .. } = attempts.remove(index);
+        let may_answer_yet = is_retryable && (sending.may_send(&matched) || !attempts.is_empty());
+        matched.has_arrived |= !matches!(outcome, Outcome::Unsent);
+        let trial = match outcome {
+            Outcome::Unsent => trial.map(SpentTrial::unsent),
+            Outcome::NotRun(_) => trial.and_then(|trial| trial.rejected(matched.content)),
+            Outcome::Complete(..) | Outcome::Broken(_) => None,
+        };
+        if trial.is_some() {
+            matched.trial = trial;
+        }
         match outcome {
-            AttemptOutcome::Complete(head, body) if can_retry && head.status.is_server_error() => {
-                attempts += 1;
-                may_have_run = true;
-                last_failure = format!("answered {}", head.status);
+            Outcome::Complete(head, body) if may_answer_yet && head.status.is_server_error() => {
+                sending.may_have_run = true;
+                sending.last_failure = format!("answered {}", head.status);
                 failed_answer = Some((head, body));
             }
-            AttemptOutcome::Complete(head, body) => return deliver(&mut matched, *head, body),
+            Outcome::Complete(head, body) => return deliver(&mut matched, *head, body),
             // A rejection counts as an attempt at the service, a failed connection does not.
-            AttemptOutcome::NotRun(why) => {
-                attempts += 1;
-                last_failure = why;
+            Outcome::NotRun(why) => sending.last_failure = why,
+            Outcome::Unsent => {
+                sending.sends -= 1;
+                sending.last_failure.clear();
             }
-            AttemptOutcome::Unsent => last_failure.clear(),
-            AttemptOutcome::Broken(why) => {
-                let upstream = &upstream.registration.upstream;
-                matched.trace.record_break(upstream, None);
+            Outcome::Broken(why) => {
+                matched.trace.record_break(&upstream, None);
                 let (gateway, attempt) = (&matched.gateway, &matched.trace.attempt);
                 let done =
-                    report_break(gateway, upstream, suspect(&matched, Progress::Waiting), attempt);
-                has_broken = true;
-                attempts += 1;
-                may_have_run = true;
-                last_failure = why;
+                    report_break(gateway, &upstream, suspect(&matched, Progress::Waiting), attempt);
+                sending.has_broken = true;
+                sending.may_have_run = true;
+                sending.last_failure = why;
                 if !is_retryable {
                     break;
                 }
                 wait_if_suspected(&matched, &done).await;
                 if let Some(error) = quarantined(&matched.gateway, matched.content, &[]) {
-                    last_failure = error.detail;
-                    break;
-                }
-            }
-            AttemptOutcome::Silent => {
-                attempts += 1;
-                may_have_run = true;
-                last_failure = "no answer".to_owned();
-                if !is_retryable {
-                    break;
+                    sending.is_held = true;
+                    sending.last_failure = error.detail;
                 }
             }
         }
@@ -141,6 +159,7 @@
     if let Some((head, body)) = failed_answer {
         return deliver(&mut matched, *head, body);
     }
+    let Sending { service, may_have_run, last_failure, .. } = sending;
     let now = matched.gateway.now();
     let error = match may_have_run {
         true if matched.time_left(now).is_zero() => ErrorResponse::timed_out(last_failure),
@@ -154,6 +173,43 @@
     matched.trace.respond(&error)
 }
 
+impl Sending {
+    /// Sends the request to another upstream, once that may be done.
+    async fn begin<P: Port>(&mut self, matched: &mut Matched<P>) -> Result<Attempt, Stop> {
+        if matched.time_left(matched.gateway.now()).is_zero() || !self.may_send(matched) {
+            return Err(Stop::Exhausted);
+        }
+        let upstream = pick(matched, &self.service, self.has_broken).ok_or(Stop::Exhausted)?;
+        if self.sends == 0 {
+            matched.gateway.count_first(&self.service);
+        } else if !matched.gateway.try_retry(&self.service) {
+            return Err(Stop::Exhausted);
+        }
+        trial_log::claim(matched, &upstream.registration.upstream).await.map_err(Stop::Held)?;
+        self.sends += 1;
+        let can_retry = matched.route.kind == Kind::Safe && self.may_send(matched);
+        let patience = can_retry.then(|| matched.route.target.mul_f64(HEDGE_FACTOR));
+        Ok(Attempt::start(matched, &upstream, patience))
+    }
+
+    /// Returns whether the attempts of the route allow another send.
+    fn may_send<P>(&self, matched: &Matched<P>) -> bool {
+        !self.is_held && (self.sends == 0 || self.sends < matched.route.attempts)
+    }
+
+    /// Returns how long to wait for the attempts before another upstream is looked for.
+    fn pause<P>(&self, matched: &Matched<P>, attempts: &[Attempt]) -> Duration {
+        let now = matched.gateway.now();
+        match attempts.iter().find_map(Attempt::due) {
+            Some(due) => due.since(now),
+            None if attempts.iter().all(Attempt::is_overdue) && self.may_send(matched) => {
+                SEARCH_INTERVAL
+            }
+            None => matched.time_left(now),
+        }
+    }
+}
+
 fn deliver<P: Port>(matched: &mut Matched<P>, mut head: Parts, body: Bytes) -> Response<Body> {
     // A failing upstream may not have run the request.
     if !head.status.is_server_error() {
@@ -215,64 +271,3 @@
     let left = gateway.pause_left(service).or(interval).unwrap_or_default();
     left.clamp(RETRY_AFTER, MAX_RETRY_AFTER)
 }
-
-async fn attempt<P: Port>(
-    matched: &Matched<P>,
-    plain: &PlainUpstream,
-    time_left: Duration,
-    can_retry: bool,
-) -> AttemptOutcome {
-    let gateway = &matched.gateway;
-    let upstream = &plain.registration.upstream;
-    let dispatch = Dispatch {
-        time_left,
-        upstream,
-        customer: matched.customer_name(),
-        chain: None,
-        last_event: None,
-    };
-    let limit = match can_retry {
-        true => matched.route.target.mul_f64(HEDGE_FACTOR).min(time_left),
-        false => time_left.min(matched.deadline.since(gateway.now())),
-    };
-    let exchange = async {
-        let address = plain.registration.address;
-        let id = matched.head.id.as_ref();
-        let outcome =
-            send(gateway, address, &matched.parts, matched.body.clone(), &dispatch, id).await;
-        match outcome {
-            SendOutcome::Answered(reply, _) => {
-                let (head, body, connection) = reply.into_parts();
-                match collect(body).await {
-                    Ok(body) => {
-                        connection.return_to_pool();
-                        AttemptOutcome::Complete(Box::new(head), body)
-                    }
-                    Err(e) => AttemptOutcome::Broken(e.to_string()),
-                }
-            }
-            SendOutcome::NotRun(status, _) => {
-                let duration = match status {
-                    StatusCode::MISDIRECTED_REQUEST => AVOID_FAILED,
-                    _ => AVOID_FULL,
-                };
-                gateway.avoid(upstream, duration, "refused");
-                AttemptOutcome::NotRun(format!("{upstream} refused with {status}"))
-            }
-            SendOutcome::Unsent(why) => {
-                gateway.avoid(upstream, AVOID_FAILED, &why);
-                AttemptOutcome::Unsent
-            }
-            SendOutcome::Broken(why) => AttemptOutcome::Broken(why),
-        }
-    };
-    let started: Instant = gateway.now();
-    match tokio::time::timeout(limit, exchange).await {
-        Ok(outcome) => outcome,
-        Err(_) => {
-            let waited = gateway.now().since(started).as_millis();
-            gateway.avoid(upstream, AVOID_FAILED, &format!("silent for {waited} ms"));
-            AttemptOutcome::Silent
-        }
-    }
-}
