Keep a retry of which nothing was sent

Requests to plain services were refused, or ended with the failure of an upstream, although a retry had been granted to them: the upstream chosen for it could not be reached, and the next one took another retry from the budget that all requests share.

Cause: a retry was taken for each upstream that was chosen, also if nothing was sent there, and before a trial was claimed, whose refusal lost it as well. First attempts were counted once for each upstream that could not be reached, too.

Change: a send that was counted and of which nothing was sent is not counted again, as a trial is kept then. The trial is claimed before the retry is taken; without a retry it is returned at once.

Evidence: `unreachable_upstream_takes_no_retry` failed before (503 "no upstream") and passes. The order of trial and retry and the count of first attempts are not covered by a test of their own.

--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -18,6 +18,7 @@
     crash_watch::{record_answer, report_break, suspect, wait_if_suspected},
     error_response::ErrorResponse,
     forward::{Matched, quarantined},
+    gateway::Gateway,
     opening::SEARCH_INTERVAL,
     port::Port,
     relay::{self, may_relay},
@@ -40,6 +41,8 @@
     service: Service,
     /// Number of sends that have reached an upstream or may do so.
     sends: u32,
+    /// Whether the next send was counted for one of which nothing was sent.
+    is_counted: bool,
     has_broken: bool,
     /// Whether an attempt that has ended may have run.
     may_have_run: bool,
@@ -70,6 +73,7 @@
     let mut sending = Sending {
         service,
         sends: 0,
+        is_counted: false,
         has_broken: false,
         may_have_run: false,
         is_held: false,
@@ -135,6 +139,7 @@
             Outcome::NotRun(why) => sending.last_failure = why,
             Outcome::Unsent => {
                 sending.sends -= 1;
+                sending.is_counted = true;
                 sending.last_failure.clear();
             }
             Outcome::Broken(why) => {
@@ -180,18 +185,33 @@
             return Err(Stop::Exhausted);
         }
         let upstream = pick(matched, &self.service, self.has_broken).ok_or(Stop::Exhausted)?;
-        if self.sends == 0 {
-            matched.gateway.count_first(&self.service);
-        } else if !matched.gateway.try_retry(&self.service) {
+        trial_log::claim(matched, &upstream.registration.upstream).await.map_err(Stop::Held)?;
+        if !self.try_count(&matched.gateway) {
+            // A trial that is not used now is left to others.
+            self.is_held = matched.trial.take().is_some();
             return Err(Stop::Exhausted);
         }
-        trial_log::claim(matched, &upstream.registration.upstream).await.map_err(Stop::Held)?;
+        self.is_counted = false;
         self.sends += 1;
         let can_retry = matched.route.kind == Kind::Safe && self.may_send(matched);
         let patience = can_retry.then(|| matched.route.target.mul_f64(HEDGE_FACTOR));
         Ok(Attempt::start(matched, &upstream, patience))
     }
 
+    /// Counts the next send, as the first one or as a retry; returns whether it is allowed.
+    fn try_count<P>(&mut self, gateway: &Gateway<P>) -> bool {
+        if !self.is_counted {
+            self.is_counted = match self.sends {
+                0 => {
+                    gateway.count_first(&self.service);
+                    true
+                }
+                _ => gateway.try_retry(&self.service),
+            };
+        }
+        self.is_counted
+    }
+
     /// Returns whether the attempts of the route allow another send.
     fn may_send<P>(&self, matched: &Matched<P>) -> bool {
         !self.is_held && (self.sends == 0 || self.sends < matched.route.attempts)
