Return what a request took of a limit and did not send

Requests were refused although an upstream that limits its requests would have taken them: others had used up its limit without being sent there.

Cause: a request took its part of the limit when the upstream was chosen, and lost it if no retry was left or its trial was refused. While the retry budget is spent, each failed request took one.

Change: what is taken and not sent is put back.

Streams, which take the limit in `choose_chain`, are not changed.

--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -185,17 +185,30 @@
             return Err(Stop::Exhausted);
         }
         let upstream = pick(matched, &self.service, self.has_broken).ok_or(Stop::Exhausted)?;
-        trial_log::claim(matched, &upstream.registration.upstream).await.map_err(Stop::Held)?;
+        if let Err(stop) = self.secure(matched, &upstream.registration.upstream).await {
+            matched.gateway.limits.put_back(&upstream.registration.upstream);
+            return Err(stop);
+        }
+        self.sends += 1;
+        let can_retry = matched.route.kind == Kind::Safe && self.may_send(matched);
+        let patience = can_retry.then(|| matched.route.target.mul_f64(HEDGE_FACTOR));
+        Ok(Attempt::start(matched, &upstream, patience))
+    }
+
+    /// Claims a trial, and counts the send.
+    async fn secure<P: Port>(
+        &mut self,
+        matched: &mut Matched<P>,
+        upstream: &Upstream,
+    ) -> Result<(), Stop> {
+        trial_log::claim(matched, upstream).await.map_err(Stop::Held)?;
         if !self.try_count(&matched.gateway) {
             // A trial that is not used now is left to others.
             self.is_held = matched.trial.take().is_some();
             return Err(Stop::Exhausted);
         }
         self.is_counted = false;
-        self.sends += 1;
-        let can_retry = matched.route.kind == Kind::Safe && self.may_send(matched);
-        let patience = can_retry.then(|| matched.route.target.mul_f64(HEDGE_FACTOR));
-        Ok(Attempt::start(matched, &upstream, patience))
+        Ok(())
     }
 
     /// Counts the next send, as the first one or as a retry; returns whether it is allowed.
--- a/crates/goldcrestvale_gateway/src/upstream_limits.rs
+++ b/crates/goldcrestvale_gateway/src/upstream_limits.rs
@@ -47,6 +47,13 @@
         shares.get_mut(upstream).is_none_or(|share| share.try_take(now, part(), draw))
     }
 
+    /// Returns a request to the share of an upstream that it was not sent to.
+    pub(crate) fn put_back(&self, upstream: &Upstream) {
+        if let Some(share) = self.lock().get_mut(upstream) {
+            share.put_back();
+        }
+    }
+
     /// Returns the time after which an upstream that names a limit takes another request.
     pub(crate) fn interval(&self, upstream: &Upstream) -> Option<Duration> {
         self.lock().get(upstream).map(RateShare::interval)
--- a/crates/goldcrestvale_route/src/rate_share.rs
+++ b/crates/goldcrestvale_route/src/rate_share.rs
@@ -97,6 +97,11 @@
         is_taken
     }
 
+    /// Returns a request that was taken and not sent.
+    pub fn put_back(&mut self) {
+        self.level += 1.0;
+    }
+
     /// Returns the mean time between two requests of all instances.
     pub fn interval(&self) -> Duration {
         Duration::from_secs_f64(1.0 / self.rate)
--- a/crates/goldcrestvale_route/tests/rate_share.rs
+++ b/crates/goldcrestvale_route/tests/rate_share.rs
@@ -104,3 +104,15 @@
     let sent = play(0.0, &[BUSY; 4], 1);
     assert!(sent.len() <= 5, "{}", sent.len());
 }
+
+#[test]
+fn requests_that_are_put_back_change_nothing() {
+    let start = Instant(SECOND);
+    let mut share = RateShare::new(20.0, Instant(0));
+    for _ in 0..100 {
+        assert!(share.try_take(start, 1.0, 0.5));
+        share.put_back();
+    }
+    // Nine requests accumulate in half a second.
+    assert_eq!((0..20).filter(|_| share.try_take(start, 1.0, 0.5)).count(), 9);
+}
