Keep a stage on a leaving engine if it cannot be rebuilt in time

Drafts of the own front end ended with "the next token needs ..." or "stages were rebuilt ... times" when an engine of theirs was leaving or suspected, although it would have run the rest.

Cause: before a stage left its engine, only a plan for its layers was asked for. That the rebuild fits into the deadline and into the maximum number of rebuilds was checked afterwards, and ended the draft. A KV cache that had not been moved in time led to the same.

Change: a stage whose engine still runs it is rebuilt only if all of this holds; otherwise it stays until a step fails. A lost stage is rebuilt as before.

Evidence: `stage_that_is_late_elsewhere_stays_on_a_leaving_engine` and `stage_without_a_rebuild_stays_on_a_leaving_engine` failed before and pass, on virtual time; the other tests of `stage_loss` and `whole_answer` pass. A move that fails or ends late is covered by `failed_import_keeps_the_stage_on_its_engine` only.

--- a/crates/goldcrestvale_route/src/draft/migration.rs
+++ b/crates/goldcrestvale_route/src/draft/migration.rs
@@ -9,8 +9,8 @@
 use crate::chain::Plan;
 
 impl Draft {
-    /// Migrates the stages of a leaving engine, each as soon as it is idle. A stage that no other
-    /// engine can run stays until the engine refuses a step.
+    /// Migrates the stages of a leaving engine, each as soon as it is idle. A stage that cannot run
+    /// elsewhere stays until the engine refuses a step.
     pub(super) fn engine_leaving(
         &mut self,
         now: Instant,
@@ -29,15 +29,18 @@
         let ready = |state: &StageState| state.migration_due && matches!(state.phase, Phase::Idle);
         while let Some(index) = self.stages.iter().position(ready) {
             self.stages[index].migration_due = false;
-            if self.is_replaceable(now, index, planner) {
-                self.migrate(now, index, planner)?;
+            if self.is_replaceable(now, index, planner)
+                && !self.start_move(now, index, planner)
+                && self.may_rebuild(now, index, planner)
+            {
+                self.rebuild(now, index, planner)?;
             }
         }
         Ok(())
     }
 
-    /// Rebuilds the stages of a suspected engine on other engines. A stage that no other engine
-    /// can run stays until a step fails.
+    /// Rebuilds the stages of a suspected engine on other engines. A stage that cannot run elsewhere
+    /// stays until a step fails.
     pub(super) fn engine_suspected(
         &mut self,
         now: Instant,
@@ -47,7 +50,7 @@
         self.add_avoided(now, upstream, true);
         let suspected = |state: &StageState| state.stage.upstream == *upstream;
         while let Some(index) = self.stages.iter().position(suspected) {
-            if !self.is_replaceable(now, index, planner) {
+            if !self.is_replaceable(now, index, planner) || !self.may_rebuild(now, index, planner) {
                 break;
             }
             self.rebuild(now, index, planner)?;
@@ -62,13 +65,21 @@
         index: usize,
         planner: &dyn Plan,
     ) -> Result<(), Error> {
+        match self.start_move(now, index, planner) {
+            true => Ok(()),
+            false => self.rebuild(now, index, planner),
+        }
+    }
+
+    /// Starts to move the KV cache of an idle stage; returns whether there is an engine for it.
+    fn start_move(&mut self, now: Instant, index: usize, planner: &dyn Plan) -> bool {
         let excluded = self.excluded(now);
         let state = &mut self.stages[index];
         state.migration_due = false;
         let target = planner.cover(state.stage.layers, &excluded);
         let Some(to) = target.filter(|_| self.prompt.settings.moves && state.kv_positions > 0)
         else {
-            return self.rebuild(now, index, planner);
+            return false;
         };
         self.attempt += 1;
         self.actions.push(Action::MoveKv {
@@ -82,7 +93,7 @@
         });
         let times_out_at = now + self.prompt.settings.move_timeout;
         state.phase = Phase::Moving(KvMove { to, attempt: self.attempt, times_out_at });
-        Ok(())
+        true
     }
 
     pub(super) fn kv_moved(
@@ -94,7 +105,7 @@
     ) -> Result<(), Error> {
         let Some(index) = self.find_moving(attempt) else { return Ok(()) };
         if self.stages[index].kv_positions != positions {
-            return self.rebuild(now, index, planner);
+            return self.give_up_move(now, index, planner);
         }
         let state = &mut self.stages[index];
         let Phase::Moving(kv) = std::mem::replace(&mut state.phase, Phase::Idle) else {
@@ -109,7 +120,7 @@
     }
 
     /// Handles the failed move of a KV cache. An engine that cannot import it is not used for the
-    /// rebuild either; if there is no other, the stage stays on its engine.
+    /// rebuild either.
     pub(super) fn kv_failed(
         &mut self,
         now: Instant,
@@ -122,13 +133,27 @@
         if exported {
             let upstream = kv.to.upstream.clone();
             self.avoid(now, &upstream);
-            if !self.is_replaceable(now, index, planner) {
-                self.stages[index].phase = Phase::Idle;
-                self.actions.push(Action::CancelAttempt { upstream, attempt });
-                return Ok(());
-            }
         }
-        self.rebuild(now, index, planner)
+        self.give_up_move(now, index, planner)
+    }
+
+    /// Rebuilds a stage whose KV cache was not moved. A stage that cannot run elsewhere stays on its
+    /// engine.
+    pub(super) fn give_up_move(
+        &mut self,
+        now: Instant,
+        index: usize,
+        planner: &dyn Plan,
+    ) -> Result<(), Error> {
+        if self.is_replaceable(now, index, planner) && self.may_rebuild(now, index, planner) {
+            return self.rebuild(now, index, planner);
+        }
+        let phase = std::mem::replace(&mut self.stages[index].phase, Phase::Idle);
+        if let Phase::Moving(KvMove { to, attempt, .. }) = phase {
+            let upstream = to.upstream;
+            self.actions.push(Action::CancelAttempt { upstream, attempt });
+        }
+        Ok(())
     }
 
     fn find_moving(&self, attempt: u32) -> Option<usize> {
--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -118,7 +118,7 @@
             match &self.stages[index].phase {
                 Phase::Awaiting(pending) if pending.resend_at.is_some() => self.send(now, index),
                 Phase::Awaiting(_) => self.failed(now, index, Fault::Timeout, planner)?,
-                Phase::Moving(_) => self.rebuild(now, index, planner)?,
+                Phase::Moving(_) => self.give_up_move(now, index, planner)?,
                 Phase::Idle => break,
             }
         }
@@ -136,6 +136,27 @@
         let rebuilds = self.prompt.settings.rebuilds;
         ensure!(self.stats.rebuilds < rebuilds, RebuildsSnafu { rebuilds });
         self.stats.rebuilds += 1;
+        let (first, last, chain) = self.replacement(now, index, planner)?;
+        for lost in first..=last {
+            self.cancel_stage(lost);
+        }
+        self.replace(first, last, chain);
+        Ok(())
+    }
+
+    /// Returns whether a stage that still runs can be rebuilt elsewhere.
+    pub(super) fn may_rebuild(&self, now: Instant, index: usize, planner: &dyn Plan) -> bool {
+        self.stats.rebuilds < self.prompt.settings.rebuilds
+            && self.replacement(now, index, planner).is_ok()
+    }
+
+    /// Returns the first and the last stage to rebuild if a stage is lost, and the chain for them.
+    fn replacement(
+        &self,
+        now: Instant,
+        index: usize,
+        planner: &dyn Plan,
+    ) -> Result<(usize, usize, Chain), Error> {
         let (first, last) = match self.prompt.settings.recovery {
             Recovery::Whole => (0, self.stages.len() - 1),
             Recovery::Stage => (self.first_to_rebuild(index), index),
@@ -147,11 +168,7 @@
         let chain = self.plan_replacement(now, span, planner)?;
         let needed = chain.time(self.length(), self.prompt.settings.chunk);
         self.prompt.check_time(now, needed)?;
-        for lost in first..=last {
-            self.cancel_stage(lost);
-        }
-        self.replace(first, last, chain);
-        Ok(())
+        Ok((first, last, chain))
     }
 
     /// Returns the index of the nearest stage at or before a lost one whose inputs reach back to
--- a/crates/goldcrestvale_route/tests/stage_loss.rs
+++ b/crates/goldcrestvale_route/tests/stage_loss.rs
@@ -310,3 +310,47 @@
     }
     assert_eq!(times[0], times[1]);
 }
+
+// A draft ended when an engine was leaving and its stage could not be rebuilt elsewhere in time, although
+// the engine still ran it.
+#[test]
+fn stage_that_is_late_elsewhere_stays_on_a_leaving_engine() {
+    for event in ["leaving", "suspected"] {
+        let simulation = simulation(Accelerator::Small);
+        let planner = simulation.planner;
+        let settings = Settings { moves: false, ..Settings::default() };
+        let start = Instant(0);
+        let prompt = prompt(1_000, 100).settings(settings);
+        let (mut draft, _) = prompt.deadline(Instant(600_000)).start(start, &planner).unwrap();
+        let upstream = "d0".parse().unwrap();
+        let event = match event {
+            "leaving" => Event::Leaving { upstream },
+            _ => Event::Suspected { upstream },
+        };
+        draft.handle(Instant(590_000), event, &planner);
+        assert!(draft.is_running());
+    }
+}
+
+// A draft ended when an engine was leaving after its stages had been rebuilt as often as is allowed.
+#[test]
+fn stage_without_a_rebuild_stays_on_a_leaving_engine() {
+    let simulation = simulation(Accelerator::Large);
+    let planner = simulation.planner;
+    for settings in [
+        Settings { moves: false, rebuilds: 0, ..Settings::default() },
+        Settings { rebuilds: 0, ..Settings::default() },
+    ] {
+        for event in ["leaving", "suspected"] {
+            let prompt = prompt(20, 6).settings(settings.clone());
+            let (mut draft, _) = prompt.start(Instant(0), &planner).unwrap();
+            let upstream = "d0".parse().unwrap();
+            let event = match event {
+                "leaving" => Event::Leaving { upstream },
+                _ => Event::Suspected { upstream },
+            };
+            draft.handle(Instant(1_000), event, &planner);
+            assert!(draft.is_running());
+        }
+    }
+}
