Wait for a busy engine that nothing can replace

Drafts of the own front end ended with "no chain of engines can run the draft" when an engine of theirs was busy twice within 20 ms and no other one held its layers, although it would have taken the step a moment later.

Cause: the maximum number of sends of a step, made for broken connections, also ended the wait for a busy engine.

Change: without another engine for its layers a draft with a deadline sends the step again, at growing intervals, until its deadline or until another engine holds them. A draft without a deadline ends as before.

Evidence: `busy_engine_without_replacement_keeps_the_draft` failed before and passes, on virtual time; the other tests of `stage_loss` and `whole_answer`, and `draft_recovery`, `draft_answer` and `late_engine` pass.

--- a/crates/goldcrestvale_route/src/draft/recovery.rs
+++ b/crates/goldcrestvale_route/src/draft/recovery.rs
@@ -25,6 +25,10 @@
             self.extend_timeout(now, index);
             return Ok(());
         }
+        // Without a deadline, nothing else would end the wait for a busy engine.
+        let must_stay = fault == Fault::Busy
+            && self.prompt.deadline.is_some()
+            && !self.has_other(now, index, planner);
         let max_sends = self.prompt.settings.tries;
         let pause = self.prompt.settings.busy_pause;
         let state = &mut self.stages[index];
@@ -36,8 +40,10 @@
                 Ok(())
             }
             // Waiting is cheaper than rebuilding the KV cache that the engine already holds.
-            Fault::Busy if pending.send_count < max_sends && state.kv_positions > 0 => {
-                pending.resend_at = Some(now + pause);
+            Fault::Busy
+                if must_stay || (pending.send_count < max_sends && state.kv_positions > 0) =>
+            {
+                pending.resend_at = Some(now + pause * pending.send_count);
                 Ok(())
             }
             Fault::Leaving => {
@@ -76,9 +82,15 @@
         {
             return false;
         }
+        !self.has_other(now, index, planner)
+    }
+
+    /// Returns whether engines besides the one of a stage hold its layers.
+    fn has_other(&self, now: Instant, index: usize, planner: &dyn Plan) -> bool {
+        let stage = &self.stages[index].stage;
         let mut excluded = self.excluded(now);
-        excluded.push(upstream.clone());
-        planner.plan(state.stage.layers, &excluded).is_err()
+        excluded.push(stage.upstream.clone());
+        planner.plan(stage.layers, &excluded).is_ok()
     }
 
     /// Extends the timeout of the pending step by the time since it was first sent, but by at
--- a/crates/goldcrestvale_route/tests/stage_loss.rs
+++ b/crates/goldcrestvale_route/tests/stage_loss.rs
@@ -354,3 +354,15 @@
         }
     }
 }
+
+// A draft ended when an engine with its KV cache was busy twice within 20 ms and no other held the layers.
+#[test]
+fn busy_engine_without_replacement_keeps_the_draft() {
+    let mut simulation = simulation(Accelerator::Large);
+    simulation.inject("b0", 3, InjectedFault::Refuse(Fault::Busy, 5));
+    simulation.planner.remove(&"b1".parse().unwrap());
+    let deadline = Instant(0) + Duration::from_secs(20);
+    let outcome = simulation.run(prompt(20, 6).deadline(deadline));
+    check_outcome(&outcome, 20, 6, DEPTH).unwrap();
+    assert!(outcome.end.is_ok(), "{:?}", outcome.end);
+}
