Lend retries between instances

Cause: each instance may use its own first attempts' share and an even part of the floor. The part of an instance that needs no retry helps no other one, and where the part is below one retry nobody can use it.

Evidence: `retry_loans` plays bursts of four streams that look for a retry for 4 s, at random instances, at about half of the budget (460 streams in 30 s, floor 324).

Change: an instance that is short of retries requests some of up to eight connected peers, at most every 100 ms. A peer past its start lends half of what it has left, in thousandths, and keeps a whole retry if it has one. A loan is a transfer: the lender counts it as its own retries for a span after the end of its use, which it counts from the receipt of the request and the borrower from sending it. First attempts that leave the window before that cover no loan. Sequence numbers begin at random, so that a loan to another incarnation, a repeated or a late one is not used; what expires unused is returned once. Loans stay counted when the span changes. An instance in its start time may borrow, since the lender's share covers what it uses, but lends nothing. Older builds skip kind 20, and an instance that hears no loans uses its own share as before.

The sum stays within the budget in 64 drawn plays with steady traffic (first attempts of the same span) and 64 with varying traffic (of that span and the one before, the bound of `retry_window`), with lost, doubled and reordered messages, cuts, restarts and joins.

--- a/crates/goldcrestvale_base/src/lib.rs
+++ b/crates/goldcrestvale_base/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod id;
 pub mod prompt;
+pub mod retry_loan;
 pub mod time;
 pub mod verdict;
 
--- a/crates/goldcrestvale_entry/src/peers/events.rs
+++ b/crates/goldcrestvale_entry/src/peers/events.rs
@@ -88,6 +88,10 @@
             Notice::ChainLimits { from, .. } => {
                 debug!(instance:% = from; "limits of chains ignored");
             }
+            // They have no common retry budget either.
+            Notice::RetryLoans { from, .. } => {
+                debug!(instance:% = from; "loans of retries ignored");
+            }
             Notice::Config { instance, config, .. } => {
                 self.offered(&instance, config.version, config.digest);
             }
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -110,7 +110,7 @@
     upstream_state: Mutex<UpstreamState>,
     pub(crate) peers: Peers,
     pub(crate) shared_limits: SharedLimits,
-    retry_budgets: RetryBudgets,
+    pub(crate) retry_budgets: RetryBudgets,
     /// Streams that contend for the places of services with several levels.
     pub(crate) contentions: Contentions,
     rng: Mutex<StdRng>,
@@ -140,6 +140,7 @@
         };
         let clock = Clock::start();
         let links = Arc::new(Mutex::new(Links::default()));
+        let mut rng = StdRng::from_os_rng();
         Self {
             port,
             table: ArcSwap::default(),
@@ -162,9 +163,9 @@
             upstream_state: Mutex::default(),
             peers: Peers::default(),
             shared_limits: SharedLimits::default(),
-            retry_budgets: RetryBudgets::new(&settings, clock.now()),
+            retry_budgets: RetryBudgets::new(&settings, clock.now(), rng.random()),
             clock,
-            rng: Mutex::new(StdRng::from_os_rng()),
+            rng: Mutex::new(rng),
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             placement_lease_until: AtomicU64::new(0),
@@ -578,11 +579,12 @@
     pub(crate) fn try_retry(&self, service: &Service) -> bool {
         let allowed = self.retry_budgets.try_take(service, self.now(), self.retrying_instances());
         self.metrics.count_retry(allowed);
+        self.request_retries(service);
         allowed
     }
 
     /// Returns the number of instances that share the retry budget, if it is known.
-    fn retrying_instances(&self) -> Option<u32> {
+    pub(crate) fn retrying_instances(&self) -> Option<u32> {
         match self.settings.peer {
             Some(_) => self.peers.instance_count(),
             None => Some(1),
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -203,7 +203,7 @@
         }
     }
 
-    fn send(&self, event: Event) {
+    pub(crate) fn send(&self, event: Event) {
         if let Some(handle) = self.handle.get()
             && let Err(e) = handle.try_send_event(event)
         {
@@ -274,6 +274,7 @@
             .await
             .and(handle.send_event(Event::WorkInProgress(work)).await)
             .and(handle.send_event(Event::CustomerLoads(gateway.customer_loads.own())).await);
+        gateway.return_retries();
         if let Some(demand) = gateway.shared_limits.take_demand(gateway.now()) {
             gateway.peers.send(demand);
         }
@@ -331,6 +332,7 @@
             }
             Notice::Evidence(evidence) => handle_evidence(&gateway, &evidence),
             Notice::ChainLimits { from, limits } => gateway.apply_chain_limits(&from, &limits),
+            Notice::RetryLoans { from, loans } => gateway.apply_retry_loans(&from, &loans),
             Notice::Config { instance, is_near, config } => {
                 if !gateway.peers.try_request_config(config.version.0, is_near, gateway.now()) {
                     return;
--- a/crates/goldcrestvale_member/src/action.rs
+++ b/crates/goldcrestvale_member/src/action.rs
@@ -13,6 +13,7 @@
     identity::Identity,
     leaving::Mark,
     message::{Config, Message},
+    retry_loan::RetryLoans,
     silence::Silence,
 };
 
@@ -65,6 +66,13 @@
             /// The report.
             limits: ChainLimits,
         },
+        /// A peer requested, lent or returned retries.
+        RetryLoans {
+            /// The peer.
+            from: Instance,
+            /// What it requested, lent and returned.
+            loans: RetryLoans,
+        },
         /// A peer has a newer configuration, or another one under the same version.
         Config {
             /// The peer.
--- a/crates/goldcrestvale_member/src/event.rs
+++ b/crates/goldcrestvale_member/src/event.rs
@@ -6,6 +6,7 @@
     customer_load::CustomerLoad,
     domain,
     id::{Customer, Incarnation, Instance, Upstream},
+    retry_loan::Ask,
     time::Wall,
 };
 
@@ -17,6 +18,7 @@
     leaving::Mark,
     limit::Parts,
     message::{Message, Status},
+    retry_loan::RetryLoans,
     silence::Silence,
 };
 
@@ -68,6 +70,20 @@
         Evidence(Evidence),
         /// This instance learned limits of chains, or its demand changed.
         ChainLimits(ChainLimits),
+        /// This instance requests retries of a few connected peers.
+        RetryAsk {
+            /// The request to each of them.
+            ask: Ask,
+            /// Number of peers.
+            peers: u32,
+        },
+        /// This instance lends retries to a peer, or returns some.
+        RetryLoans {
+            /// The peer.
+            to: Instance,
+            /// The loans.
+            loans: RetryLoans,
+        },
         /// An upstream is no longer on the platform's list.
         Removed(Upstream),
         /// The demand of a customer at this instance, in parts of its limit.
--- a/crates/goldcrestvale_member/src/lib.rs
+++ b/crates/goldcrestvale_member/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod member;
 pub mod message;
 pub mod read_schedule;
+pub mod retry_loan;
 pub mod settings;
 pub mod silence;
 pub mod view;
--- a/crates/goldcrestvale_member/src/member.rs
+++ b/crates/goldcrestvale_member/src/member.rs
@@ -6,7 +6,7 @@
     id::{Incarnation, Instance},
     time::Instant,
 };
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 use serde::Serialize;
 
 use self::periodic::Timers;
@@ -22,6 +22,7 @@
     leaving::{self, Mark},
     limit::{Shares, Sharing},
     message::{Heartbeat, MemberRecord, Message, Status},
+    retry_loan::RetryLoans,
     settings::Settings,
     silence::{Silence, Silences},
     view::{Notices, Peer, State, View},
@@ -180,6 +181,17 @@
             Event::Silent(silence) => self.on_silent(now, &silence, None, &mut actions),
             Event::Evidence(evidence) => self.on_evidence(now, evidence, None, &mut actions),
             Event::ChainLimits(limits) => self.send_chain_limits(&limits, &mut actions),
+            Event::RetryAsk { ask, peers } => {
+                let loans = RetryLoans { asks: vec![ask], ..RetryLoans::default() };
+                for to in self.forward_targets(None).choose_multiple(rng, peers as usize) {
+                    send(&mut actions, to, Message::RetryLoans(loans.clone()));
+                }
+            }
+            Event::RetryLoans { to, loans } => {
+                if self.view.peer(&to).is_some_and(|peer| peer.linked) {
+                    send(&mut actions, &to, Message::RetryLoans(loans));
+                }
+            }
             Event::Removed(upstream) => self.leaving.remove(now, &upstream),
             Event::Demand { customer, parts } => self.sharing.set_demand(&customer, parts),
             Event::WorkInProgress(work) => self.local_work.set(&work),
@@ -277,6 +289,10 @@
                 let limits = limits.bounded();
                 actions.push(Action::Notify(Notice::ChainLimits { from: from.clone(), limits }));
             }
+            Message::RetryLoans(loans) => {
+                let loans = loans.bounded();
+                actions.push(Action::Notify(Notice::RetryLoans { from: from.clone(), loans }));
+            }
         }
     }
 
--- a/crates/goldcrestvale_member/src/message.rs
+++ b/crates/goldcrestvale_member/src/message.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     chain_limit::ChainLimits, customer_load::Loads, evidence::Evidence, identity::Identity,
-    in_flight, leaving::Mark, limit, silence::Silence,
+    in_flight, leaving::Mark, limit, retry_loan::RetryLoans, silence::Silence,
 };
 
 domain! {
@@ -80,5 +80,7 @@
         CustomerLoad(Loads),
         /// Limits of chains that the sender learned, and its demand.
         ChainLimits(ChainLimits),
+        /// Retries that the sender requests, lends or returns.
+        RetryLoans(RetryLoans),
     }
 }
--- a/crates/goldcrestvale_member/tests/member_spread.rs
+++ b/crates/goldcrestvale_member/tests/member_spread.rs
@@ -5,12 +5,17 @@
 mod cluster;
 
 use cluster::{Cluster, SECOND};
-use goldcrestvale_base::{customer_load::ServiceHash, prompt::Part};
+use goldcrestvale_base::{
+    customer_load::ServiceHash,
+    prompt::Part,
+    retry_loan::{Ask, Grant},
+};
 use goldcrestvale_member::{
     chain_limit::{ChainLimit, ChainLimits, Demand},
     evidence::Evidence,
     in_flight::UpstreamHash,
     prelude::*,
+    retry_loan::RetryLoans,
     silence::Silence,
 };
 
@@ -190,6 +195,43 @@
     assert_eq!(received.count(), sent.len());
 }
 
+/// Guards against requests for retries that go to all peers, and loans that reach another one.
+#[test]
+fn retry_loans_go_to_few_peers() {
+    use std::{cell::RefCell, rc::Rc};
+
+    let mut cluster = start(4);
+    cluster.run(10 * SECOND);
+    let sent: Rc<RefCell<Vec<(usize, usize)>>> = Rc::default();
+    let record = sent.clone();
+    cluster.on_send = Box::new(move |from, to, message| {
+        if matches!(message, Message::RetryLoans(_)) {
+            record.borrow_mut().push((from, to));
+        }
+    });
+    let notices_before = cluster.notices.len();
+    let ask = Ask { service: ServiceHash(7), sequence: 9, milli_retries: 2_000 };
+    cluster.feed(17, Event::RetryAsk { ask, peers: 3 });
+    cluster.run(SECOND / 10);
+    let asked = sent.take();
+    assert!(asked.len() == 3 && asked.iter().all(|(from, _)| *from == 17), "{asked:?}");
+    let grant = Grant { service: ServiceHash(7), sequence: 9, milli_retries: 900, hold_ms: 1_000 };
+    let lent = RetryLoans { grants: vec![grant], ..RetryLoans::default() };
+    let to = cluster.name(17);
+    cluster.feed(asked[0].1, Event::RetryLoans { to, loans: lent.clone() });
+    cluster.run(SECOND / 10);
+    assert_eq!(sent.take(), [(asked[0].1, 17)]);
+    let received =
+        cluster.notices[notices_before..].iter().filter_map(|emitted| match &emitted.notice {
+            Notice::RetryLoans { loans, .. } => Some(loans.clone()),
+            _ => None,
+        });
+    let received: Vec<RetryLoans> = received.collect();
+    assert_eq!(received.len(), 4);
+    assert!(received[..3].iter().all(|loans| loans.asks == [ask] && loans.grants.is_empty()));
+    assert_eq!(received[3], lent);
+}
+
 #[test]
 fn restarted_instance_learns_leaving_upstreams_from_its_domain() {
     use std::{cell::RefCell, rc::Rc};
--- a/crates/goldcrestvale_peer/examples/control_cost.rs
+++ b/crates/goldcrestvale_peer/examples/control_cost.rs
@@ -72,6 +72,7 @@
         Message::Silent(_) => "silent",
         Message::Evidence(_) => "evidence",
         Message::ChainLimits(_) => "chain limits",
+        Message::RetryLoans(_) => "retry loans",
     }
 }
 
--- a/crates/goldcrestvale_peer/src/convert.rs
+++ b/crates/goldcrestvale_peer/src/convert.rs
@@ -6,6 +6,7 @@
     customer_load::{Count, CustomerHash, CustomerLoad, ServiceHash},
     id::Offset,
     prompt::Part,
+    retry_loan::{Ask, Grant, Return},
     time::Wall,
 };
 use goldcrestvale_member::{
@@ -17,6 +18,7 @@
     leaving::{Mark, Source},
     limit::{self, Parts},
     message::{Config, Heartbeat, MemberRecord, Message, Status},
+    retry_loan::RetryLoans,
     silence::Silence,
 };
 use goldcrestvale_wire::{
@@ -67,6 +69,7 @@
         Message::Evidence(evidence) => encode_evidence(evidence).into(),
         Message::CustomerLoad(loads) => encode_loads(loads).into(),
         Message::ChainLimits(limits) => encode_chain_limits(limits).into(),
+        Message::RetryLoans(loans) => encode_retry_loans(loans).into(),
     }
 }
 
@@ -95,6 +98,7 @@
         wire::Message::Evidence(body) => Message::Evidence(decode_evidence(body)?),
         wire::Message::CustomerLoad(body) => Message::CustomerLoad(decode_loads(body)),
         wire::Message::ChainLimits(body) => Message::ChainLimits(decode_chain_limits(body)),
+        wire::Message::RetryLoans(body) => Message::RetryLoans(decode_retry_loans(body)),
         _ => return Ok(None),
     }))
 }
@@ -311,6 +315,46 @@
     ChainLimits { limits: limits.collect(), demands: demands.collect() }
 }
 
+fn encode_retry_loans(loans: &RetryLoans) -> wire::RetryLoans {
+    let asks = loans.asks.iter().map(|ask| wire::RetryAsk {
+        service: ask.service.0,
+        sequence: ask.sequence,
+        milli_retries: ask.milli_retries,
+    });
+    let grants = loans.grants.iter().map(|grant| wire::RetryGrant {
+        service: grant.service.0,
+        sequence: grant.sequence,
+        milli_retries: grant.milli_retries,
+        hold_ms: grant.hold_ms,
+    });
+    let returns = loans.returns.iter().map(|unused| wire::RetryReturn {
+        service: unused.service.0,
+        sequence: unused.sequence,
+        milli_retries: unused.milli_retries,
+    });
+    wire::RetryLoans { asks: asks.collect(), grants: grants.collect(), returns: returns.collect() }
+}
+
+fn decode_retry_loans(loans: &wire::RetryLoans) -> RetryLoans {
+    let asks = loans.asks.iter().map(|ask| Ask {
+        service: ServiceHash(ask.service),
+        sequence: ask.sequence,
+        milli_retries: ask.milli_retries,
+    });
+    let grants = loans.grants.iter().map(|grant| Grant {
+        service: ServiceHash(grant.service),
+        sequence: grant.sequence,
+        milli_retries: grant.milli_retries,
+        hold_ms: grant.hold_ms,
+    });
+    let returns = loans.returns.iter().map(|unused| Return {
+        service: ServiceHash(unused.service),
+        sequence: unused.sequence,
+        milli_retries: unused.milli_retries,
+    });
+    RetryLoans { asks: asks.collect(), grants: grants.collect(), returns: returns.collect() }
+}
+
 fn encode_suspect(suspect: &evidence::Suspect) -> wire::SuspectRequest {
     let ends = suspect.ends.iter().map(|end| wire::End {
         upstream: end.upstream.to_string(),
--- a/crates/goldcrestvale_peer/src/queue.rs
+++ b/crates/goldcrestvale_peer/src/queue.rs
@@ -149,7 +149,7 @@
 }
 
 /// Returns whether a later message supersedes this one, so that it may be dropped. A lost limit of a
-/// chain costs one refusal, less than a connection that ends.
+/// chain costs one refusal and a lost loan a few retries, less than a connection that ends.
 fn is_gossip(message: &Message) -> bool {
     matches!(
         message,
@@ -159,5 +159,6 @@
             | Message::Sends(_)
             | Message::CustomerLoad(_)
             | Message::ChainLimits(_)
+            | Message::RetryLoans(_)
     )
 }
--- a/crates/goldcrestvale_peer/tests/limit_queue.rs
+++ b/crates/goldcrestvale_peer/tests/limit_queue.rs
@@ -1,7 +1,7 @@
-//! Limits of chains in the queue of a slow peer.
+//! Limits of chains and loans of retries in the queue of a slow peer.
 
 use goldcrestvale_peer::queue::{PushResult, Queue};
-use goldcrestvale_wire::message::{ChainLimits, ConfigAsk};
+use goldcrestvale_wire::message::{ChainLimits, ConfigAsk, RetryLoans};
 
 /// Guards against a connection that ends because limits fill the queue of a slow peer.
 #[test]
@@ -14,3 +14,11 @@
     assert_eq!(queue.push(ChainLimits::default().into()), displaced);
     assert_eq!(queue.push(ConfigAsk::default().into()), displaced);
 }
+
+/// Guards against a connection that ends because requests for retries fill the queue of a slow peer.
+#[test]
+fn loans_give_way() {
+    let queue = Queue::new(1, 1_024);
+    assert_eq!(queue.push(RetryLoans::default().into()), PushResult::Queued);
+    assert_eq!(queue.push(ConfigAsk::default().into()), PushResult::Displaced { dropped: 1 });
+}
--- a/crates/goldcrestvale_route/src/retry/share.rs
+++ b/crates/goldcrestvale_route/src/retry/share.rs
@@ -15,7 +15,7 @@
 const SPANS_AFTER_FIRST_START: f64 = 1.25;
 
 /// Number of spans without a share after any other start: the others notice it within a span, and
-/// their retries until then count for another one.
+/// their retries until then count for another one; what they lent may be used a little longer.
 const SPANS_AFTER_START: f64 = 2.25;
 
 /// Divides a number of retries per span among the instances.
@@ -76,6 +76,27 @@
         Self { span, withheld_until, predecessors: 1, peaks: VecDeque::new() }
     }
 
+    /// Returns whether this instance has no share, since retries of a previous incarnation may still
+    /// count, or since the number of instances is unknown.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use goldcrestvale_base::time::Instant;
+    /// use goldcrestvale_route::retry::Share;
+    ///
+    /// let span = Duration::from_secs(10);
+    /// let mut share = Share::new(span, Instant(0));
+    /// share.of(100.0, Instant(0), Some(9));
+    /// assert!(share.is_withheld(Instant(0)));
+    /// assert!(!share.is_withheld(Instant(0) + span * 3));
+    /// ```
+    pub fn is_withheld(&self, now: Instant) -> bool {
+        now < self.withheld_until || self.peaks.is_empty()
+    }
+
     /// Returns the share in `total` retries per span; `instances` is the number of instances that
     /// this one sees, itself included, or `None` if it is unknown.
     pub fn of(&mut self, total: f64, now: Instant, instances: Option<u32>) -> f64 {
--- a/crates/goldcrestvale_wire/src/message.rs
+++ b/crates/goldcrestvale_wire/src/message.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod list;
 mod membership;
+mod retry_loans;
 mod silent;
 mod traffic;
 
@@ -29,6 +30,7 @@
     leaving::{Leaving, Mark, Source},
     list::{List, ListAsk},
     membership::{Goodbye, Heartbeat, Hello, Known, Members},
+    retry_loans::{RetryAsk, RetryGrant, RetryLoans, RetryReturn},
     silent::{Silence, Silent},
     traffic::{CustomerUse, Sends, Use},
 };
@@ -137,4 +139,6 @@
     CustomerLoad = 18,
     /// Limits of chains, and the demand for them.
     ChainLimits = 19,
+    /// Retries that the sender requests, lends or returns.
+    RetryLoans = 20,
 }
--- a/crates/goldcrestvale_wire/tests/frame_compat.rs
+++ b/crates/goldcrestvale_wire/tests/frame_compat.rs
@@ -16,7 +16,7 @@
 
 /// The frames that this dialer sends to a listener with nonce `02..`: one message of each of the
 /// first kinds, then those with later fields, then later kinds.
-const FRAMES: [&str; 22] = [
+const FRAMES: [&str; 23] = [
     "000000440100010a1003030303030303030303030303030303120679656b612d311a0479656b61220d31302e302e302e313a373030302801cf2a0f0d3ca407d4ca964dff348c3e88",
     "0000002401000208091005190807060504030201200128029f10fcf844c696b4e2eefb440daee7ad",
     "000000250100030a1003030303030303030303030303030303be658cd468a3d7797b858ce84e1d68c7",
@@ -39,6 +39,7 @@
     "0000002701000c0a0801000000ffffffff12030aac021a03a84600036b55a54a9aa888fece00bf5e0e5f58",
     "000000240100120a0f0dffffffff150200000018ac02200141b762ac442d872339f19c450d9f9477",
     "0000002c0100130a0d0dffffffff105c1880f104202812080d0700000010e01254d222d365ecf6c38dddf1f2ab2e0c28",
+    "0000004f0100140a110dffffffff11000000000000001018d00f12140d0700000011ffffffffffffffff18ac0220e8071a110d0700000011010000000000000018fa01ad2c9d4fff2744a00c63ca527e876f48",
 ];
 
 /// A heartbeat of version 1 with an additional unknown field.
@@ -155,3 +156,15 @@
     assert_eq!((decoded.limits[0].upstream, decoded.limits[0].streams), (1, 92));
     assert!(decoded.demands.is_empty());
 }
+
+/// Retry loans with an additional unknown field in the request.
+const EXTENDED_RETRY_LOANS: &str = "0a150d0700000011090000000000000018022801f8072a";
+
+/// Guards against loans whose meaning changes when a newer build adds a field to them.
+#[test]
+fn unknown_fields_of_loans_are_skipped() {
+    let decoded = Message::decode(20, bytes(EXTENDED_RETRY_LOANS).freeze()).unwrap();
+    let Some(Message::RetryLoans(decoded)) = decoded else { panic!("{decoded:?}") };
+    assert_eq!((decoded.asks[0].sequence, decoded.asks[0].milli_retries), (9, 2));
+    assert!(decoded.grants.is_empty());
+}
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -151,5 +151,16 @@
             demands: vec![Demand { service: 7, milli_streams: 2_400 }],
         }
         .into(),
+        RetryLoans {
+            asks: vec![RetryAsk { service: 0xffff_ffff, sequence: 1 << 60, milli_retries: 2_000 }],
+            grants: vec![RetryGrant {
+                service: 7,
+                sequence: u64::MAX,
+                milli_retries: 300,
+                hold_ms: 1_000,
+            }],
+            returns: vec![RetryReturn { service: 7, sequence: 1, milli_retries: 250 }],
+        }
+        .into(),
     ]
 }
