--- a/crates/goldcrestvale_route/src/retry/loans.rs
+++ b/crates/goldcrestvale_route/src/retry/loans.rs
@@ -66,7 +66,7 @@
 ///
 /// The lender counts a loan as retries of its own window for as long as the borrower may use it and
 /// a span beyond. It counts that time from the receipt of the request, the borrower from sending
-/// it, which is earlier. So the sum over all instances stays within the budget whatever messages
+/// it, which is earlier. So loans add nothing to what all windows together allow, whatever messages
 /// are lost, delayed or repeated, and whichever instances end. Borrowed retries are not lent on.
 ///
 /// # Examples
