Lend retries only where a setting asks for it

Cause: not known. The loans are the part that acts on the sum over many instances; that they cost it is suspected only.

Change: `[gateway] retry_loans`, off by default. An instance with it off requests and lends nothing.

--- a/crates/goldcrestvale_gateway/src/retry_budget.rs
+++ b/crates/goldcrestvale_gateway/src/retry_budget.rs
@@ -185,7 +185,8 @@
 impl<P> Gateway<P> {
     /// Requests retries of a service from peers, if this instance needs more than it has left.
     pub(crate) fn request_retries(&self, service: &Service) {
-        if self.find_service(ServiceHash::of(service)).as_ref() != Some(service) {
+        let is_known = || self.find_service(ServiceHash::of(service)).as_ref() == Some(service);
+        if !self.settings.retry_loans.is_auto() || !is_known() {
             return;
         }
         let linked = self.peers.snapshot().linked;
@@ -231,6 +232,9 @@
     }
 
     fn lend_retries(&self, now: Instant, from: &Instance, ask: Ask) -> Option<Grant> {
+        if !self.settings.retry_loans.is_auto() {
+            return None;
+        }
         let service = self.find_service(ask.service)?;
         let instances = self.retrying_instances();
         let grant = self.retry_budgets.answer(&service, now, instances, from, ask)?;
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub contention: Mode,
     /// Limits of chains that instances share.
     pub chain_limits: Mode,
+    /// Retries that instances lend to each other.
+    pub retry_loans: Mode,
     /// Timing of a graceful stop.
     pub stop: Stop,
     /// Timing of directory reads.
@@ -154,6 +156,7 @@
             cost_routing: Mode::Off,
             contention: Mode::Auto,
             chain_limits: Mode::Off,
+            retry_loans: Mode::Off,
             first_start: false,
             stop: Stop {
                 notice: Duration::from_millis(2_500),
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -145,6 +145,7 @@
     field!("gateway", "cost_routing", AUTO, gateway.cost_routing, parse::mode),
     field!("gateway", "contention", AUTO, gateway.contention, parse::mode),
     field!("gateway", "chain_limits", AUTO, gateway.chain_limits, parse::mode),
+    field!("gateway", "retry_loans", AUTO, gateway.retry_loans, parse::mode),
     field!("gateway", "heartbeat_ms", MILLIS, gateway.heartbeat, parse::millis),
     field!("gateway", "first_start", BOOL, gateway.first_start, parse::boolean),
     field!("gateway", "grace_s", SECONDS, gateway.grace, parse::seconds),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -27,6 +27,8 @@
     pub contention: Mode,
     /// Limits of chains that instances share.
     pub chain_limits: Mode,
+    /// Whether instances lend each other retries.
+    pub retry_loans: Mode,
     /// Interval at which upstreams renew their registration.
     pub heartbeat: Duration,
     /// Whether all instances start for the first time.
@@ -46,6 +48,7 @@
             cost_routing: Mode::Off,
             contention: Mode::Auto,
             chain_limits: Mode::Off,
+            retry_loans: Mode::Off,
             heartbeat: Duration::from_millis(1_200),
             first_start: false,
             grace: Duration::from_secs(8),
@@ -74,6 +77,7 @@
         settings.cost_routing = self.cost_routing;
         settings.contention = self.contention;
         settings.chain_limits = self.chain_limits;
+        settings.retry_loans = self.retry_loans;
         settings.first_start = self.first_start;
         settings.peer = peer.secret.is_some().then(|| Peer {
             address: peer.address,
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -119,6 +119,16 @@
     assert!(parse("on").is_err());
 }
 
+/// Guards against retries that are lent without a setting that asks for it.
+#[test]
+fn retry_loans_are_off_by_default() {
+    let text = include_str!("../examples/settings/gateway-1.ini");
+    let parse = |line: &str| File::parse("gateway-1.ini", &text.replace("retry_loans = off", line));
+    assert_eq!(parse("").unwrap().gateway.retry_loans, Mode::Off);
+    assert_eq!(parse("retry_loans = auto").unwrap().gateway.retry_loans, Mode::Auto);
+    assert!(parse("retry_loans = on").is_err());
+}
+
 /// Guards against limits of chains that are shared without a setting that asks for it.
 #[test]
 fn chain_limits_are_off_by_default() {
