Send heartbeats before the parts of a configuration

Callers were served by versions of the configuration that had been replaced longer ago than the operator's bound allows.

Cause: all messages to a peer wait in one queue, in order, and up to 64 of them are written as one batch within one write timeout. Behind a configuration of 2 MB heartbeats wait for seconds on a link of 20 Mbit/s, and a batch of parts takes longer than the write timeout, so that the connection ends in the middle of a part.

The queue keeps parts of configurations apart, sends all other messages first, and bounds the parts by their bytes only. A batch ends with the first part in it.

Evidence: heartbeats_pass_a_configuration fails before (the 257th part is rejected, and the heartbeat comes after all parts).

--- a/crates/goldcrestvale_peer/src/connection.rs
+++ b/crates/goldcrestvale_peer/src/connection.rs
@@ -190,9 +190,15 @@
 async fn write(shared: &Shared, link: &Link, writer: &mut Writer) -> bool {
     while let Some(first) = link.queue.pop().await {
         let batch = async {
+            let mut is_part = matches!(first, wire::Message::ConfigState(_));
             feed(shared, writer, first).await?;
             for _ in 1..MAX_BATCH_MESSAGES {
+                // Heartbeats that are queued during a write go before the next part.
+                if is_part {
+                    break;
+                }
                 let Some(next) = link.queue.try_pop() else { break };
+                is_part = matches!(next, wire::Message::ConfigState(_));
                 feed(shared, writer, next).await?;
             }
             writer.flush().await
--- a/crates/goldcrestvale_peer/src/queue.rs
+++ b/crates/goldcrestvale_peer/src/queue.rs
@@ -28,6 +28,9 @@
 
 /// A bounded queue that drops the oldest gossip first, and never blocks the sender.
 ///
+/// Parts of configurations wait until all other messages are sent, since a transfer may take seconds
+/// and a peer whose heartbeats are missing counts as dead.
+///
 /// # Examples
 ///
 /// ```
@@ -51,6 +54,8 @@
 #[derive(Debug, Default)]
 struct State {
     messages: VecDeque<Message>,
+    /// Parts of configurations.
+    bulk: VecDeque<Message>,
     bytes: usize,
     closed: bool,
 }
@@ -68,15 +73,22 @@
             return PushResult::Closed;
         }
         let bytes = frame_len(&message);
+        let is_bulk = is_bulk(&message);
         let mut dropped = 0;
-        while state.messages.len() >= self.max_messages || state.bytes + bytes > self.max_bytes {
+        // The number of parts is limited by their bytes only.
+        while (!is_bulk && state.messages.len() >= self.max_messages)
+            || state.bytes + bytes > self.max_bytes
+        {
             if !state.drop_gossip() {
                 return if is_gossip(&message) { PushResult::Dropped } else { PushResult::Full };
             }
             dropped += 1;
         }
         state.bytes += bytes;
-        state.messages.push_back(message);
+        match is_bulk {
+            true => state.bulk.push_back(message),
+            false => state.messages.push_back(message),
+        }
         self.changed.notify_one();
         if dropped == 0 { PushResult::Queued } else { PushResult::Displaced { dropped } }
     }
@@ -112,7 +124,8 @@
 
     /// Returns the number of queued messages.
     pub fn len(&self) -> usize {
-        self.lock().messages.len()
+        let state = self.lock();
+        state.messages.len() + state.bulk.len()
     }
 
     /// Returns whether the queue is empty.
@@ -127,7 +140,7 @@
 
 impl State {
     fn pop(&mut self) -> Option<Message> {
-        let message = self.messages.pop_front()?;
+        let message = self.messages.pop_front().or_else(|| self.bulk.pop_front())?;
         self.bytes -= frame_len(&message);
         Some(message)
     }
@@ -148,6 +161,11 @@
     OVERHEAD_BYTES + message.body_len()
 }
 
+/// Returns whether a message is part of a transfer that may take long.
+fn is_bulk(message: &Message) -> bool {
+    matches!(message, Message::ConfigState(_))
+}
+
 /// Returns whether a later message supersedes this one, so that it may be dropped. A lost limit of a
 /// chain costs one refusal and a lost loan a few retries, less than a connection that ends.
 fn is_gossip(message: &Message) -> bool {
