Read the store for as long as its answer arrives

Callers were served by versions of the configuration that had been replaced longer ago than the operator's bound allows.

Cause: a call to the store has 450 ms beyond the time that it asks the store to wait, whatever the size of the answer. A configuration of 2 MB takes 0.8 s on a link of 20 Mbit/s; the read is cut off, counts as failed and begins anew.

A read now has this time until the head of the answer arrives, and then as long as no pause is longer (`Pool::fetch`).

--- a/crates/goldcrestvale_upstream/src/pool.rs
+++ b/crates/goldcrestvale_upstream/src/pool.rs
@@ -8,11 +8,12 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use goldcrestvale_base::exchange::{Exchange, Unsent};
 use http::{Request, Response, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use snafu::ensure;
 use tokio::{net::TcpStream, time::timeout};
 
 pub use crate::connection::Protocol;
@@ -194,6 +195,47 @@
         }
     }
 
+    /// Sends a request and returns its complete answer, however long it takes to arrive.
+    ///
+    /// `head_limit` is the maximum time until the head of the answer arrives, and `pause_limit` the
+    /// maximum time without a further byte of it: the time of a long answer depends on the link.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Pool::call`] does.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        exchange: Exchange<Unsent>,
+        head_limit: Duration,
+        pause_limit: Duration,
+    ) -> Result<Reply> {
+        let late = |limit: Duration| TimeoutSnafu { address, waited_ms: limit.as_millis() };
+        let opened = timeout(head_limit, self.open(address, request, exchange)).await;
+        let Ok(opened) = opened else { return late(head_limit).fail() };
+        let (head, mut body, pooled) = opened?.into_parts();
+        let limit = self.limits.max_answer_bytes;
+        let mut received = BytesMut::new();
+        loop {
+            let frame = match timeout(pause_limit, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => {
+                    return BrokenSnafu { address, detail: e.to_string() }.fail();
+                }
+                Ok(None) => break,
+                Err(_) => return late(pause_limit).fail(),
+            };
+            let Some(data) = frame.data_ref() else { continue };
+            ensure!(received.len() + data.len() <= limit, OversizedSnafu { address, limit });
+            received.extend_from_slice(data);
+        }
+        if self.protocol == Protocol::Http1 {
+            pooled.return_to_pool();
+        }
+        Ok(Reply { head, body: received.freeze() })
+    }
+
     async fn exchange(&self, address: SocketAddr, unsent: UnsentRequest) -> Result<Reply> {
         let opened = self.open_unsent(address, unsent).await?;
         let (head, body, pooled) = opened.into_parts();
