Send the changes of a configuration, to a few peers at a time

Cause: a change of one key sends the whole document to every instance. All instances of a failure domain request it from its reader at the same moment, and again from another peer after 400 ms, whether or not the answer is on its way: a repeat that is shorter than the work it repeats, and one source for all.

An instance now names the version that it holds, and receives what changed since, compressed (`forward::ChangeSet`, about 25 kB for 1,400 new routes, below 1 kB for a key). It requests a version from one peer at a time, and from another one if the answer makes no progress for an eighth of the operator's bound (`member::config_request`). A peer serves four at a time, so that the first ones serve others (`member::upload`), in parts of 32 KiB. The bound is `[gateway] configuration_bound_ms`. Versions share the routes that are equal. A version is compared and put in force under one lock, so that with several threads an older one cannot replace it between the two.

Builds side by side: an older build ignores the held version and answers with the whole text; a request without it gets the whole text (held_versions_are_optional, builds_without_changes_receive_plain_versions).

version_ask is replaced by config_request, which keeps its four cases: the limiter that it tested requests a version again after 400 ms, which arriving_answer_is_not_requested_again forbids.

--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use goldcrestvale_entry::{clock::Clock, crash_watch::CrashWatch, trial_log::Position};
 use goldcrestvale_member::leaving::Source;
 use goldcrestvale_route::{
-    forward::{Configuration, Level, Table},
+    forward::{Level, Table},
     links::Links,
     pipeline::{Chain, Choice, Load, Occupancy, Places, Request, Size},
     rate_share,
@@ -31,6 +31,7 @@
 
 use crate::{
     chain_limits::SharedLimits,
+    config_version::Versions,
     contention::Contentions,
     cost::Estimators,
     customer_load::CustomerLoads,
@@ -86,6 +87,8 @@
     pub(crate) metrics: Metrics,
     /// Configuration in force; version 0 until the first one is known.
     pub(crate) table: ArcSwap<Table>,
+    /// The last versions of the configuration.
+    pub(crate) versions: Mutex<Versions>,
     /// Snapshot of the upstreams.
     pub(crate) view: ArcSwap<View>,
     pub(crate) registry: Arc<Registry>,
@@ -144,6 +147,7 @@
         Self {
             port,
             table: ArcSwap::default(),
+            versions: Mutex::default(),
             view: ArcSwap::default(),
             registry: Arc::default(),
             estimators: Estimators::default(),
@@ -161,7 +165,7 @@
             placement_wakeup: Notify::new(),
             failover_wakeup: Notify::new(),
             upstream_state: Mutex::default(),
-            peers: Peers::default(),
+            peers: Peers::new(settings.directory.configuration_bound, rng.random::<u32>() as usize),
             shared_limits: SharedLimits::default(),
             retry_budgets: RetryBudgets::new(&settings, clock.now(), rng.random()),
             clock,
@@ -289,20 +293,6 @@
         })
     }
 
-    /// Puts a version of the configuration in force if it is newer than the current one.
-    pub(crate) fn configure(&self, configuration: Configuration) {
-        let current = self.table.load().version();
-        if configuration.version <= current {
-            return;
-        }
-        let table = Table::new(configuration);
-        info!(from = current, to = table.version(); "configuration in force");
-        let table = Arc::new(table);
-        self.table.store(table.clone());
-        self.contentions.reconfigure(&table);
-        self.rebuild();
-    }
-
     /// Changes the state of the upstreams and publishes a new snapshot if `change` returns `true`.
     pub(crate) fn update(&self, change: impl FnOnce(&mut UpstreamState) -> bool) -> bool {
         let changed = change(&mut self.lock_state());
@@ -444,7 +434,7 @@
         });
     }
 
-    fn rebuild(&self) {
+    pub(crate) fn rebuild(&self) {
         let now = self.now();
         let table = self.table.load();
         let view = self.read_state(|state| state.view(&table, now));
--- a/crates/goldcrestvale_gateway/src/lib.rs
+++ b/crates/goldcrestvale_gateway/src/lib.rs
@@ -7,7 +7,9 @@
 mod body;
 mod catalog;
 mod chain_limits;
-mod config_request;
+mod config_document;
+mod config_version;
+mod configuration;
 mod contention;
 mod cost;
 mod crash_watch;
@@ -43,7 +45,6 @@
 mod view;
 
 pub use catalog::{Catalog, CatalogChange};
-pub use config_request::ConfigRequestLimiter;
 pub use event::Splitter;
 pub use instance::{Error, Instance, Result};
 pub use listing::Listing;
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, OnceLock, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
     time::Duration,
 };
 
@@ -15,6 +15,7 @@
 use goldcrestvale_member::{
     action::Notice,
     chain_limit::ChainLimits,
+    config_request::{Offer, Request, Requests},
     event::Event,
     evidence::Evidence,
     identity::Identity,
@@ -27,15 +28,14 @@
 };
 use goldcrestvale_peer::{
     events::{
-        AnswerState, Changes, Configuration as Sealed, EventHandler, List, Reply, ResultQuery,
-        StoredResult,
+        AnswerState, Changes, Configuration as Sealed, EventHandler, Held, List, Reply,
+        ResultQuery, StoredResult,
     },
     handle::Handle,
     peer,
     settings::Settings as Tasks,
     snapshot::Snapshot,
 };
-use goldcrestvale_route::forward::{Configuration, Table};
 use goldcrestvale_wire::key::{Keyring, Secret};
 use log::{debug, info, warn};
 use rand::{SeedableRng, rngs::StdRng};
@@ -43,7 +43,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    config_request::ConfigRequestLimiter,
     crash_watch::handle_evidence,
     directory_changes::{handle_changes, merge_list, millis, send_amendments},
     failover::probe,
@@ -70,15 +69,19 @@
 const SCHEMA: u32 = 1;
 
 /// The connection to the other instances.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
     handle: OnceLock<Handle>,
-    request_limiter: Mutex<ConfigRequestLimiter>,
-    /// The configuration as it was last sent to a peer.
-    sealed: Mutex<Option<Sealed>>,
+    requests: Mutex<Requests>,
 }
 
 impl Peers {
+    /// Creates the state of an instance whose operator expects a version of the configuration in
+    /// force after `bound`; `draw` differs between instances.
+    pub(crate) fn new(bound: Duration, draw: usize) -> Self {
+        Self { handle: OnceLock::new(), requests: Mutex::new(Requests::new(bound, draw)) }
+    }
+
     /// Returns the last published snapshot of the membership.
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
         self.handle.get().map(Handle::snapshot).unwrap_or_default()
@@ -120,33 +123,52 @@
         }
     }
 
-    /// Returns whether a version of the configuration is to be requested from a peer that offers
-    /// it.
-    fn try_request_config(&self, version: u64, is_near: bool, now: Instant) -> bool {
-        let mut limiter = self.request_limiter.lock().unwrap_or_else(PoisonError::into_inner);
-        match is_near {
-            true => limiter.try_request(version, now),
-            false => limiter.try_far_request(version, now),
+    fn requests(&self) -> MutexGuard<'_, Requests> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a version that a peer offers; returns the request to send, if there is one.
+    pub(crate) fn receive_offer(&self, offer: Offer<'_>, now: Instant) -> Option<Request> {
+        self.requests().receive(offer, now)
+    }
+
+    /// Records the version in force; returns the request for a newer one that was offered.
+    pub(crate) fn record_version(&self, version: u64, now: Instant) -> Option<Request> {
+        self.requests().record_held(version, now)
+    }
+
+    /// Records a complete answer and the version that is in force after it; returns the request for
+    /// a newer one that was offered.
+    pub(crate) fn record_answer(
+        &self,
+        from: &Instance,
+        version: u64,
+        now: Instant,
+    ) -> Option<Request> {
+        self.requests().record_answer(from, version, now)
+    }
+
+    /// Returns whether a newer version is being received.
+    pub(crate) fn is_receiving(&self, now: Instant) -> bool {
+        self.requests().is_receiving(now)
+    }
+
+    /// Requests the changes since the held version from a peer.
+    pub(crate) async fn request_changes(&self, to: Instance, version: Offset, held: Held) {
+        if let Some(handle) = self.handle.get()
+            && let Err(e) = handle.request_changes(to, version, held).await
+        {
+            debug!(error:% = e; "configuration not requested");
         }
     }
 
-    /// Returns the configuration in the form that is sent to peers. The form is kept for the next
-    /// peer, since all peers of the failure domain request a new version at about the same time.
-    fn seal(&self, table: &Table) -> Option<Sealed> {
-        let version = Offset(table.version());
-        let mut sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(sealed) = sealed.as_ref().filter(|sealed| sealed.version == version) {
-            return Some(sealed.clone());
+    /// Sends the configuration to a peer.
+    pub(crate) async fn send_config(&self, to: Instance, sealed: Sealed) {
+        if let Some(handle) = self.handle.get()
+            && let Err(e) = handle.send_config(to, sealed).await
+        {
+            debug!(error:% = e; "configuration not sent");
         }
-        let bytes: Bytes = match serde_json::to_vec(table.source()?) {
-            Ok(bytes) => bytes.into(),
-            Err(e) => {
-                warn!(error:% = e; "configuration cannot be serialized");
-                return None;
-            }
-        };
-        *sealed = Some(Sealed { version, digest: Digest::of(&bytes), bytes });
-        sealed.clone()
     }
 
     /// Sends a fault of an upstream to the peers.
@@ -255,13 +277,7 @@
         {
             gateway.peers.send_evidence(report);
         }
-        let status = Event::Status(Status {
-            config: offer(&gateway),
-            draining: gateway.is_leaving(),
-            schema: SCHEMA,
-            leads: gateway.is_placement_leader(),
-            relay_port: (!gateway.are_links_lost()).then(|| gateway.callers_port()).flatten(),
-        });
+        let status = Event::Status(status(&gateway));
         let heads = gateway.registry.stream_counts().into_iter();
         let work = heads
             .map(|(upstream, units)| {
@@ -285,6 +301,17 @@
     }
 }
 
+/// Returns the status that this instance reports with each heartbeat.
+pub(crate) fn status<P>(gateway: &Gateway<P>) -> Status {
+    Status {
+        config: offer(gateway),
+        draining: gateway.is_leaving(),
+        schema: SCHEMA,
+        leads: gateway.is_placement_leader(),
+        relay_port: (!gateway.are_links_lost()).then(|| gateway.callers_port()).flatten(),
+    }
+}
+
 /// Returns the version of the configuration in force as an offer to the peers. Each version is
 /// written only once, so it also serves as the digest.
 fn offer<P>(gateway: &Gateway<P>) -> Option<Config> {
@@ -334,16 +361,8 @@
             Notice::ChainLimits { from, limits } => gateway.apply_chain_limits(&from, &limits),
             Notice::RetryLoans { from, loans } => gateway.apply_retry_loans(&from, &loans),
             Notice::Config { instance, is_near, config } => {
-                if !gateway.peers.try_request_config(config.version.0, is_near, gateway.now()) {
-                    return;
-                }
-                tokio::spawn(async move {
-                    if let Some(handle) = gateway.peers.handle.get()
-                        && let Err(e) = handle.request_config(instance, config.version).await
-                    {
-                        debug!(error:% = e; "configuration not requested");
-                    }
-                });
+                let version = config.version.0;
+                gateway.handle_offer(Offer { from: &instance, version, is_near });
             }
         }
     }
@@ -351,16 +370,19 @@
     fn config_offered(&self, _from: &Instance, _version: Offset, _digest: Digest) {}
 
     fn config_requested(&self, from: &Instance, _version: Offset) {
-        let Some(gateway) = self.gateway.upgrade() else { return };
-        let Some(sealed) = gateway.peers.seal(&gateway.table.load()) else { return };
-        let from = from.clone();
-        tokio::spawn(async move {
-            if let Some(handle) = gateway.peers.handle.get()
-                && let Err(e) = handle.send_config(from, sealed).await
-            {
-                debug!(error:% = e; "configuration not sent");
-            }
-        });
+        if let Some(gateway) = self.gateway.upgrade() {
+            gateway.send_configuration(from);
+        }
+    }
+
+    fn changes_since(&self, _to: &Instance, held: Held) -> Option<Sealed> {
+        self.gateway.upgrade()?.changes_since(held)
+    }
+
+    fn part_received(&self, from: &Instance) {
+        if let Some(gateway) = self.gateway.upgrade() {
+            gateway.peers.requests().record_part(from, gateway.now());
+        }
     }
 
     fn config_received(&self, from: &Instance, sealed: Sealed) {
@@ -369,10 +391,7 @@
             warn!(instance:% = from; "a peer's configuration does not match its digest");
             return;
         }
-        match serde_json::from_slice::<Configuration>(&sealed.bytes) {
-            Ok(configuration) => gateway.configure(configuration),
-            Err(e) => warn!(instance:% = from, error:% = e; "a peer's configuration is malformed"),
-        }
+        gateway.receive_configuration(from, &sealed);
     }
 
     fn list_requested(&self, from: &Instance) {
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -105,6 +105,9 @@
     /// How long a read of the configuration waits for a change; bounds how long a dead connection
     /// goes unnoticed.
     pub configuration_wait: Duration,
+    /// Time within which the operator expects a confirmed configuration in force. The waits and
+    /// timeouts on the way to an instance derive from it.
+    pub configuration_bound: Duration,
     /// Interval between reads of the upstreams.
     pub upstream_interval: Duration,
     /// Interval between reads of the upstreams while a chain is incomplete.
@@ -164,6 +167,7 @@
             },
             directory: Directory {
                 configuration_wait: Duration::from_millis(1_500),
+                configuration_bound: Duration::from_secs(3),
                 upstream_interval: Duration::from_millis(900),
                 degraded_interval: Duration::from_millis(300),
                 return_grace: Duration::from_millis(2_200),
--- a/crates/goldcrestvale_member/src/lib.rs
+++ b/crates/goldcrestvale_member/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod action;
 pub mod backoff;
 pub mod chain_limit;
+pub mod config_request;
 pub mod customer_load;
 pub mod event;
 pub mod evidence;
@@ -22,6 +23,7 @@
 pub mod retry_loan;
 pub mod settings;
 pub mod silence;
+pub mod upload;
 pub mod view;
 
 /// Re-exports the types that a daemon needs.
--- a/crates/goldcrestvale_peer/src/connection.rs
+++ b/crates/goldcrestvale_peer/src/connection.rs
@@ -190,21 +190,24 @@
 async fn write(shared: &Shared, link: &Link, writer: &mut Writer) -> bool {
     while let Some(first) = link.queue.pop().await {
         let batch = async {
-            let mut is_part = matches!(first, wire::Message::ConfigState(_));
+            let mut part = last_part(&first);
             feed(shared, writer, first).await?;
             for _ in 1..MAX_BATCH_MESSAGES {
                 // Heartbeats that are queued during a write go before the next part.
-                if is_part {
+                if part.is_some() {
                     break;
                 }
                 let Some(next) = link.queue.try_pop() else { break };
-                is_part = matches!(next, wire::Message::ConfigState(_));
+                part = last_part(&next);
                 feed(shared, writer, next).await?;
             }
-            writer.flush().await
+            writer.flush().await.map(|()| part)
         };
         match timeout(shared.settings.write_timeout, batch).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(None)) => {}
+            Ok(Ok(Some(is_last))) => {
+                shared.send(Input::PartSent { link: link.id, is_last }).await;
+            }
             Ok(Err(error)) => {
                 shared.counts.count_error(&error);
                 return false;
@@ -218,6 +221,14 @@
     true
 }
 
+/// Returns whether a part of a configuration is the last one; `None` for other messages.
+fn last_part(message: &wire::Message) -> Option<bool> {
+    match message {
+        wire::Message::ConfigState(part) => Some(part.part.saturating_add(1) >= part.parts),
+        _ => None,
+    }
+}
+
 async fn feed(shared: &Shared, writer: &mut Writer, message: wire::Message) -> codec::Result<()> {
     if !writer.encoder().fits(&message) {
         shared.counts.dropped.inc();
--- a/crates/goldcrestvale_peer/src/core.rs
+++ b/crates/goldcrestvale_peer/src/core.rs
@@ -13,20 +13,22 @@
     event::Event,
     member::{Actions, Member},
     message::Message,
+    upload::Uploads,
 };
 use goldcrestvale_wire::{handshake::Role, message as wire};
+use indexmap::IndexMap;
 use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use tokio::{
     sync::{mpsc, oneshot},
     time::MissedTickBehavior,
 };
 
-use self::assembly::Assembly;
+use self::{assembly::Assembly, config::config_ask};
 use crate::{
     connection::{self, Shared},
     convert,
     dump::Dump,
-    events::{Configuration, EventHandler},
+    events::{Configuration, EventHandler, Held},
     link::{InsertResult, Link, Links},
     query::{PendingQueries, Query},
     queue::{PushResult, Queue},
@@ -51,6 +53,8 @@
     DialFailed(SocketAddr),
     /// A message for the membership.
     Membership { link: u64, message: Message },
+    /// A part of a configuration was written to a connection.
+    PartSent { link: u64, is_last: bool },
     /// Any other message.
     Other { link: u64, message: wire::Message },
     /// A command of the daemon.
@@ -71,6 +75,7 @@
     RequestConfig {
         to: Instance,
         version: Offset,
+        held: Option<Held>,
     },
     RequestList,
     SendChanges(wire::Changes),
@@ -96,6 +101,9 @@
     links: Links,
     queries: PendingQueries,
     assembly: Assembly,
+    uploads: Uploads,
+    /// The versions that the peers hold which wait for a newer one.
+    waiting: IndexMap<Instance, Held>,
     /// Whether the last request for the platform's list preferred the instance that places layers.
     asks_leader: bool,
 }
@@ -116,6 +124,8 @@
             links: Links::default(),
             queries: PendingQueries::default(),
             assembly: Assembly::default(),
+            uploads: Uploads::default(),
+            waiting: IndexMap::new(),
             asks_leader: false,
         }
     }
@@ -143,6 +153,7 @@
     fn tick(&mut self) {
         let now = self.shared.clock.now();
         self.handle_event(Event::Tick);
+        self.start_uploads();
         let expired = self.queries.expire(now);
         self.shared.counts.unanswered.inc_by(expired as u64);
         for link in self.links.iter() {
@@ -164,6 +175,7 @@
                     self.handle_event(Event::Received { from, message });
                 }
             }
+            Input::PartSent { link, is_last } => self.part_sent(link, is_last),
             Input::Other { link, message } => self.handle_message(link, message),
             Input::Command(command) => self.handle_command(command),
         }
@@ -179,8 +191,8 @@
             }
             Command::Query(query) => self.start_query(query),
             Command::OfferConfig { version, digest } => self.offer_config(version, digest),
-            Command::RequestConfig { to, version } => {
-                self.send(&to, wire::ConfigAsk { version: version.0 }.into());
+            Command::RequestConfig { to, version, held } => {
+                self.send(&to, config_ask(version, held).into());
             }
             Command::RequestList => self.request_list(),
             Command::SendChanges(changes) => {
@@ -190,7 +202,9 @@
                 }
             }
             Command::SendList { to, list } => self.send(&to, list.into()),
-            Command::SendConfig { to, configuration } => self.send_config(&to, &configuration),
+            Command::SendConfig { to, configuration } => {
+                self.send_config(&to, &configuration);
+            }
             Command::Dump(reply) => {
                 let _ = reply.send(self.dump());
             }
@@ -235,6 +249,8 @@
             InsertResult::Replaced(old) => {
                 old.queue.close();
                 self.fail_queries(old.id);
+                self.assembly.discard(&peer.instance);
+                self.remove_upload(&peer.instance);
                 if old.peer.incarnation != peer.incarnation {
                     let incarnation = old.peer.incarnation;
                     let instance = old.peer.instance;
@@ -253,6 +269,7 @@
         self.fail_queries(id);
         if let Some(Link { peer, .. }) = self.links.remove(id) {
             self.assembly.discard(&peer.instance);
+            self.remove_upload(&peer.instance);
             let (instance, incarnation) = (peer.instance, peer.incarnation);
             self.handle_event(Event::Disconnected { instance, incarnation });
         }
@@ -349,12 +366,7 @@
                 }
                 Ok(())
             }
-            wire::Message::ConfigAsk(ask) => {
-                if let Some(from) = self.sender(link) {
-                    self.events.config_requested(&from, Offset(ask.version));
-                }
-                Ok(())
-            }
+            wire::Message::ConfigAsk(ask) => self.config_requested(link, &ask),
             _ => Ok(()),
         };
         if let Err(error) = handled {
--- a/crates/goldcrestvale_peer/src/events.rs
+++ b/crates/goldcrestvale_peer/src/events.rs
@@ -31,6 +31,18 @@
     /// Handles a request for a configuration of at least the given version.
     fn config_requested(&self, from: &Instance, version: Offset);
 
+    /// Returns the configuration for a peer that can apply the changes since a version that it
+    /// holds; `None` if there is no newer one.
+    ///
+    /// By default, the request is handled as one for the complete configuration.
+    fn changes_since(&self, to: &Instance, held: Held) -> Option<Configuration> {
+        self.config_requested(to, held.version.next());
+        None
+    }
+
+    /// Handles the arrival of a part of a configuration.
+    fn part_received(&self, _from: &Instance) {}
+
     /// Handles a complete configuration, whose digest is not yet checked.
     fn config_received(&self, from: &Instance, configuration: Configuration);
 
@@ -58,6 +70,17 @@
     pub bytes: Bytes,
 }
 
+domain! {
+    copy
+    /// The configuration that an instance holds.
+    pub struct Held {
+        /// Its version.
+        pub version: Offset,
+        /// The digest of its content.
+        pub digest: Digest,
+    }
+}
+
 domain! {
     value
     /// A query for the stored result of an idempotent call.
--- a/crates/goldcrestvale_peer/src/handle.rs
+++ b/crates/goldcrestvale_peer/src/handle.rs
@@ -19,7 +19,7 @@
     core::{Command, Input},
     count::Values,
     dump::Dump,
-    events::{Changes, Configuration, List, StoredResult},
+    events::{Changes, Configuration, Held, List, StoredResult},
     query::{self, Query},
     snapshot::Snapshot,
 };
@@ -136,7 +136,17 @@
     ///
     /// Fails if the tasks have stopped.
     pub async fn request_config(&self, to: Instance, version: Offset) -> Result<()> {
-        self.command(Command::RequestConfig { to, version }).await
+        self.command(Command::RequestConfig { to, version, held: None }).await
+    }
+
+    /// Requests the changes up to a version of at least the given one since the version that this
+    /// instance holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the tasks have stopped.
+    pub async fn request_changes(&self, to: Instance, version: Offset, held: Held) -> Result<()> {
+        self.command(Command::RequestConfig { to, version, held: Some(held) }).await
     }
 
     /// Requests the platform's list from the connected peer that places layers, or from a few
--- a/crates/goldcrestvale_route/src/forward/configuration.rs
+++ b/crates/goldcrestvale_route/src/forward/configuration.rs
@@ -1,6 +1,6 @@
 //! One version of the forwarding configuration.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_base::id::Service;
 use smallvec::SmallVec;
@@ -99,8 +99,8 @@
     pub struct Configuration {
         /// Version number; a higher one replaces a lower one.
         pub version: u64,
-        /// Routes.
-        pub routes: Vec<Route>,
+        /// Routes. Versions share those that are equal.
+        pub routes: Vec<Arc<Route>>,
         /// Services.
         pub pools: Vec<Pool>,
         /// Limits on what callers may send.
--- a/crates/goldcrestvale_route/src/forward/level.rs
+++ b/crates/goldcrestvale_route/src/forward/level.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
+    sync::Arc,
     time::Duration,
 };
 
@@ -37,7 +38,7 @@
 }
 
 /// Returns the distinct levels of the stream routes of each service, the most urgent first.
-pub(super) fn levels(routes: &[Route]) -> HashMap<Service, Vec<Level>> {
+pub(super) fn levels(routes: &[Arc<Route>]) -> HashMap<Service, Vec<Level>> {
     let mut levels: HashMap<Service, BTreeSet<Level>> = HashMap::new();
     for route in routes.iter().filter(|route| route.kind == Kind::Stream) {
         for share in route.split.iter().filter(|share| share.weight > 0) {
--- a/crates/goldcrestvale_route/src/forward/table.rs
+++ b/crates/goldcrestvale_route/src/forward/table.rs
@@ -48,8 +48,8 @@
 
 impl Table {
     /// Indexes a version of the configuration.
-    pub fn new(configuration: Configuration) -> Self {
-        let source = Arc::new(configuration.clone());
+    pub fn new(configuration: impl Into<Arc<Configuration>>) -> Self {
+        let configuration = configuration.into();
         let levels = levels(&configuration.routes);
         let customers = configuration.customers.as_deref().unwrap_or_default();
         let precedences = levels
@@ -57,16 +57,16 @@
             .map(|(service, levels)| (service.clone(), precedences(levels, customers)))
             .collect();
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        for route in configuration.routes {
-            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        for route in &configuration.routes {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(route.clone());
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let pools = configuration.pools.into_iter();
-        let customers = configuration.customers.map(|customers| {
+        let pools = configuration.pools.iter().cloned();
+        let customers = configuration.customers.as_ref().map(|customers| {
             let mut by_credential = HashMap::new();
-            for customer in customers.into_iter().map(Arc::new) {
+            for customer in customers.iter().cloned().map(Arc::new) {
                 let credentials = customer.credentials.iter().cloned();
                 by_credential.extend(credentials.map(|credential| (credential, customer.clone())));
             }
@@ -79,13 +79,13 @@
             customers,
             levels,
             precedences,
-            source: Some(source),
+            source: Some(configuration),
         }
     }
 
     /// Returns the indexed configuration; `None` before the first version.
-    pub fn source(&self) -> Option<&Configuration> {
-        self.source.as_deref()
+    pub fn source(&self) -> Option<&Arc<Configuration>> {
+        self.source.as_ref()
     }
 
     /// Returns the limits on what callers may send; `None` before the first version.
--- a/crates/goldcrestvale_route/tests/forward_table.rs
+++ b/crates/goldcrestvale_route/tests/forward_table.rs
@@ -1,7 +1,7 @@
 //! Lookup of routes, customers and services.
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use goldcrestvale_route::forward::{
     Bounds, Configuration, Customer, Kind, Level, Refusal, Route, Share, Table,
@@ -28,7 +28,7 @@
 fn table(routes: Vec<Route>, customers: Option<Vec<Customer>>) -> Table {
     Table::new(Configuration {
         version: 3,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         pools: Vec::new(),
         bounds: Bounds {
             header_bytes: 1,
--- a/crates/goldcrestvale_wire/src/message/config.rs
+++ b/crates/goldcrestvale_wire/src/message/config.rs
@@ -19,6 +19,12 @@
     /// The lowest version that is requested.
     #[prost(uint64, tag = "1")]
     pub version: u64,
+    /// The version that the sender holds, or 0 if it holds none.
+    #[prost(uint64, tag = "2")]
+    pub held: u64,
+    /// Digest of the held version, 32 bytes; empty if the sender reads complete configurations only.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub held_digest: Bytes,
 }
 
 /// Part of a configuration.
--- a/crates/goldcrestvale_wire/tests/frame_auth.rs
+++ b/crates/goldcrestvale_wire/tests/frame_auth.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 fn request(version: u64) -> Message {
-    ConfigAsk { version }.into()
+    ConfigAsk { version, ..ConfigAsk::default() }.into()
 }
 
 #[test]
--- a/crates/goldcrestvale_wire/tests/frame_compat.rs
+++ b/crates/goldcrestvale_wire/tests/frame_compat.rs
@@ -5,7 +5,11 @@
 mod sample;
 
 use bytes::BytesMut;
-use goldcrestvale_wire::{codec::Opened, message::Sends, prelude::*};
+use goldcrestvale_wire::{
+    codec::Opened,
+    message::{ConfigAsk, Sends},
+    prelude::*,
+};
 use prost::Message as _;
 use sample::{MAX_FRAME_BYTES, extended_messages, keys, later_messages, messages, sessions};
 use tokio_util::codec::{Decoder, Encoder};
@@ -16,7 +20,7 @@
 
 /// The frames that this dialer sends to a listener with nonce `02..`: one message of each of the
 /// first kinds, then those with later fields, then later kinds.
-const FRAMES: [&str; 23] = [
+const FRAMES: [&str; 24] = [
     "000000440100010a1003030303030303030303030303030303120679656b612d311a0479656b61220d31302e302e302e313a373030302801cf2a0f0d3ca407d4ca964dff348c3e88",
     "0000002401000208091005190807060504030201200128029f10fcf844c696b4e2eefb440daee7ad",
     "000000250100030a1003030303030303030303030303030303be658cd468a3d7797b858ce84e1d68c7",
@@ -40,6 +44,7 @@
     "000000240100120a0f0dffffffff150200000018ac02200141b762ac442d872339f19c450d9f9477",
     "0000002c0100130a0d0dffffffff105c1880f104202812080d0700000010e01254d222d365ecf6c38dddf1f2ab2e0c28",
     "0000004f0100140a110dffffffff11000000000000001018d00f12140d0700000011ffffffffffffffff18ac0220e8071a110d0700000011010000000000000018fa01ad2c9d4fff2744a00c63ca527e876f48",
+    "00000039010007080910041a20040404040404040404040404040404040404040404040404040404040404040478661570e13b96f4515c6de8790d0ea9",
 ];
 
 /// A heartbeat of version 1 with an additional unknown field.
@@ -112,6 +117,22 @@
     assert_eq!(heartbeat.sequence, 9);
 }
 
+/// Guards against requests for changes that builds without them cannot read, and the reverse.
+#[test]
+fn held_versions_are_optional() {
+    /// A request as builds without changes define it.
+    #[derive(Clone, PartialEq, prost::Message)]
+    struct OlderAsk {
+        #[prost(uint64, tag = "1")]
+        version: u64,
+    }
+
+    let ask = ConfigAsk { version: 9, held: 4, held_digest: vec![4; 32].into() };
+    assert_eq!(OlderAsk::decode(&ask.encode_to_vec()[..]).unwrap(), OlderAsk { version: 9 });
+    let decoded = Message::decode(7, OlderAsk { version: 9 }.encode_to_vec().into()).unwrap();
+    assert_eq!(decoded, Some(ConfigAsk { version: 9, ..ConfigAsk::default() }.into()));
+}
+
 /// Guards against a connection that ends when a peer of a newer build reports customers' streams.
 #[test]
 fn decoder_without_the_kind_skips_customer_loads() {
--- a/crates/goldcrestvale_wire/tests/sample/mod.rs
+++ b/crates/goldcrestvale_wire/tests/sample/mod.rs
@@ -71,7 +71,7 @@
         Members { known: vec![known] }.into(),
         Leaving { marks: vec![mark] }.into(),
         ConfigOffer { version: 4, digest: bytes(4, 32) }.into(),
-        ConfigAsk { version: 4 }.into(),
+        ConfigAsk { version: 4, ..ConfigAsk::default() }.into(),
         ConfigState { version: 4, digest: bytes(4, 32), part: 1, parts: 2, bytes: bytes(9, 3) }
             .into(),
         AnswerAsk { ask: 7, key: bytes(5, 16), digest: bytes(6, 32) }.into(),
@@ -129,7 +129,7 @@
     ]
 }
 
-/// Returns one message of each kind that was added after the extended messages.
+/// Returns one message of each kind that was added or extended after the extended messages.
 pub fn later_messages() -> Vec<Message> {
     vec![
         CustomerLoad {
@@ -162,5 +162,6 @@
             returns: vec![RetryReturn { service: 7, sequence: 1, milli_retries: 250 }],
         }
         .into(),
+        ConfigAsk { version: 9, held: 4, held_digest: bytes(4, 32) }.into(),
     ]
 }
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -147,6 +147,7 @@
     field!("gateway", "chain_limits", AUTO, gateway.chain_limits, parse::mode),
     field!("gateway", "retry_loans", AUTO, gateway.retry_loans, parse::mode),
     field!("gateway", "heartbeat_ms", MILLIS, gateway.heartbeat, parse::millis),
+    field!("gateway", "configuration_bound_ms", MILLIS, gateway.configuration_bound, parse::millis),
     field!("gateway", "first_start", BOOL, gateway.first_start, parse::boolean),
     field!("gateway", "grace_s", SECONDS, gateway.grace, parse::seconds),
     field!("log", "format", "text or json", logging.format, parse::format),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -31,6 +31,8 @@
     pub retry_loans: Mode,
     /// Interval at which upstreams renew their registration.
     pub heartbeat: Duration,
+    /// Time within which the operator expects a confirmed configuration in force.
+    pub configuration_bound: Duration,
     /// Whether all instances start for the first time.
     pub first_start: bool,
     /// Grace period of a stop.
@@ -50,6 +52,7 @@
             chain_limits: Mode::Off,
             retry_loans: Mode::Off,
             heartbeat: Duration::from_millis(1_200),
+            configuration_bound: Duration::from_secs(3),
             first_start: false,
             grace: Duration::from_secs(8),
         }
@@ -78,6 +81,7 @@
         settings.contention = self.contention;
         settings.chain_limits = self.chain_limits;
         settings.retry_loans = self.retry_loans;
+        settings.directory.configuration_bound = self.configuration_bound;
         settings.first_start = self.first_start;
         settings.peer = peer.secret.is_some().then(|| Peer {
             address: peer.address,
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -93,6 +93,7 @@
         // As large as with hundreds of instances.
         ("bounds.retryBudgetMin", "2200"),
         ("bounds.budgetWindowS", "10"),
+        ("bounds.configMs", "2000"),
         ("firstStart", "true"),
         ("bounds.graceS", "8"),
     ] {
@@ -103,6 +104,7 @@
     assert_eq!(file.gateway.metrics.map(|metrics| metrics.port()), Some(7355));
     assert_eq!(file.entry.peer.seeds.len(), 3);
     assert!(file.gateway.first_start);
+    assert_eq!(file.gateway.configuration_bound.as_millis(), 2_000);
     assert!((file.gateway.retry.floor - 2_200.0).abs() < f64::EPSILON);
 }
 
