Take the news of a read for no version of the configuration

Callers could be served by an old version for as long as a peer went on reading, since the instance read nothing itself.

Cause: after each read of the configuration an instance sends its failure domain the news of it, which names no version. The receivers put their own reads off, whether or not they have what was read. The news is sent also for a record that the reader cannot decode, as of a newer build.

The news now names the version that the sender has in force (0 in older builds, which ignore it). It puts a read off only where that version is in force as well, or is arriving; otherwise it is an offer of the version, which needs no heartbeat. A record that cannot be decoded counts as a failed read, and sends no news.

--- a/crates/goldcrestvale_gateway/src/configuration.rs
+++ b/crates/goldcrestvale_gateway/src/configuration.rs
@@ -7,7 +7,7 @@
     config_request::{Offer, Request},
     event::Event,
 };
-use goldcrestvale_peer::events::{Configuration as Sealed, Held};
+use goldcrestvale_peer::events::{Changes, Configuration as Sealed, Held};
 use goldcrestvale_route::forward::{Configuration, Table};
 use log::{debug, info, warn};
 
@@ -65,6 +65,34 @@
         self.send_request(request);
     }
 
+    /// Handles the news that a peer of the own failure domain read the configuration and has
+    /// `version` in force; 0 if the peer's build does not say which.
+    ///
+    /// The news counts as a read of this instance only if the version is in force here as well, or
+    /// is being received.
+    pub(crate) fn handle_read(self: &Arc<Self>, from: &Instance, version: u64) {
+        let now = self.now();
+        let held = self.table.load().version();
+        if version > held {
+            self.handle_offer(Offer { from, version, is_near: true });
+        }
+        let is_unspecified = version == 0;
+        if version == held || is_unspecified || self.peers.is_receiving(now) {
+            let precedes = *from < self.settings.name;
+            self.directory.configuration().record_update(now, precedes);
+        }
+    }
+
+    /// Sends the news that this instance read the configuration.
+    pub(crate) async fn send_read(&self) {
+        let update = Changes {
+            scope: goldcrestvale_peer::events::Scope::Configuration.into(),
+            next: self.table.load().version(),
+            ..Changes::default()
+        };
+        self.peers.send_changes(update).await;
+    }
+
     fn send_request(self: &Arc<Self>, request: Option<Request>) {
         let Some(Request { to, version }) = request else { return };
         let held = self.versions().held();
--- a/crates/goldcrestvale_gateway/src/directory_changes.rs
+++ b/crates/goldcrestvale_gateway/src/directory_changes.rs
@@ -1,6 +1,6 @@
 //! Changes of the directory as the instances of a failure domain send them to each other.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use goldcrestvale_base::id::{Instance, Offset, Upstream};
@@ -14,7 +14,7 @@
     directory_state::upstream_pace,
     gateway::Gateway,
     listing::Listing,
-    port::{Change, Page, Presence},
+    port::{Change, Page, Port, Presence},
     upstream_state::UpstreamState,
 };
 
@@ -64,11 +64,15 @@
 }
 
 /// Handles changes that a peer of the own failure domain read.
-pub(crate) fn handle_changes<P>(gateway: &Gateway<P>, from: &Instance, changes: &Changes) {
+pub(crate) fn handle_changes<P: Port>(
+    gateway: &Arc<Gateway<P>>,
+    from: &Instance,
+    changes: &Changes,
+) {
     let now = gateway.now();
     let precedes = *from < gateway.settings.name;
     match changes.scope() {
-        Scope::Configuration => gateway.directory.configuration().record_update(now, precedes),
+        Scope::Configuration => gateway.handle_read(from, changes.next),
         Scope::Amendments => {
             let Some(sent) = decode(from, &changes.bytes) else { return };
             let presences: Vec<Presence> = sent
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -73,9 +73,14 @@
             gateway.directory.configuration().record_failure(gateway.now(), draw);
             continue;
         }
+        if is_unreadable {
+            // Another instance may be of a build that can read it.
+            let draw = gateway.random_unit();
+            gateway.directory.configuration().record_failure(gateway.now(), draw);
+            continue;
+        }
         gateway.directory.configuration().record_read(started, gateway.now());
-        let update = Changes { scope: Scope::Configuration.into(), ..Changes::default() };
-        gateway.peers.send_changes(update).await;
+        gateway.send_read().await;
     }
 }
 
--- a/crates/goldcrestvale_wire/src/message/changes.rs
+++ b/crates/goldcrestvale_wire/src/message/changes.rs
@@ -11,7 +11,8 @@
     /// Offset from which the sender read.
     #[prost(uint64, tag = "2")]
     pub from: u64,
-    /// Offset up to which the sender read.
+    /// Offset up to which the sender read; for the configuration, the version that the sender has in
+    /// force, or 0 from builds that do not say.
     #[prost(uint64, tag = "3")]
     pub next: u64,
     /// How long records that vanished may take to return, in milliseconds; 0 if they are gone.
