Read the configuration at two instances of each failure domain

A change that was confirmed while the reader of a failure domain was lost came into force there once another instance had waited for 2.25 to 4.35 s, of a bound of 2 to 3 s.

Cause: one instance of each failure domain reads the configuration, with a wait of 1.5 s, and the time after which another one replaces it derives from that wait, not from the operator's bound.

Two instances of each domain now read at the same time, each with a wait of a fifth of the bound. The others read after one and a half waits without news.

Cost, calculated: six readers of three failure domains make ten reads per second at a bound of 3 s and 15 at 2 s, in place of two.

--- a/crates/goldcrestvale_gateway/src/directory_state.rs
+++ b/crates/goldcrestvale_gateway/src/directory_state.rs
@@ -11,8 +11,12 @@
 
 use crate::{gateway::Gateway, listing::Listing, recent_reads::RecentReads};
 
+/// Number of instances of a failure domain that read the configuration at the same time, so that a
+/// change arrives in time although one of them is lost.
+const CONFIGURATION_READERS: usize = 2;
+
 /// What is known of the directory, and when this instance reads it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct DirectoryState {
     upstreams: Mutex<Upstreams>,
     configuration: Mutex<ReadSchedule>,
@@ -30,6 +34,16 @@
     grace_until: Option<Instant>,
 }
 
+impl Default for DirectoryState {
+    fn default() -> Self {
+        Self {
+            upstreams: Mutex::default(),
+            configuration: Mutex::new(ReadSchedule::with_readers(CONFIGURATION_READERS)),
+            upstreams_wakeup: Notify::new(),
+        }
+    }
+}
+
 impl DirectoryState {
     pub(crate) fn upstreams(&self) -> MutexGuard<'_, Upstreams> {
         self.upstreams.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -23,9 +23,13 @@
 /// of the peers.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
+/// Part of the operator's bound for which a read of the configuration waits for a change. The other
+/// instances of the failure domain notice after little more than that time that the reads ended.
+const WAIT_PART: u32 = 5;
+
 /// Follows the configuration until the token is cancelled.
 pub(crate) async fn sync_configuration<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
-    let wait = gateway.settings.directory.configuration_wait;
+    let wait = gateway.settings.directory.configuration_bound / WAIT_PART;
     let pace = Pace { interval: Duration::ZERO, update_interval: wait };
     let mut next = None;
     let mut is_reachable = true;
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -102,9 +102,6 @@
 /// Timing of directory reads.
 #[derive(Debug, Clone, Copy)]
 pub struct Directory {
-    /// How long a read of the configuration waits for a change; bounds how long a dead connection
-    /// goes unnoticed.
-    pub configuration_wait: Duration,
     /// Time within which the operator expects a confirmed configuration in force. The waits and
     /// timeouts on the way to an instance derive from it.
     pub configuration_bound: Duration,
@@ -166,7 +163,6 @@
                 timeout: Duration::from_millis(4_800),
             },
             directory: Directory {
-                configuration_wait: Duration::from_millis(1_500),
                 configuration_bound: Duration::from_secs(3),
                 upstream_interval: Duration::from_millis(900),
                 degraded_interval: Duration::from_millis(300),
--- a/crates/goldcrestvale_member/src/read_schedule.rs
+++ b/crates/goldcrestvale_member/src/read_schedule.rs
@@ -17,7 +17,7 @@
 /// Multiple of the interval by which the wait of each further instance is longer.
 const PATIENCE_STEP: f64 = 0.2;
 
-/// Rank from which the instances wait equally long.
+/// Number of instances that wait for different times; all further ones wait equally long.
 const MAX_PATIENCE_RANK: usize = 8;
 
 domain! {
@@ -43,7 +43,7 @@
 ///
 /// If every instance of a large deployment polled the directory, calls would grow with the number
 /// of instances, and most during an outage, when all of them repeat failed calls. Instead the first
-/// live instance of each failure domain reads and sends what it read to the others. Each of the
+/// live instances of each failure domain read and send what they read to the others. Each of the
 /// others reads itself only if it receives no update for a time that rises with its rank, so that
 /// an instance which is cut off, frozen or rejected by the directory is replaced without an
 /// election.
@@ -69,6 +69,8 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct ReadSchedule {
+    /// Number of instances of the failure domain that read at the same time.
+    readers: usize,
     position: Position,
     /// End of the last read of this instance, successful or not.
     last_attempt: Option<Instant>,
@@ -90,7 +92,16 @@
 
 impl Default for ReadSchedule {
     fn default() -> Self {
+        Self::with_readers(1)
+    }
+}
+
+impl ReadSchedule {
+    /// Creates the schedule of a resource that several instances of a failure domain read at the same
+    /// time, so that the loss of one of them delays nothing.
+    pub fn with_readers(readers: usize) -> Self {
         Self {
+            readers: readers.max(1),
             position: Position { rank: 0, members: 1 },
             last_attempt: None,
             last_update: None,
@@ -102,9 +113,7 @@
             draw: 0.0,
         }
     }
-}
 
-impl ReadSchedule {
     /// Sets the place of this instance in its failure domain.
     pub fn set_position(&mut self, position: Position) {
         self.position = position;
@@ -161,7 +170,7 @@
 
     /// Returns whether this instance reads for its failure domain.
     pub fn is_reader(&self) -> bool {
-        self.position.rank == 0 || self.is_substitute
+        self.position.rank < self.readers || self.is_substitute
     }
 
     /// Returns the time since the last update of the directory.
@@ -188,7 +197,7 @@
     }
 
     fn patience(&self, pace: Pace) -> Duration {
-        let rank = self.position.rank.clamp(1, MAX_PATIENCE_RANK) - 1;
+        let rank = self.position.rank.saturating_sub(self.readers).min(MAX_PATIENCE_RANK - 1);
         pace.update_interval.mul_f64(FIRST_PATIENCE + PATIENCE_STEP * rank as f64)
     }
 
--- a/crates/goldcrestvale_member/tests/read_schedule.rs
+++ b/crates/goldcrestvale_member/tests/read_schedule.rs
@@ -196,3 +196,20 @@
     assert!(!schedule.is_reader());
     assert_eq!(schedule.due(PACE), at(900) + PACE.update_interval.mul_f64(1.5));
 }
+
+/// Guards against a change that waits for the substitute of a single lost reader.
+#[test]
+fn two_readers_read_at_the_same_time() {
+    let at = |millis| Instant(0) + Duration::from_millis(millis);
+    let mut schedule = ReadSchedule::with_readers(2);
+    schedule.record_update(at(0), true);
+    schedule.record_read(at(0), at(0));
+    schedule.record_update(at(500), true);
+    for (rank, reads) in [(0, true), (1, true), (2, false)] {
+        schedule.set_position(Position { rank, members: 28 });
+        assert_eq!(schedule.is_reader(), reads);
+        assert_eq!(schedule.due(PACE) <= at(900), reads, "rank {rank}");
+    }
+    // The third one waits no longer than the second one of a resource with one reader.
+    assert_eq!(schedule.due(PACE), at(500) + PACE.update_interval.mul_f64(1.5));
+}
