Let no older version decide a request that is passed on

An instance that had a version in force could answer by an older one, which is a regression for its callers.

Cause: while an instance has no links to the upstreams, it passes requests on to a peer, which decides them by the version that it has in force.

The request names the version of the instance. A peer with an older one refuses it unrun, with a mark, and the request is offered to the next peer. Older builds ignore the version.

Evidence: older_version_decides_no_request; before, the peer serves the request.

--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -100,6 +100,12 @@
 ) -> Response<Body> {
     let is_relayed = parts.headers.remove(RELAYED).is_some();
     let table = gateway.table.load_full();
+    if is_relayed
+        && let Some(refusal) =
+            relay::refuse_if_outdated(&mut trace, &mut parts.headers, table.version())
+    {
+        return refusal;
+    }
     let (route, customer) = match match_route(&table, &parts, &head) {
         Ok(matched) => matched,
         Err(error) => return trace.respond(&error),
--- a/crates/goldcrestvale_gateway/src/relay.rs
+++ b/crates/goldcrestvale_gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use futures_util::stream::unfold;
 use goldcrestvale_base::exchange::Exchange;
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -20,11 +20,18 @@
     forward::Matched,
     gateway::Gateway,
     port::Port,
+    trace::Trace,
 };
 
 /// Marks a request that a peer has passed on.
 pub(crate) const RELAYED: HeaderName = HeaderName::from_static("goldcrestvale-relayed");
 
+/// Lowest version of the configuration that may decide a request which a peer has passed on.
+pub(crate) const VERSION: HeaderName = HeaderName::from_static("goldcrestvale-version");
+
+/// Marks the refusal of a request because the peer holds an older version only.
+const OUTDATED: HeaderName = HeaderName::from_static("goldcrestvale-outdated");
+
 /// Maximum number of peers that one request is offered to.
 const MAX_PEERS: usize = 2;
 
@@ -50,6 +57,24 @@
     !matched.is_relayed && gateway.are_links_lost() && gateway.peers.has_relays()
 }
 
+/// Returns the refusal of a request that a peer with a newer version of the configuration has passed
+/// on; the peer offers it to another one.
+pub(crate) fn refuse_if_outdated<P: Port>(
+    trace: &mut Trace<P>,
+    headers: &mut HeaderMap,
+    held: u64,
+) -> Option<Response<Body>> {
+    let required = headers.remove(VERSION)?;
+    let required: u64 = required.to_str().ok()?.parse().ok()?;
+    (required > held).then(|| {
+        let detail = format!("version {held} is in force, the peer has {required}");
+        let error = ErrorResponse::not_run("older configuration", detail, RETRY_AFTER);
+        let mut response = trace.respond(&error);
+        response.headers_mut().insert(OUTDATED, HeaderValue::from_static("1"));
+        response
+    })
+}
+
 /// Passes a request on to a peer that reaches the upstreams, first one of the own failure domain.
 pub(crate) async fn serve<P: Port>(mut matched: Matched<P>) -> Response<Body> {
     let gateway = matched.gateway.clone();
@@ -69,6 +94,9 @@
         };
         let sent = gateway.relay_pool.open(peer, request, Exchange::new());
         match tokio::time::timeout(matched.deadline.since(now) + GRACE, sent).await {
+            Ok(Ok(reply)) if reply.head.headers.contains_key(OUTDATED) => {
+                detail = "the peers hold an older configuration".to_owned();
+            }
             Ok(Ok(reply)) => return deliver(matched, reply),
             Ok(Err(e)) if e.verdict().is_not_run() => detail = e.to_string(),
             Ok(Err(e)) => {
@@ -97,6 +125,7 @@
     let headers = request.headers_mut();
     matched.gateway.port.write_relay(headers, time_left);
     headers.insert(RELAYED, HeaderValue::from_static("1"));
+    headers.insert(VERSION, HeaderValue::from(matched.gateway.table.load().version()));
     // A request of HTTP/2 names its host in its target.
     if !headers.contains_key(http::header::HOST) {
         let host = matched.parts.uri.host().map_or_else(|| peer.to_string(), str::to_owned);
