Leave instances time to request a version that is offered

With 96 instances in a failure domain and 4,200 new routes, 40 of 288 instances read the whole document from the store, on virtual time with links of 20 Mbit/s.

Cause: the news of a newer version does not put a read off, so that instances whose request waits at a busy peer read themselves as soon as their patience since the last news ends.

The first news of a version counts as a read; later news of it does so only while it arrives.

--- a/crates/goldcrestvale_gateway/src/configuration.rs
+++ b/crates/goldcrestvale_gateway/src/configuration.rs
@@ -68,16 +68,17 @@
     /// Handles the news that a peer of the own failure domain read the configuration and has
     /// `version` in force; 0 if the peer's build does not say which.
     ///
-    /// The news counts as a read of this instance only if the version is in force here as well, or
-    /// is being received.
+    /// The news counts as a read of this instance only if the version is in force here as well, is
+    /// being received, or is offered for the first time, so that there is time to request it.
     pub(crate) fn handle_read(self: &Arc<Self>, from: &Instance, version: u64) {
         let now = self.now();
         let held = self.table.load().version();
+        let is_first = self.peers.is_unknown(version);
         if version > held {
             self.handle_offer(Offer { from, version, is_near: true });
         }
         let is_unspecified = version == 0;
-        if version == held || is_unspecified || self.peers.is_receiving(now) {
+        if version == held || is_unspecified || is_first || self.peers.is_receiving(now) {
             let precedes = *from < self.settings.name;
             self.directory.configuration().record_update(now, precedes);
         }
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -132,6 +132,11 @@
         self.requests().receive(offer, now)
     }
 
+    /// Returns whether no peer of the own failure domain has offered a version yet.
+    pub(crate) fn is_unknown(&self, version: u64) -> bool {
+        self.requests().is_unknown(version)
+    }
+
     /// Records the version in force; returns the request for a newer one that was offered.
     pub(crate) fn record_version(&self, version: u64, now: Instant) -> Option<Request> {
         self.requests().record_held(version, now)
--- a/crates/goldcrestvale_member/src/config_request.rs
+++ b/crates/goldcrestvale_member/src/config_request.rs
@@ -142,6 +142,11 @@
         self.next(now)
     }
 
+    /// Returns whether no peer of the own failure domain has offered a version or a newer one yet.
+    pub fn is_unknown(&self, version: u64) -> bool {
+        version > self.held.max(self.near.version)
+    }
+
     /// Records that a part of an answer arrived.
     pub fn record_part(&mut self, from: &Instance, now: Instant) {
         if let Some(pending) = self.pending.as_mut().filter(|it| it.request.to == *from) {
--- a/crates/goldcrestvale_member/tests/config_request.rs
+++ b/crates/goldcrestvale_member/tests/config_request.rs
@@ -140,6 +140,20 @@
     assert_eq!(receiver.offer(1, 7, 100), Some(1));
 }
 
+/// Guards against all instances that read the configuration themselves while a new version is sent to
+/// one after the other.
+#[test]
+fn versions_are_unknown_until_they_are_offered() {
+    let mut receiver = Receiver::new();
+    assert!(receiver.0.is_unknown(7));
+    receiver.far_offer(8, 9, 0);
+    assert!(receiver.0.is_unknown(7));
+    receiver.offer(1, 7, 10);
+    assert!(!receiver.0.is_unknown(7) && receiver.0.is_unknown(8));
+    receiver.0.record_held(9, at(20));
+    assert!(!receiver.0.is_unknown(9));
+}
+
 proptest! {
     // Whatever is lost, an instance whose peers go on offering a version requests it again within the
     // delay for other domains and a sixth of the bound, in one piece of time after another.
