--- a/crates/goldcrestvale_member/src/upload.rs
+++ b/crates/goldcrestvale_member/src/upload.rs
@@ -23,7 +23,7 @@
 ///
 /// let mut uploads = Uploads::default();
 /// uploads.request("bole-2".parse()?);
-/// assert_eq!(uploads.start(Instant(0)), ["bole-2".parse()?]);
+/// assert_eq!(uploads.start(Instant(0)).to_vec(), ["bole-2".parse()?]);
 /// assert!(uploads.start(Instant(0)).is_empty());
 /// # Ok::<(), goldcrestvale_base::id::Error>(())
 /// ```
