Add crowds of clients that do not behave

These tests start the system's own processes, a gateway with the settings of the deploy template on a machine of 96 MB and 1,000 descriptors and an entry instance with its defaults, for which 256 MB and 4,096 descriptors are stated. They send whole bodies, bodies that stop short (with a length, in pieces, in large, tiny and mixed chunks), bodies over the limit, streams of HTTP/2, partial heads, silent connections, unread answers and relayed bodies, and check that the process lives, its resident peak and its descriptors, and one ordinary request beside the crowd and after it.

The stand-in of a service gains answers of a requested size and delay.

--- a/crates/goldcrestvale_standin/src/service/api.rs
+++ b/crates/goldcrestvale_standin/src/service/api.rs
@@ -66,8 +66,9 @@
         if faults.hang || faults.die {
             pending::<()>().await;
         }
-        if faults.delay_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        let delay_ms = faults.delay_ms.max(number(&parts, "delay_ms"));
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
         if self.faults.take(|faults| &mut faults.fail) {
             return Ok(self.refuse(StatusCode::INTERNAL_SERVER_ERROR, "failed"));
@@ -82,6 +83,10 @@
         if self.faults.take(|faults| &mut faults.fail_after) {
             return Ok(reply::text(StatusCode::INTERNAL_SERVER_ERROR, "failed after the effect"));
         }
+        let large = number(&parts, "answer_bytes");
+        if large > 0 {
+            return Ok(reply::text(StatusCode::OK, &"a".repeat(large as usize)));
+        }
         let response = reply::json(StatusCode::OK, &answer);
         if self.faults.take(|faults| &mut faults.close_half) {
             let half = serde_json::to_vec(&answer).map_or(0, |body| body.len() / 2);
@@ -156,3 +161,10 @@
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
+
+/// Returns the value of a number in the query of a request, 0 without one.
+fn number(parts: &Parts, name: &str) -> u64 {
+    let query = parts.uri.query().unwrap_or_default();
+    let value = |pair: &str| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok();
+    query.split('&').find_map(value).unwrap_or(0)
+}
--- /dev/null
+++ b/tests/crowds/gateway.rs
@@ -0,0 +1,211 @@
+//! A gateway process with the settings of the deploy template.
+
+use std::{io::Write, net::SocketAddr, path::Path, time::Duration};
+
+use bytes::Bytes;
+use goldcrestvale_standin::process::Process;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tempfile::NamedTempFile;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::{
+    Bounds, Front, Target,
+    usage::{Usage, Watch},
+};
+use crate::{
+    store::Store,
+    web::{self, Body, full},
+};
+
+/// Memory of the machine, in megabytes.
+const MEMORY_MB: u64 = 96;
+
+/// Descriptors of the machine, of which [`FILE_DESCRIPTORS`] are for files.
+const DESCRIPTORS: u64 = 1_000;
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// How long a connection may stay idle by the configuration.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Length of a large answer: one that the gateway buffers completely.
+const LARGE_ANSWER: usize = 7 << 20;
+
+/// Host of the routes.
+const HOST: &str = "a.example";
+
+/// A gateway process, with a store and an upstream in the process of the test.
+pub struct Gateway {
+    _process: Process,
+    watch: Watch,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    _settings: NamedTempFile,
+    _stop: DropGuard,
+}
+
+impl Gateway {
+    /// Starts the gateway and waits until it is ready.
+    pub async fn start() -> Self {
+        let stop = CancellationToken::new();
+        let store = Store::start(stop.clone()).await;
+        let upstream = web::serve(stop.clone(), answer).await;
+        store.put("keyed.op", "config", &configuration());
+        store.put("keyed.servers", "desk-1", &registration(upstream));
+        let mut settings = NamedTempFile::with_suffix(".ini").unwrap();
+        settings.write_all(fill_template(store.address).as_bytes()).unwrap();
+        let path = settings.path().display().to_string();
+        let arguments = ["serve".to_owned(), "--settings".to_owned(), path];
+        let program = Path::new(env!("CARGO_BIN_EXE_goldcrestvale"));
+        let mut process = Process::spawn(program, &arguments).unwrap();
+        let line = process.wait_line("\"listening\"").await.unwrap();
+        let line: Value = serde_json::from_str(&line).unwrap();
+        let address = |key: &str| line[key].as_str().unwrap().parse().unwrap();
+        let watch = Watch::new(process.id());
+        let gateway = Self {
+            watch,
+            callers: address("callers"),
+            ready: address("ready"),
+            _process: process,
+            _settings: settings,
+            _stop: stop.drop_guard(),
+        };
+        gateway.check_ready().await;
+        gateway.check_answer().await;
+        gateway
+    }
+
+    /// Returns the address of the readiness check.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Waits until the readiness check succeeds.
+    pub async fn check_ready(&self) {
+        let caller = goldcrestvale_standin::caller::Caller::default();
+        let ready = async {
+            loop {
+                let answer = caller.get(self.ready, "/api/ready").await;
+                if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let timeout = tokio::time::timeout(super::ANSWER_TIMEOUT, ready).await;
+        timeout.expect("the readiness check does not succeed");
+    }
+}
+
+impl Front for Gateway {
+    fn address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    fn head(&self, target: Target) -> String {
+        let path = match target {
+            Target::Ordinary => "/desk/now",
+            Target::Slow => "/desk/slow",
+            Target::Large => "/desk/large",
+        };
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-goldcrestvale-attempt-id: a-1\r\n\
+             x-goldcrestvale-deadline-ms: 60000\r\n"
+        )
+    }
+
+    fn usage(&self) -> Usage {
+        self.watch.usage()
+    }
+
+    fn bounds(&self) -> Bounds {
+        Bounds { memory_bytes: MEMORY_MB * 1_000_000, descriptors: DESCRIPTORS - FILE_DESCRIPTORS }
+    }
+}
+
+/// Returns a configuration with one service and limits like those of the users.
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": "desk", "host": HOST, "pathPrefix": "/desk/", "kind": "safe", "service": "desk",
+            "timeoutMs": 60_000, "targetLatencyMs": 30_000, "priority": 1, "maxAttempts": 2,
+            "public": false, "sticky": false, "resumable": false,
+        }],
+        "services": [
+            { "name": "desk", "healthPath": "/health", "maxConns": 1_000, "protocol": "h1" },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": IDLE_TIMEOUT.as_millis() as u64,
+        },
+    })
+}
+
+fn registration(address: SocketAddr) -> Value {
+    json!({
+        "service": "desk", "address": address.to_string(), "zone": "bole", "version": "v1",
+        "slots": 64, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000_u64,
+    })
+}
+
+/// Fills in the deploy template as the platform does.
+fn fill_template(store: SocketAddr) -> String {
+    let fields = json!({
+        "node": "front-bole-1", "role": "gateway", "machineClass": "front", "ip": "127.0.0.1",
+        "zone": "bole", "region": "addis", "firstStart": true, "heartbeatMs": 1_200, "seeds": "",
+        "listen": {
+            "front": "127.0.0.1:0", "ready": "127.0.0.1:0", "control": "127.0.0.1:0",
+        },
+        "innerPortRange": [0, 0],
+        "limits": {
+            "cpuShare": 0.38, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS,
+            "linkMbps": 1500.0, "diskMb": 0,
+        },
+        "bounds": {
+            "graceS": 8, "configMs": 2_000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
+            "retryBudgetMin": 200,
+        },
+        "platform": { "address": store.to_string() },
+    });
+    let template = include_str!("../../deploy/node.ini");
+    let mut text = String::new();
+    let mut rest = template;
+    while let Some((before, tail)) = rest.split_once("{{") {
+        let (name, after) = tail.split_once("}}").unwrap();
+        let value = &fields[name.split('.').next().unwrap()];
+        let value =
+            name.split('.').skip(1).fold(value, |value, part| match part.parse::<usize>() {
+                Ok(index) => &value[index],
+                Err(_) => &value[part],
+            });
+        assert!(!value.is_null(), "the template has an unknown field {name}");
+        text.push_str(before);
+        text.push_str(&value.as_str().map_or_else(|| value.to_string(), str::to_owned));
+        rest = after;
+    }
+    text + rest
+}
+
+/// Answers as an upstream of the service, once the whole body is there.
+async fn answer(request: Request<Incoming>) -> Response<Body> {
+    let (head, mut body) = request.into_parts();
+    while let Some(Ok(_)) = body.frame().await {}
+    let text = match head.uri.path() {
+        "/desk/slow" => {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            Bytes::from_static(b"done")
+        }
+        "/desk/large" => Bytes::from(vec![b'a'; LARGE_ANSWER]),
+        _ => Bytes::from_static(b"done"),
+    };
+    let mut response = full(StatusCode::OK, text);
+    let headers = response.headers_mut();
+    if let Some(id) = head.headers.get("x-goldcrestvale-attempt-id") {
+        headers.insert("x-goldcrestvale-attempt-id", id.clone());
+    }
+    headers.insert("x-goldcrestvale-response-seal", HeaderValue::from_static("seal"));
+    response
+}
