Add the decisions on what callers may hold of an instance

Clients that do not behave made a process run out of memory: each body and connection had a limit, all of them together had none.

--- /dev/null
+++ b/crates/goldcrestvale_route/src/intake/machine.rs
@@ -0,0 +1,53 @@
+//! The limits of the machine that an instance runs on.
+
+/// Descriptors that are not for sockets.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// Memory of an open connection, in bytes: its buffers, filled by a head that is not complete.
+const CONNECTION_BYTES: u64 = 32 << 10;
+
+goldcrestvale_base::domain! {
+    copy
+    /// Memory and descriptors that a process may use.
+    ///
+    /// A quarter of the memory is for callers' connections, a quarter for their requests and answers.
+    /// The other half is for the process itself, its configuration, upstreams and peers. Callers'
+    /// connections take at most half of the descriptors, since each request in progress may need a
+    /// connection to an upstream.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_route::intake::Machine;
+    ///
+    /// let machine = Machine { memory_bytes: 160_000_000, descriptors: 4_100 };
+    /// assert_eq!(machine.request_bytes(), 40_000_000);
+    /// assert_eq!(machine.connections(), 1_220);
+    /// ```
+    pub struct Machine {
+        /// Resident memory, in bytes.
+        pub memory_bytes: u64,
+        /// Open files and sockets.
+        pub descriptors: u64,
+    }
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self { memory_bytes: 256_000_000, descriptors: 4_096 }
+    }
+}
+
+impl Machine {
+    /// Returns the memory for callers' requests and answers, in bytes.
+    pub fn request_bytes(&self) -> u64 {
+        self.memory_bytes / 4
+    }
+
+    /// Returns the number of connections that callers may keep open.
+    pub fn connections(&self) -> usize {
+        let by_memory = self.memory_bytes / 4 / CONNECTION_BYTES;
+        let by_descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
+        usize::try_from(by_memory.min(by_descriptors).max(1)).unwrap_or(usize::MAX)
+    }
+}
--- a/crates/goldcrestvale_route/src/lib.rs
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod draft;
 pub mod forward;
 pub mod health;
+pub mod intake;
 pub mod limit;
 pub mod links;
 pub mod pipeline;
--- /dev/null
+++ b/crates/goldcrestvale_route/tests/connection_places.rs
@@ -0,0 +1,122 @@
+//! Connections beyond the maximum: which one gives way.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use goldcrestvale_base::time::Instant;
+use goldcrestvale_route::intake::{Connection, Connections, Machine, Opening};
+use proptest::prelude::*;
+
+fn at(millis: u64) -> Instant {
+    Instant(0) + Duration::from_millis(millis)
+}
+
+fn open(connections: &mut Connections, millis: u64) -> Connection {
+    match connections.open(at(millis)) {
+        Opening::Open(connection) => connection,
+        other => panic!("no place: {other:?}"),
+    }
+}
+
+#[test]
+fn silent_connection_gives_way_first() {
+    let mut connections = Connections::new(3);
+    let idle = open(&mut connections, 0);
+    connections.set_busy(idle);
+    connections.set_idle(idle, at(10));
+    let silent = open(&mut connections, 20);
+    let busy = open(&mut connections, 30);
+    connections.set_busy(busy);
+    assert_eq!(connections.open(at(1_000)), Opening::Wait(silent));
+    assert_eq!(connections.open(at(1_000)), Opening::Wait(idle));
+    assert_eq!(connections.open(at(1_000)), Opening::Full);
+    connections.close(silent);
+    assert!(matches!(connections.open(at(1_000)), Opening::Open(_)));
+}
+
+#[test]
+fn new_connection_may_send_its_request() {
+    let mut connections = Connections::new(1);
+    let silent = open(&mut connections, 0);
+    assert_eq!(connections.open(at(100)), Opening::Full);
+    assert_eq!(connections.open(at(600)), Opening::Wait(silent));
+}
+
+#[test]
+fn machine_bounds_connections() {
+    let table = [
+        (160_000_000, 4_100, 1_220),
+        (260_000_000, 4_200, 1_983),
+        (390_000_000, 6_150, 2_975),
+        (64_000_000, 100, 1),
+    ];
+    for (memory_bytes, descriptors, expected) in table {
+        let machine = Machine { memory_bytes, descriptors };
+        assert_eq!(machine.connections(), expected, "{machine:?}");
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Open,
+    Busy(usize),
+    Idle(usize),
+    Close(usize),
+    Pass(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => Just(Step::Open),
+        2 => any::<usize>().prop_map(Step::Busy),
+        2 => any::<usize>().prop_map(Step::Idle),
+        2 => any::<usize>().prop_map(Step::Close),
+        1 => (0..2_000_u64).prop_map(Step::Pass),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+proptest! {
+    #[test]
+    fn drawn_orders(max in 1..8_usize, steps in steps()) {
+        let mut connections = Connections::new(max);
+        let mut open: BTreeSet<Connection> = BTreeSet::new();
+        let mut busy: BTreeSet<Connection> = BTreeSet::new();
+        let mut closing: BTreeSet<Connection> = BTreeSet::new();
+        let mut now = 0;
+        for step in steps {
+            let nth = |index: usize| open.iter().nth(index % open.len().max(1)).copied();
+            match step {
+                Step::Open => match connections.open(at(now)) {
+                    Opening::Open(connection) => {
+                        prop_assert!(open.insert(connection));
+                    }
+                    Opening::Wait(connection) => {
+                        prop_assert!(open.len() == max && open.contains(&connection));
+                        prop_assert!(!busy.contains(&connection));
+                        prop_assert!(closing.insert(connection));
+                    }
+                    Opening::Full => prop_assert_eq!(open.len(), max),
+                },
+                Step::Busy(index) => if let Some(connection) = nth(index) {
+                    connections.set_busy(connection);
+                    if !closing.contains(&connection) {
+                        busy.insert(connection);
+                    }
+                },
+                Step::Idle(index) => if let Some(connection) = nth(index) {
+                    connections.set_idle(connection, at(now));
+                    busy.remove(&connection);
+                },
+                Step::Close(index) => if let Some(connection) = nth(index) {
+                    connections.close(connection);
+                    open.remove(&connection);
+                    busy.remove(&connection);
+                    closing.remove(&connection);
+                },
+                Step::Pass(millis) => now += millis,
+            }
+            prop_assert_eq!(connections.len(), open.len());
+            prop_assert!(open.len() <= max);
+        }
+    }
+}
