Let the limits of the machine reach the process

Neither `memoryMb` nor `maxFds` of the platform reached the process, so 10,000 connections were allowed on a machine with 4,100 descriptors.

--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_route::intake::Machine;
 use goldcrestvale_wire::key::Secret;
 
 /// Settings of an entry instance, one field per section of the settings file.
@@ -20,6 +21,8 @@
 pub struct Settings {
     /// Section `instance`.
     pub instance: Identity,
+    /// Section `machine`.
+    pub machine: Machine,
     /// Section `callers`.
     pub callers: Callers,
     /// Section `operators`.
@@ -77,7 +80,7 @@
     pub body_timeout: Duration,
     /// Time after which a connection without requests in progress is closed.
     pub idle_timeout: Duration,
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections; the machine may hold fewer.
     pub connections: usize,
     /// Maximum number of drafts and service calls in progress; further ones are refused.
     pub streams: usize,
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_route::intake::Machine;
 use goldcrestvale_wire::key::Secret;
 
 /// Settings of a gateway instance.
@@ -18,8 +19,10 @@
     pub ready: SocketAddr,
     /// Address of the metrics and the state dump.
     pub metrics: SocketAddr,
-    /// Maximum number of open connections of callers.
+    /// Maximum number of open connections of callers; the machine may hold fewer.
     pub max_connections: usize,
+    /// Memory and descriptors of the process.
+    pub machine: Machine,
     /// Retry budget.
     pub retry: Retry,
     /// Whether streams count by their expected sizes.
@@ -152,6 +155,7 @@
             ready: loopback,
             metrics: loopback,
             max_connections: 2_000,
+            machine: Machine::default(),
             retry: Retry::default(),
             cost_routing: Mode::Off,
             contention: Mode::Auto,
--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -79,6 +79,7 @@
             &entry.instance.domain,
             entry.callers.address,
             entry.callers.connections,
+            entry.machine,
             &entry.peer,
         )
         .context(MissingSectionSnafu)?;
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -20,6 +20,8 @@
 const MILLIS: &str = "milliseconds from 1 to 86400000";
 const COUNT: &str = "a whole number from 1 to 1000000";
 const BYTES: &str = "bytes from 1024 to 1073741824";
+const MEGABYTES: &str = "megabytes from 64 to 1000000";
+const DESCRIPTORS: &str = "a whole number from 512 to 10000000";
 const RATIO: &str = "a number from 0 to 1000";
 const RETRIES: &str = "a number from 0 to 1000000";
 const AUTO: &str = "auto or off";
@@ -64,6 +66,10 @@
     parse::number(value, 8_192..=1_048_576)
 }
 
+fn descriptors(value: &str) -> parse::Result<u64> {
+    parse::number(value, 512..=10_000_000)
+}
+
 fn token(value: &str) -> parse::Result<Option<String>> {
     parse::text(value).map(Some)
 }
@@ -82,6 +88,8 @@
 pub(super) const FIELDS: &[Field] = &[
     field!("instance", "name", NAME, entry.instance.name, parse::from_str),
     field!("instance", "domain", NAME, entry.instance.domain, parse::from_str),
+    field!("machine", "memory_mb", MEGABYTES, entry.machine.memory_bytes, parse::megabytes),
+    field!("machine", "descriptors", DESCRIPTORS, entry.machine.descriptors, descriptors),
     field!("callers", "address", ADDRESS, entry.callers.address, parse::from_str),
     field!("callers", "header_bytes", HEADER_BYTES, entry.callers.header_bytes, header_bytes),
     field!("callers", "body_bytes", BYTES, entry.callers.body_bytes, bytes),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -4,6 +4,7 @@
 
 use goldcrestvale_base::id::{Domain, Instance};
 use goldcrestvale_gateway::settings::{Mode, Peer, Retry, Settings};
+use goldcrestvale_route::intake::Machine;
 
 /// Part of the grace period that is reserved for the shutdown itself.
 const STOP_RESERVE: Duration = Duration::from_millis(700);
@@ -68,6 +69,7 @@
         domain: &Domain,
         callers: SocketAddr,
         connections: usize,
+        machine: Machine,
         peer: &goldcrestvale_entry::settings::Peer,
     ) -> Option<(Settings, SocketAddr)> {
         let store = self.store?;
@@ -76,6 +78,7 @@
         settings.ready = self.ready?;
         settings.metrics = self.metrics?;
         settings.max_connections = connections;
+        settings.machine = machine;
         settings.retry = self.retry;
         settings.cost_routing = self.cost_routing;
         settings.contention = self.contention;
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -71,6 +71,14 @@
     }
 }
 
+/// Parses a size in megabytes, with or without a fraction, into bytes.
+pub(super) fn megabytes(value: &str) -> Result<u64> {
+    match value.parse::<f64>() {
+        Ok(size) if (64.0..=1_000_000.0).contains(&size) => Ok((size * 1e6) as u64),
+        _ => Err("is not a number from 64 to 1000000".to_owned()),
+    }
+}
+
 pub(super) fn boolean(value: &str) -> Result<bool> {
     value.parse().map_err(|_| "is not true or false".to_owned())
 }
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -29,6 +29,8 @@
         ),
         ("[callers]\nstreams = 0", "[callers] streams: \"0\" is not from 1", "1000000"),
         ("[callers]\nstreams = many", "[callers] streams: \"many\"", "1000000"),
+        ("[machine]\nmemory_mb = 1", "[machine] memory_mb: \"1\"", "64 to 1000000"),
+        ("[machine]\ndescriptors = few", "[machine] descriptors: \"few\"", "512 to 10000000"),
         ("[stop]\nnotice_ms = -1", "[stop] notice_ms: \"-1\"", "milliseconds"),
         ("[operators]\naddress = 192.0.2.1:1", "[operators] token: is missing", "loopback"),
         ("[operators]\ntoken =", "[operators] token: \"\" is empty", "secret"),
@@ -96,6 +98,8 @@
         ("bounds.configMs", "2000"),
         ("firstStart", "true"),
         ("bounds.graceS", "8"),
+        ("limits.memoryMb", "160"),
+        ("limits.maxFds", "4100"),
     ] {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
@@ -103,6 +107,8 @@
     let file = File::parse("node.ini", &text).unwrap_or_else(|e| panic!("{e}"));
     assert_eq!(file.gateway.metrics.map(|metrics| metrics.port()), Some(7355));
     assert_eq!(file.entry.peer.seeds.len(), 3);
+    assert_eq!(file.entry.machine.memory_bytes, 160_000_000);
+    assert_eq!(file.entry.machine.descriptors, 4_100);
     assert!(file.gateway.first_start);
     assert_eq!(file.gateway.configuration_bound.as_millis(), 2_000);
     assert!((file.gateway.retry.floor - 2_200.0).abs() < f64::EPSILON);
