Bound callers' connections by the machine and the configuration

What callers saw: 1,500 silent connections were all kept, with more descriptors than the machine has; at the readiness check 32 of them made it fail. Heads could have 64 KiB and 5 s whatever the operator's limits said, connections without a request stayed for 60 s, and those between two requests were closed after 5 s instead of the configured time, since the timeout for heads ran between requests as well.

Change: connections are bounded by the machine. Once all are in use, one that has sent no request for 500 ms is closed for a new one, then the one that was idle for longest, then a body that is arriving. Size and time of heads and the idle time follow the configuration in force; heads and idle connections are told apart by the bytes that arrive. A caller that reads nothing for the idle time is disconnected. A connection of HTTP/2 has 16 streams and windows of 64 KiB, and the state of a request is allocated when it is looked at first.

--- a/crates/goldcrestvale_entry/src/activity.rs
+++ b/crates/goldcrestvale_entry/src/activity.rs
@@ -1,4 +1,4 @@
-//! Tracks whether a connection has requests in progress.
+//! Tracks what a connection does: whether requests are in progress, or how long a head is arriving.
 
 use std::{
     pin::Pin,
@@ -9,38 +9,94 @@
 
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
-/// Counts the requests in progress on one connection.
+/// The state of one connection.
 #[derive(Debug, Clone)]
 pub(crate) struct Activity {
-    requests: Arc<watch::Sender<usize>>,
+    state: Arc<watch::Sender<State>>,
+}
+
+/// What a connection does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum State {
+    /// No request is in progress, since this time.
+    Idle(Instant),
+    /// The head of the next request is arriving, since this time.
+    Head(Instant),
+    /// This number of requests is in progress.
+    Busy(usize),
+}
+
+/// The time of a state that has passed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Expiry {
+    /// The connection was idle.
+    Idle,
+    /// A head did not arrive completely.
+    Head,
 }
 
 /// One request in progress, from its head to the end of its response.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
-    requests: Arc<watch::Sender<usize>>,
+    state: Arc<watch::Sender<State>>,
 }
 
 impl Activity {
     pub(crate) fn new() -> Self {
-        Self { requests: Arc::new(watch::Sender::new(0)) }
+        Self { state: Arc::new(watch::Sender::new(State::Idle(Instant::now()))) }
     }
 
     pub(crate) fn start_request(&self) -> ActiveRequest {
-        self.requests.send_modify(|requests| *requests += 1);
-        ActiveRequest { requests: self.requests.clone() }
+        self.state.send_modify(|state| {
+            *state = match *state {
+                State::Busy(requests) => State::Busy(requests + 1),
+                State::Idle(_) | State::Head(_) => State::Busy(1),
+            };
+        });
+        ActiveRequest { state: self.state.clone() }
+    }
+
+    /// Records that bytes of a head have arrived.
+    pub(crate) fn start_head(&self) {
+        self.state.send_if_modified(|state| {
+            let is_first = matches!(state, State::Idle(_));
+            if is_first {
+                *state = State::Head(Instant::now());
+            }
+            is_first
+        });
+    }
+
+    /// Returns whether requests are in progress.
+    pub(crate) fn is_busy(&self) -> bool {
+        matches!(*self.state.borrow(), State::Busy(_))
+    }
+
+    /// Returns a receiver of the states.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<State> {
+        self.state.subscribe()
     }
 
-    /// Waits until no request has been in progress for the given time.
-    pub(crate) async fn idle(&self, time: Duration) {
-        let mut requests = self.requests.subscribe();
+    /// Waits until the connection was idle, or a head has been arriving, for a time that `times`
+    /// returns for the two.
+    pub(crate) async fn expired(&self, times: impl Fn() -> (Duration, Duration)) -> Expiry {
+        let mut states = self.state.subscribe();
         loop {
-            let is_idle = requests.wait_for(|&requests| requests == 0).await.is_ok();
-            let next_request = requests.wait_for(|&requests| requests > 0);
-            if is_idle && tokio::time::timeout(time, next_request).await.is_err() {
-                return;
+            let state = *states.borrow_and_update();
+            let (idle, head) = times();
+            let (since, time, expiry) = match state {
+                State::Idle(since) => (since, idle, Expiry::Idle),
+                State::Head(since) => (since, head, Expiry::Head),
+                State::Busy(_) => {
+                    // The sender lives as long as this value.
+                    let _ = states.changed().await;
+                    continue;
+                }
+            };
+            if tokio::time::timeout_at(since + time, states.changed()).await.is_err() {
+                return expiry;
             }
         }
     }
@@ -55,7 +111,12 @@
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.requests.send_modify(|requests| *requests -= 1);
+        self.state.send_modify(|state| {
+            *state = match *state {
+                State::Busy(requests) if requests > 1 => State::Busy(requests - 1),
+                _ => State::Idle(Instant::now()),
+            };
+        });
     }
 }
 
--- a/crates/goldcrestvale_entry/src/lib.rs
+++ b/crates/goldcrestvale_entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod header;
 pub mod health;
+pub mod intake;
 pub mod limits;
 pub mod metrics;
 pub mod node;
--- a/crates/goldcrestvale_entry/src/node.rs
+++ b/crates/goldcrestvale_entry/src/node.rs
@@ -17,9 +17,9 @@
 
 use crate::{
     admission::Admission, claims::Claims, clock::Clock, configuration::Manager,
-    crash_watch::CrashWatch, gate::Gate, health::Health, limits::Limits, metrics::Metrics,
-    peers::Peers, phase::Lifecycle, plans::Plans, settings::Settings, table::Table,
-    trial_log::Position,
+    crash_watch::CrashWatch, gate::Gate, health::Health, intake::Intake, limits::Limits,
+    metrics::Metrics, peers::Peers, phase::Lifecycle, plans::Plans, settings::Settings,
+    table::Table, trial_log::Position,
 };
 
 /// Retries that each first attempt adds to the budget, in thousandths.
@@ -51,6 +51,8 @@
     pub health: Health,
     /// Chain planners of the configured models.
     pub plans: ArcSwap<Plans>,
+    /// Memory that requests and answers of callers hold.
+    pub intake: Arc<Intake>,
     /// Limit on the requests in progress.
     pub gate: Gate,
     /// The customers' rate limits.
@@ -113,6 +115,7 @@
             upstreams: ArcSwap::default(),
             health: Health::default(),
             plans: ArcSwap::default(),
+            intake: Intake::new(settings.machine, clock, &metrics.meter()),
             gate: Gate::new(settings.callers.streams),
             crash_watch: Arc::new(CrashWatch::new(&metrics.meter())),
             trial_log: Position::default(),
--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -1,5 +1,9 @@
 //! An HTTP server with bounded connections and a graceful shutdown.
 
+mod bounds;
+mod slots;
+mod stream;
+
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -15,28 +19,42 @@
 use log::{debug, error};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
     task::JoinHandle,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tower::{BoxError, Service, ServiceExt};
 
-use crate::activity::Activity;
+pub use bounds::{Bounds, SharedBounds};
+use opentelemetry::metrics::{AsyncInstrument, Meter};
+use slots::{Slot, Slots};
+use stream::Stream;
+
+use crate::{
+    activity::{Activity, Expiry},
+    intake::Intake,
+};
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Bounds of a server.
-#[derive(Debug, Clone, Copy)]
-pub struct Bounds {
-    /// Maximum size of a request head, in bytes.
-    pub header_bytes: u32,
-    /// Maximum time for a request head to arrive.
-    pub header_timeout: Duration,
-    /// Time after which a connection without requests in progress is closed.
-    pub idle_timeout: Duration,
-    /// Maximum number of open connections; further ones are closed at once.
-    pub connections: usize,
+/// Smallest read buffer of a connection, in bytes.
+const MIN_READ_BUFFER: u32 = 8 << 10;
+
+/// Maximum number of streams of a connection of HTTP/2.
+const MAX_HTTP2_STREAMS: u32 = 16;
+
+/// Bytes that a caller may send on a connection of HTTP/2 before they are read, and on each stream.
+const HTTP2_WINDOW: u32 = 64 << 10;
+
+/// Closes the connection of a request, which finds it among its extensions.
+#[derive(Debug, Clone)]
+pub struct Closer(CancellationToken);
+
+impl Closer {
+    /// Returns the token that closes the connection when cancelled.
+    pub fn token(&self) -> &CancellationToken {
+        &self.0
+    }
 }
 
 /// A service that answers every request.
@@ -65,8 +83,8 @@
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
-    bounds: Bounds,
-    permits: Arc<Semaphore>,
+    bounds: SharedBounds,
+    slots: Slots,
     connections: TaskTracker,
 }
 
@@ -76,10 +94,47 @@
     /// # Errors
     ///
     /// Fails if the address cannot be bound.
-    pub async fn bind(address: SocketAddr, bounds: Bounds) -> std::io::Result<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        bounds: impl Into<SharedBounds>,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let permits = Arc::new(Semaphore::new(bounds.connections));
-        Ok(Self { listener, bounds, permits, connections: TaskTracker::new() })
+        let bounds = bounds.into();
+        let slots = Slots::new(bounds.load().connections, None);
+        Ok(Self { listener, bounds, slots, connections: TaskTracker::new() })
+    }
+
+    /// Ends bodies that are arriving and answers that are not read for new connections, once all are
+    /// in use, and reports the connections as metrics.
+    pub fn with_intake(mut self, intake: Arc<Intake>, meter: &Meter) -> Self {
+        self.slots = Slots::new(self.bounds.load().connections, Some(intake));
+        let slots = self.slots.clone();
+        let gauge = meter.u64_observable_gauge("goldcrestvale_connections");
+        gauge.with_callback(move |o| o.observe(slots.counts()[0], &[])).build();
+        let names = ["goldcrestvale_connections_closed", "goldcrestvale_connections_refused"];
+        for (index, name) in names.into_iter().enumerate() {
+            let slots = self.slots.clone();
+            let observe =
+                move |o: &dyn AsyncInstrument<u64>| o.observe(slots.counts()[index + 1], &[]);
+            meter.u64_observable_counter(name).with_callback(observe).build();
+        }
+        self
+    }
+
+    /// Serves in a task; at the end, requests in progress have `drain` to finish.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system cannot report the address.
+    pub fn start<S>(self, service: S, drain: Duration) -> std::io::Result<ServerHandle>
+    where
+        S: Handler,
+        S::Future: Send,
+    {
+        let address = self.address()?;
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(self.run(service, stop.clone(), drain));
+        Ok(ServerHandle { address, stop, task })
     }
 
     /// Returns the bound address.
@@ -100,12 +155,12 @@
         S::Future: Send,
     {
         let abort = CancellationToken::new();
-        while let Some((stream, permit)) = self.accept(&stop).await {
-            let connection = serve(stream, self.bounds, service.clone(), stop.clone());
-            let abort = abort.clone();
+        while let Some((stream, slot)) = self.accept(&stop).await {
+            let (bounds, service) = (self.bounds.clone(), service.clone());
+            let (stop, abort) = (stop.clone(), abort.clone());
             self.connections.spawn(async move {
+                let connection = serve(stream, bounds, service, stop, &slot);
                 abort.run_until_cancelled(connection).await;
-                drop(permit);
             });
         }
         drop(self.listener);
@@ -116,14 +171,14 @@
     }
 
     /// Accepts one connection, or returns `None` once the token is cancelled.
-    async fn accept(&self, stop: &CancellationToken) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    async fn accept(&self, stop: &CancellationToken) -> Option<(TcpStream, Slot)> {
         loop {
             let accepted = stop.run_until_cancelled(self.listener.accept()).await?;
             match accepted {
                 Ok((stream, _)) => {
-                    // A connection beyond the limit is closed by dropping it.
-                    if let Ok(permit) = self.permits.clone().try_acquire_owned() {
-                        return Some((stream, permit));
+                    // A connection without a place is closed by dropping it.
+                    if let Some(slot) = self.slots.open().await {
+                        return Some((stream, slot));
                     }
                 }
                 Err(e) => {
@@ -152,7 +207,7 @@
     /// Fails if the address cannot be bound.
     pub async fn start<S>(
         address: SocketAddr,
-        bounds: Bounds,
+        bounds: impl Into<SharedBounds>,
         service: S,
         drain: Duration,
     ) -> std::io::Result<Self>
@@ -160,11 +215,7 @@
         S: Handler,
         S::Future: Send,
     {
-        let server = Server::bind(address, bounds).await?;
-        let address = server.address()?;
-        let stop = CancellationToken::new();
-        let task = tokio::spawn(server.run(service, stop.clone(), drain));
-        Ok(Self { address, stop, task })
+        Server::bind(address, bounds).await?.start(service, drain)
     }
 
     /// Returns the bound address.
@@ -182,8 +233,13 @@
     }
 }
 
-async fn serve<S>(stream: TcpStream, bounds: Bounds, service: S, stop: CancellationToken)
-where
+async fn serve<S>(
+    stream: TcpStream,
+    bounds: SharedBounds,
+    service: S,
+    stop: CancellationToken,
+    slot: &Slot,
+) where
     S: Handler,
     S::Future: Send,
 {
@@ -192,24 +248,57 @@
     }
     let activity = Activity::new();
     let tracker = activity.clone();
-    let service = service_fn(move |request| {
+    let closer = Closer(CancellationToken::new());
+    let closed = closer.token().clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let active = tracker.start_request();
-        let response = service.clone().oneshot(request);
-        async move { response.await.map(|response| response.map(|body| active.attach_to(body))) }
+        request.extensions_mut().insert(closer.clone());
+        let service = service.clone();
+        async move {
+            // On the heap from here on: a stream that was not looked at yet holds its head only.
+            let response = Box::pin(service.oneshot(request)).await;
+            response.map(|response| response.map(|body| active.attach_to(body)))
+        }
     });
-    let builder = builder(bounds);
+    let builder = builder(bounds.load());
+    let stream = Stream::new(stream, activity.clone(), bounds.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let times = || {
+        let bounds = bounds.load();
+        (bounds.idle_timeout, bounds.header_timeout)
+    };
+    let following = slot.follow(&activity);
+    tokio::pin!(following);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
+        () = &mut following => None,
         () = stop.cancelled() => None,
-        () = activity.idle(bounds.idle_timeout) => None,
+        () = closed.cancelled() => return,
+        () = slot.closer.cancelled() => match activity.is_busy() {
+            true => None,
+            false => return,
+        },
+        expiry = activity.expired(times) => match expiry {
+            Expiry::Idle => None,
+            Expiry::Head => return,
+        },
     };
     let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            loop {
+                tokio::select! {
+                    ended = connection.as_mut() => break ended,
+                    () = closed.cancelled() => return,
+                    () = tokio::time::sleep(bounds.load().header_timeout) => {
+                        if !activity.is_busy() {
+                            return;
+                        }
+                    }
+                }
+            }
         }
     };
     if let Err(e) = ended {
@@ -218,16 +307,21 @@
 }
 
 fn builder(bounds: Bounds) -> auto::Builder<TokioExecutor> {
+    let buffer_bytes = bounds.header_bytes.max(MIN_READ_BUFFER) as usize;
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(bounds.header_timeout)
-        .max_buf_size(bounds.header_bytes as usize);
+        .header_read_timeout(Option::<Duration>::None)
+        .max_buf_size(buffer_bytes);
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(bounds.header_bytes)
+        .max_concurrent_streams(MAX_HTTP2_STREAMS)
+        .initial_stream_window_size(HTTP2_WINDOW)
+        .initial_connection_window_size(HTTP2_WINDOW)
+        .max_send_buf_size(HTTP2_WINDOW as usize)
         .keep_alive_interval(bounds.idle_timeout)
         .keep_alive_timeout(bounds.header_timeout);
     builder
--- a/crates/goldcrestvale_gateway/src/configuration.rs
+++ b/crates/goldcrestvale_gateway/src/configuration.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 
 use goldcrestvale_base::id::{Instance, Offset};
+use goldcrestvale_entry::server;
 use goldcrestvale_member::{
     config_request::{Offer, Request},
     event::Event,
@@ -21,6 +22,17 @@
         self.versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Applies the limits of the configuration to the callers' connections.
+    fn set_callers_bounds(&self, table: &Table) {
+        let Some(bounds) = table.bounds() else { return };
+        self.callers_bounds.store(server::Bounds {
+            header_bytes: bounds.header_bytes,
+            header_timeout: bounds.header_timeout,
+            idle_timeout: bounds.idle_timeout,
+            ..self.callers_bounds.load()
+        });
+    }
+
     /// Puts a version in force that `insert` adds. The lock is held until it is in force, so that an
     /// older version that arrives at the same time cannot replace it.
     fn put_in_force(
@@ -35,6 +47,7 @@
         let table = Arc::new(Table::new(configuration));
         let version = table.version();
         self.table.store(table.clone());
+        self.set_callers_bounds(&table);
         self.contentions.reconfigure(&table);
         drop(versions);
         info!(from = current, to = version, source, bytes; "configuration in force");
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -15,7 +15,10 @@
     id::{Service, Upstream},
     time::Instant,
 };
-use goldcrestvale_entry::{clock::Clock, crash_watch::CrashWatch, trial_log::Position};
+use goldcrestvale_entry::{
+    clock::Clock, crash_watch::CrashWatch, intake::Intake, server::SharedBounds,
+    trial_log::Position,
+};
 use goldcrestvale_member::leaving::Source;
 use goldcrestvale_route::{
     forward::{Level, Table},
@@ -36,6 +39,7 @@
     cost::Estimators,
     customer_load::CustomerLoads,
     directory_state::DirectoryState,
+    instance,
     metrics::Metrics,
     peers::Peers,
     registry::Registry,
@@ -85,6 +89,10 @@
     pub(crate) port: P,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
+    /// Memory that requests and answers of callers hold.
+    pub(crate) intake: Arc<Intake>,
+    /// Bounds of the callers' connections, which the configuration sets.
+    pub(crate) callers_bounds: SharedBounds,
     /// Configuration in force; version 0 until the first one is known.
     pub(crate) table: ArcSwap<Table>,
     /// The last versions of the configuration.
@@ -144,8 +152,11 @@
         let clock = Clock::start();
         let links = Arc::new(Mutex::new(Links::default()));
         let mut rng = StdRng::from_os_rng();
+        let connections = settings.max_connections.min(settings.machine.connections());
         Self {
             port,
+            intake: Intake::new(settings.machine, clock, &metrics.recorder().meter()),
+            callers_bounds: instance::bounds(connections).into(),
             table: ArcSwap::default(),
             versions: Mutex::default(),
             view: ArcSwap::default(),
--- a/crates/goldcrestvale_gateway/src/instance.rs
+++ b/crates/goldcrestvale_gateway/src/instance.rs
@@ -6,7 +6,7 @@
 use goldcrestvale_entry::{
     crash_watch::parts_text,
     metrics::{self, Recorder},
-    server::{Bounds, ServerHandle},
+    server::{Bounds, Server, ServerHandle},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -33,10 +33,10 @@
 /// Maximum size of a request head before a configuration limits it, in bytes.
 const MAX_HEADER_BYTES: u32 = 64 << 10;
 
-/// Timeout for receiving a request head.
+/// Timeout for receiving a request head before a configuration limits it.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long a connection of a caller may stay idle: longer than the idle timeout of callers.
+/// How long a connection of a caller may stay idle before a configuration limits it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Maximum number of connections to the readiness check and to the metrics.
@@ -91,15 +91,17 @@
         let gateway = Arc::new(Gateway::new(settings, port, Metrics::new(recorder)));
         let settings = &gateway.settings;
         let callers = {
-            let gateway = gateway.clone();
+            let shared = gateway.clone();
             let service = service_fn(move |request: Request<Incoming>| {
-                let answer = forward::serve(gateway.clone(), request);
+                let answer = forward::serve(shared.clone(), request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            let (address, bounds) = (settings.callers, bounds(settings.max_connections));
+            let address = settings.callers;
             let context = ListenSnafu { address, interface: "callers" };
-            let started = ServerHandle::start(address, bounds, service, settings.stop.timeout);
-            started.await.context(context)?
+            let server = Server::bind(address, gateway.callers_bounds.clone()).await;
+            let meter = gateway.metrics.recorder().meter();
+            let server = server.context(context)?.with_intake(gateway.intake.clone(), &meter);
+            server.start(service, settings.stop.timeout).context(context)?
         };
         gateway.set_callers_port(callers.address().port());
         let ready = listen_control(&gateway, settings.ready, "readiness", serve_readiness).await?;
@@ -187,7 +189,8 @@
     }
 }
 
-fn bounds(connections: usize) -> Bounds {
+/// Returns the bounds of a server before a configuration limits them.
+pub(crate) fn bounds(connections: usize) -> Bounds {
     Bounds {
         header_bytes: MAX_HEADER_BYTES,
         header_timeout: HEADER_TIMEOUT,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,7 +17,7 @@
     orders::Dispatcher,
     phase::Phase,
     refusal::{Cause, Refusal},
-    server::{Bounds, ServerHandle},
+    server::{Bounds, Server, ServerHandle},
     settings::Settings,
     trial_stream::TrialStream,
     watch::Watch,
@@ -193,7 +193,7 @@
         header_bytes: callers.header_bytes,
         header_timeout: callers.header_timeout,
         idle_timeout: callers.idle_timeout,
-        connections: callers.connections,
+        connections: callers.connections.min(node.settings.machine.connections()),
     };
     let shared = node.clone();
     let drain = node.settings.stop.timeout;
@@ -202,7 +202,9 @@
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let context = ListenSnafu { address: callers.address, interface: "callers" };
-    ServerHandle::start(callers.address, bounds, service, drain).await.context(context)
+    let server = Server::bind(callers.address, bounds).await.context(context)?;
+    let server = server.with_intake(node.intake.clone(), &node.metrics.meter());
+    server.start(service, drain).context(context)
 }
 
 async fn listen_operators(node: &Arc<Node>, api: Api) -> Result<ServerHandle> {
