Count the memory of callers' requests and answers

What callers saw: bodies that stop short of their end, many at once, ended the process.

Change: bodies and buffered answers are copied into one buffer, whose memory and that of the request count in a budget which both front ends share. A body ends with the time of its caller or its route (408). Refusals state that the request did not run, and close the connection. The state of a request that is still arriving is small, since what follows is on the heap.

--- a/crates/goldcrestvale_entry/src/callers/draft.rs
+++ b/crates/goldcrestvale_entry/src/callers/draft.rs
@@ -21,7 +21,6 @@
     body::{self, Body},
     gate::RequestGuard,
     node::Node,
-    receive,
     refusal::Result,
 };
 use answer::{Answer, End};
@@ -36,9 +35,8 @@
     trace: &mut Trace,
     mut guard: RequestGuard,
 ) -> Result<Response<Body>> {
-    let limits = &node.settings.callers;
-    let body =
-        receive::read_body(request.into_body(), limits.body_bytes, limits.body_timeout).await?;
+    let (head, body) = request.into_parts();
+    let body = super::read_body(&node, &caller, &head, body, &mut guard).await?;
     let draft_request = DraftRequest::parse(&body, &caller, &node)?;
     let deadline = trace.started() + draft_request.timeout;
     let requirements =
@@ -51,7 +49,7 @@
     if driver.request().stream {
         return Ok(stream(driver, trace.hand_over(), guard));
     }
-    complete(driver).await
+    Box::pin(complete(driver)).await
 }
 
 async fn complete(mut driver: Driver) -> Result<Response<Body>> {
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use goldcrestvale_base::{
     content::Content,
@@ -15,10 +15,13 @@
     Error,
     service::{Answer, Call},
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, response::Parts,
+};
 use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use smallvec::SmallVec;
+use tokio_util::sync::CancellationToken;
 
 use super::{
     admit::{self, Requirements},
@@ -31,9 +34,11 @@
     body::{self, Body},
     gate::RequestGuard,
     header as names,
+    intake::Owner,
     node::Node,
-    receive,
+    receive::{self, BodyError},
     refusal::{Cause, Refusal, Result},
+    server::Closer,
     table::Row,
     trial_log::{self, Trial},
 };
@@ -66,8 +71,8 @@
     })?;
     let key = read_key(&service.body, &target, &request)?;
     let (head, incoming) = request.into_parts();
-    let limits = &node.settings.callers;
-    let body = receive::read_body(incoming, limits.body_bytes, limits.body_timeout).await?;
+    let body = super::read_body(&node, &caller, &head, incoming, &mut guard).await?;
+    let closer = head.extensions.get::<Closer>().map(|closer| closer.token().clone());
     let deadline = trace.started() + timeout(&caller, &service.body);
     let requirements = Requirements { priority: binding.body.priority, deadline, cost: 1 };
     guard.attach_slot(admit::enter(&node, &node.calls, &caller, requirements).await?);
@@ -80,6 +85,8 @@
     ]);
     let prepared = PreparedCall {
         content,
+        owner: Owner::named(caller.customer.as_str()),
+        closer: closer.unwrap_or_default(),
         pool: service.body.pool.clone(),
         call: Call {
             method: head.method,
@@ -89,12 +96,13 @@
         },
         deadline,
     };
+    // On the heap, so that requests whose body is arriving do not hold the state of what follows.
     match key {
         Some(key) => {
             let claim = ClaimRequest { key, customer: caller.customer, service: target.service };
-            keyed::serve(node, claim, prepared, trace, guard).await
+            Box::pin(keyed::serve(node, claim, prepared, trace, guard)).await
         }
-        None => send(node, prepared, trace).await,
+        None => Box::pin(send(node, prepared, trace)).await,
     }
 }
 
@@ -103,6 +111,10 @@
 pub(super) struct PreparedCall {
     /// Identifier of the content, by which the call is recognized when it comes again.
     pub(super) content: Content,
+    /// The customer that its answer counts for.
+    owner: Owner,
+    /// Closes the connection of its caller.
+    closer: CancellationToken,
     pub(super) pool: String,
     pub(super) call: Call,
     pub(super) deadline: Instant,
@@ -141,15 +153,16 @@
         crash::claim(&node, &mut trial, prepared.send(&node, &row.name, is_repeat)).await?;
         attempts.start(&row.name, &node.retries);
         trace.set_upstream(&row.name, attempts.tried().len() as u32);
-        let timeout = prepared.deadline.since(node.clock.now());
-        let call = prepared.call.clone();
         let spent = trial.take().map(Trial::spend);
         let guard = row.enter();
-        let failure = match node.services.call(row.address, call, Exchange::new(), timeout).await {
-            Ok(answer) => {
+        let failure = match fetch(&node, &prepared, row.address).await {
+            Ok(Fetched::Answer(answer)) => {
                 crash::record_answer(&node, prepared.content);
                 return Ok(respond(&answer));
             }
+            Ok(Fetched::NoMemory(verdict, detail)) => {
+                return Err(Refusal::new(verdict, Cause::Upstream, detail));
+            }
             Err(failure) => failure,
         };
         drop(guard);
@@ -168,6 +181,43 @@
     }
 }
 
+/// The outcome of a call that a service has answered.
+enum Fetched {
+    Answer(Answer),
+    /// There is no memory for the answer.
+    NoMemory(Verdict, String),
+}
+
+/// Sends a call once and receives its answer, whose memory gives way once its caller does not read
+/// it.
+async fn fetch(
+    node: &Node,
+    prepared: &PreparedCall,
+    address: SocketAddr,
+) -> goldcrestvale_upstream::Result<Fetched> {
+    let timeout = prepared.deadline.since(node.clock.now());
+    let late = || Error::Timeout { address, waited_ms: timeout.as_millis() };
+    let opening = node.services.open(address, prepared.call.clone(), Exchange::new());
+    let opened = tokio::time::timeout(timeout, opening).await;
+    let (head, body, connection) = opened.map_err(|_| late())??.into_parts();
+    let left = prepared.deadline.since(node.clock.now());
+    let charge = node.intake.enter(prepared.owner, left);
+    let limit = node.settings.upstream.answer_bytes;
+    match receive::answer(body, limit, left, charge, prepared.closer.clone()).await {
+        Ok(body) => {
+            connection.return_to_pool();
+            let Parts { status, headers, .. } = head;
+            Ok(Fetched::Answer(Answer { status, headers, body }))
+        }
+        Err(BodyError::Full { full }) => {
+            Ok(Fetched::NoMemory(Verdict::MayHaveRun, full.to_string()))
+        }
+        Err(BodyError::Late { .. }) => Err(late()),
+        Err(BodyError::Oversized { .. }) => Err(Error::Oversized { address, limit }),
+        Err(BodyError::Malformed { detail }) => Err(Error::Broken { address, detail }),
+    }
+}
+
 /// Returns the idempotency key of a call that is not idempotent. Such a call needs one unless its
 /// service accepts calls without.
 fn read_key(
--- a/crates/goldcrestvale_entry/src/gate.rs
+++ b/crates/goldcrestvale_entry/src/gate.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-use crate::admission::Slot;
+use crate::{admission::Slot, intake::Charge};
 
 /// Counts the requests in progress and rejects those beyond a limit.
 ///
@@ -31,6 +31,7 @@
 pub struct RequestGuard {
     in_progress: Arc<AtomicUsize>,
     slot: Option<Slot>,
+    charge: Option<Charge>,
 }
 
 impl Gate {
@@ -43,7 +44,7 @@
     pub fn try_enter(&self) -> Option<RequestGuard> {
         let increment = |count: usize| (count < self.max_requests).then_some(count + 1);
         self.in_progress.fetch_update(Ordering::AcqRel, Ordering::Acquire, increment).ok()?;
-        Some(RequestGuard { in_progress: self.in_progress.clone(), slot: None })
+        Some(RequestGuard { in_progress: self.in_progress.clone(), slot: None, charge: None })
     }
 
     /// Returns the number of requests in progress.
@@ -57,6 +58,11 @@
     pub fn attach_slot(&mut self, slot: Slot) {
         self.slot = Some(slot);
     }
+
+    /// Holds the memory of the request until it ends.
+    pub fn attach_charge(&mut self, charge: Charge) {
+        self.charge = Some(charge);
+    }
 }
 
 impl Drop for RequestGuard {
--- a/crates/goldcrestvale_entry/src/operators/config.rs
+++ b/crates/goldcrestvale_entry/src/operators/config.rs
@@ -21,6 +21,7 @@
 use super::{MAX_BODY_BYTES, json};
 use crate::{
     body::Body,
+    intake::Owner,
     node::Node,
     receive,
     refusal::{Cause, Refusal, Result},
@@ -58,7 +59,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>> {
     let limit = node.settings.callers.body_timeout;
-    let text = receive::read_body(request.into_body(), MAX_BODY_BYTES, limit).await?;
+    let mut charge = node.intake.enter(Owner::named("operators"), limit);
+    let text = receive::read_body(request.into_body(), MAX_BODY_BYTES, limit, &mut charge).await?;
     let malformed = |e| Refusal::unsent(Cause::Malformed, format!("the change: {e}"));
     let change: Change = serde_json::from_slice(&text).map_err(malformed)?;
     let answer = node.configuration.submit(node, id, &change, origin).await;
--- a/crates/goldcrestvale_entry/src/receive.rs
+++ b/crates/goldcrestvale_entry/src/receive.rs
@@ -1,13 +1,20 @@
-//! Reads the bodies of requests.
+//! Reads bodies completely.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use snafu::Snafu;
+use tokio_util::sync::CancellationToken;
 
-use crate::refusal::{Cause, Refusal, Result};
+use crate::{
+    intake::{Charge, Full},
+    refusal::{Cause, Refusal, Result},
+};
+
+/// Memory that a body without a length takes first, in bytes.
+const MIN_BUFFER: usize = 1 << 10;
 
 /// The reason why a body was not read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -24,39 +31,156 @@
         /// The cause.
         detail: String,
     },
+    /// It did not arrive in time.
+    #[snafu(display("the body did not arrive within {} ms", timeout.as_millis()))]
+    Late {
+        /// The time.
+        timeout: Duration,
+    },
+    /// There is no memory for it.
+    #[snafu(display("{full}"))]
+    Full {
+        /// When there may be room.
+        full: Full,
+    },
 }
 
-/// Reads a complete request body of at most `max_bytes`.
+/// A received answer, whose memory counts as long as it exists.
+struct Received {
+    bytes: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Received {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads the complete body of a request of at most `max_bytes` within `timeout`. Until it has arrived,
+/// the request gives way to others.
 ///
 /// # Errors
 ///
-/// Fails if the body is larger or cannot be read.
-pub async fn collect(body: Incoming, max_bytes: usize) -> std::result::Result<Bytes, BodyError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(BodyError::Oversized { max_bytes }),
-        Err(e) => Err(BodyError::Malformed { detail: e.to_string() }),
+/// Fails if the body is larger, late or malformed, or if there is no memory for it.
+pub async fn request_body(
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+    charge: &mut Charge,
+) -> std::result::Result<Bytes, BodyError> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
     }
+    charge.set_yields(true);
+    let bytes = receive(body, max_bytes, timeout, charge).await?;
+    charge.set_yields(false);
+    Ok(bytes.into())
 }
 
-/// Reads a complete request body of at most `max_bytes` within `timeout`.
+/// Reads a complete answer of at most `max_bytes` within `timeout`. From then on its memory counts
+/// until it is dropped, and gives way by cancelling the token.
 ///
 /// # Errors
 ///
-/// Rejects the request with [`Cause::Oversized`], [`Cause::SlowBody`] or [`Cause::Malformed`].
-pub async fn read_body(body: Incoming, max_bytes: usize, timeout: Duration) -> Result<Bytes> {
-    match tokio::time::timeout(timeout, collect(body, max_bytes)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(error)) => {
-            let cause = match error {
-                BodyError::Oversized { .. } => Cause::Oversized,
-                BodyError::Malformed { .. } => Cause::Malformed,
-            };
-            Err(Refusal::unsent(cause, error.to_string()))
+/// Fails if the answer is larger, late or malformed, or if there is no memory for it.
+pub async fn answer(
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+    mut charge: Charge,
+    closer: CancellationToken,
+) -> std::result::Result<Bytes, BodyError> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let bytes = receive(body, max_bytes, timeout, &mut charge).await?;
+    charge.yield_by(closer);
+    Ok(Bytes::from_owner(Received { bytes, _charge: charge }))
+}
+
+/// Reads a complete body.
+///
+/// The memory that it takes depends on what has arrived of it alone: bytes are copied, since each
+/// received frame keeps the whole buffer that it was read into.
+async fn receive(
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+    charge: &mut Charge,
+) -> std::result::Result<Vec<u8>, BodyError> {
+    let receiving = tokio::time::timeout(timeout, receive_frames(body, max_bytes, charge));
+    let mut bytes = receiving.await.unwrap_or(Err(BodyError::Late { timeout }))?;
+    let capacity = bytes.capacity();
+    bytes.shrink_to_fit();
+    charge.shrink(capacity - bytes.capacity());
+    Ok(bytes)
+}
+
+async fn receive_frames(
+    mut body: Incoming,
+    max_bytes: usize,
+    charge: &mut Charge,
+) -> std::result::Result<Vec<u8>, BodyError> {
+    let oversized = BodyError::Oversized { max_bytes };
+    let announced = body.size_hint().exact();
+    let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    if announced.is_some_and(|length| length > max_bytes) {
+        return Err(oversized);
+    }
+    let longest = announced.unwrap_or(max_bytes);
+    let mut bytes = Vec::new();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = charge.yielded() => return Err(BodyError::Full { full: charge.give_way() }),
+            frame = body.frame() => frame,
+        };
+        let data = match frame {
+            None => return Ok(bytes),
+            Some(Err(e)) => return Err(BodyError::Malformed { detail: e.to_string() }),
+            // Trailers are not forwarded.
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let length = bytes.len() + data.len();
+        if length > max_bytes {
+            return Err(oversized);
+        }
+        if length > bytes.capacity() {
+            let doubled = (2 * bytes.capacity()).max(MIN_BUFFER).min(longest);
+            let capacity = doubled.max(length);
+            charge
+                .grow(capacity - bytes.capacity())
+                .await
+                .map_err(|full| BodyError::Full { full })?;
+            bytes.reserve_exact(capacity - bytes.len());
         }
-        Err(_) => Err(Refusal::unsent(
-            Cause::SlowBody,
-            format!("the body did not arrive within {} ms", timeout.as_millis()),
-        )),
+        bytes.extend_from_slice(&data);
+    }
+}
+
+/// Reads a complete request body of at most `max_bytes` within `timeout`.
+///
+/// # Errors
+///
+/// Rejects the request with [`Cause::Oversized`], [`Cause::SlowBody`], [`Cause::Malformed`] or
+/// [`Cause::Busy`].
+pub async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+    charge: &mut Charge,
+) -> Result<Bytes> {
+    request_body(body, max_bytes, timeout, charge).await.map_err(|error| match error {
+        BodyError::Full { full } => Refusal::from(full),
+        BodyError::Oversized { .. } => Refusal::unsent(Cause::Oversized, error.to_string()),
+        BodyError::Malformed { .. } => Refusal::unsent(Cause::Malformed, error.to_string()),
+        BodyError::Late { .. } => Refusal::unsent(Cause::SlowBody, error.to_string()),
+    })
+}
+
+impl From<Full> for Refusal {
+    fn from(full: Full) -> Self {
+        Self::unsent(Cause::Busy, full.to_string()).retry_after(full.retry_after)
     }
 }
--- a/crates/goldcrestvale_gateway/src/attempt.rs
+++ b/crates/goldcrestvale_gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use http::{StatusCode, response::Parts};
 
 use crate::{
-    body::collect,
+    body::{Loss, collect},
     forward::Matched,
     port::{Dispatch, Port},
     send::{SendOutcome, send},
@@ -29,6 +29,8 @@
     /// No connection could be opened.
     Unsent,
     Broken(String),
+    /// The upstream answered, and there is no memory for the answer.
+    NoMemory(String),
 }
 
 /// An attempt in progress; dropping it drops its exchange.
@@ -106,6 +108,7 @@
     let customer = matched.customer_name().map(str::to_owned);
     let (parts, body) = (matched.parts.clone(), matched.body.clone());
     let id = matched.head.id.clone();
+    let answer_charge = matched.answer_charge();
     Box::pin(async move {
         let dispatch = Dispatch {
             time_left,
@@ -117,12 +120,13 @@
         match send(&gateway, address, &parts, body, &dispatch, id.as_ref()).await {
             SendOutcome::Answered(reply, _) => {
                 let (head, body, connection) = reply.into_parts();
-                match collect(body).await {
+                match collect(body, time_left, answer_charge).await {
                     Ok(body) => {
                         connection.return_to_pool();
                         Outcome::Complete(Box::new(head), body)
                     }
-                    Err(e) => Outcome::Broken(e.to_string()),
+                    Err(Loss::Broken(why)) => Outcome::Broken(why),
+                    Err(Loss::Full(why)) => Outcome::NoMemory(why),
                 }
             }
             SendOutcome::NotRun(status, _) => {
--- a/crates/goldcrestvale_gateway/src/body.rs
+++ b/crates/goldcrestvale_gateway/src/body.rs
@@ -1,10 +1,17 @@
 //! Bodies of answers. A body that fails closes its connection, so that a truncated answer never
 //! looks complete.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Full, Limited, combinators::UnsyncBoxBody};
+use goldcrestvale_entry::{
+    intake::Charge,
+    receive::{self, BodyError},
+};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
 use snafu::Snafu;
+use tokio_util::sync::CancellationToken;
 
 /// Maximum size of an answer that is buffered completely, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -25,12 +32,30 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Receives the body of an upstream's answer completely.
+/// The reason why an answer was not received completely.
+#[derive(Debug, Clone)]
+pub(crate) enum Loss {
+    /// The upstream broke off or sent too much.
+    Broken(String),
+    /// There is no memory for it.
+    Full(String),
+}
+
+/// Receives the body of an upstream's answer completely. Its memory gives way from then on, by
+/// cancelling the token.
 ///
 /// # Errors
 ///
-/// Fails if the upstream breaks off or sends more than [`MAX_BUFFERED_BYTES`].
-pub(crate) async fn collect(body: Incoming) -> Result<Bytes, Broken> {
-    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
-    collected.map(Collected::to_bytes).map_err(|e| Broken { detail: e.to_string() })
+/// Fails if the upstream breaks off or sends more than [`MAX_BUFFERED_BYTES`], or if there is no
+/// memory for it.
+pub(crate) async fn collect(
+    body: Incoming,
+    timeout: Duration,
+    (charge, closer): (Charge, CancellationToken),
+) -> Result<Bytes, Loss> {
+    let received = receive::answer(body, MAX_BUFFERED_BYTES, timeout, charge, closer).await;
+    received.map_err(|error| match error {
+        BodyError::Full { .. } => Loss::Full(error.to_string()),
+        _ => Loss::Broken(error.to_string()),
+    })
 }
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -5,17 +5,21 @@
 use bytes::Bytes;
 use goldcrestvale_base::{content::Content, prompt::Part, time::Instant};
 use goldcrestvale_entry::{
+    callers::head_bytes,
     crash_watch::parts_text,
+    intake::{Charge, Full, Owner},
     receive::{self, BodyError},
+    server::Closer,
     trial_log::{Held, Trial},
 };
 use goldcrestvale_route::{
-    forward::{Customer, Kind, Refusal as NoMatch, Route, Table},
+    forward::{Bounds, Customer, Kind, Refusal as NoMatch, Route, Table},
     quarantine::Hold,
     retry::Exclusions,
 };
-use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header, request::Parts};
 use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     body::Body,
@@ -117,10 +121,21 @@
     // Callers name the parts, so each customer has names of its own.
     head.parts.iter_mut().for_each(|part| *part = part.of_customer(&trace.customer));
     trace.parts.clone_from(&head.parts);
-    let body = match read_body(body, &table).await {
+    let owner = Owner::named(&trace.customer);
+    let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    let head_bytes = head_bytes(&parts);
+    if let Some(error) = table.bounds().and_then(|bounds| check_head(head_bytes, bounds)) {
+        return close(&parts, trace.respond(&error));
+    }
+    let mut charge = match gateway.intake.admit(owner, timeout, head_bytes).await {
+        Ok(charge) => charge,
+        Err(full) => return close(&parts, trace.respond(&no_room(full))),
+    };
+    let body = match read_body(body, &table, timeout, &mut charge).await {
         Ok(body) => body,
-        Err(error) => return trace.respond(&error),
+        Err(error) => return close(&parts, trace.respond(&error)),
     };
+    trace.charge = Some(charge);
     let content = content(&parts, &head, customer.as_deref(), &body);
     trace.content = Some(content);
     if let Some(error) = quarantined(&gateway, content, &head.parts) {
@@ -145,12 +160,13 @@
         trial: None,
         place: None,
     };
+    // On the heap, so that requests whose body is arriving do not hold the state of what follows.
     if must_relay(&matched) {
-        return relay::serve(matched).await;
+        return Box::pin(relay::serve(matched)).await;
     }
     match kind {
-        Kind::Safe | Kind::Unsafe => plain::serve(matched).await,
-        Kind::Stream => stream::serve(matched).await,
+        Kind::Safe | Kind::Unsafe => Box::pin(plain::serve(matched)).await,
+        Kind::Stream => Box::pin(stream::serve(matched)).await,
     }
 }
 
@@ -219,14 +235,54 @@
     Ok((route.clone(), customer.cloned()))
 }
 
-async fn read_body(body: Incoming, table: &Table) -> Result<Bytes, ErrorResponse> {
+async fn read_body(
+    body: Incoming,
+    table: &Table,
+    timeout: Duration,
+    charge: &mut Charge,
+) -> Result<Bytes, ErrorResponse> {
     let max_bytes = table.bounds().map_or(u64::MAX, |bounds| bounds.body_bytes);
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    receive::collect(body, max_bytes).await.map_err(|fault| {
+    receive::request_body(body, max_bytes, timeout, charge).await.map_err(|fault| {
         let (status, cause) = match fault {
+            BodyError::Full { full } => return no_room(full),
             BodyError::Oversized { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "oversized"),
             BodyError::Malformed { .. } => (StatusCode::BAD_REQUEST, "malformed"),
+            BodyError::Late { .. } => (StatusCode::REQUEST_TIMEOUT, "slow body"),
         };
         ErrorResponse::rejected(status, cause, fault.to_string())
     })
 }
+
+fn check_head(head_bytes: usize, bounds: &Bounds) -> Option<ErrorResponse> {
+    (head_bytes > bounds.header_bytes as usize).then(|| {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        let detail = format!("the head is larger than {} bytes", bounds.header_bytes);
+        ErrorResponse::rejected(status, "oversized head", detail)
+    })
+}
+
+fn no_room(full: Full) -> ErrorResponse {
+    ErrorResponse::not_run("no memory", full.to_string(), full.retry_after)
+}
+
+/// Closes the connection of a request whose body was not read, so that the rest of it is not taken
+/// for another request.
+fn close(parts: &Parts, mut response: Response<Body>) -> Response<Body> {
+    if parts.version < Version::HTTP_2 {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+impl<P> Matched<P> {
+    /// Returns the memory of an answer to the request, which gives way once the caller does not read
+    /// it.
+    pub(crate) fn answer_charge(&self) -> (Charge, CancellationToken) {
+        let owner = Owner::named(&self.trace.customer);
+        let time = self.deadline.since(self.gateway.now());
+        let closer = self.parts.extensions.get::<Closer>();
+        let closer = closer.map(|closer| closer.token().clone()).unwrap_or_default();
+        (self.gateway.intake.enter(owner, time), closer)
+    }
+}
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -123,7 +123,7 @@
         let trial = match outcome {
             Outcome::Unsent => trial.map(SpentTrial::unsent),
             Outcome::NotRun(_) => trial.and_then(|trial| trial.rejected(matched.content)),
-            Outcome::Complete(..) | Outcome::Broken(_) => None,
+            Outcome::Complete(..) | Outcome::Broken(_) | Outcome::NoMemory(_) => None,
         };
         if trial.is_some() {
             matched.trial = trial;
@@ -142,6 +142,11 @@
                 sending.is_counted = true;
                 sending.last_failure.clear();
             }
+            Outcome::NoMemory(why) => {
+                sending.may_have_run = true;
+                sending.last_failure = why;
+                break;
+            }
             Outcome::Broken(why) => {
                 matched.trace.record_break(&upstream, None);
                 let (gateway, attempt) = (&matched.gateway, &matched.trace.attempt);
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    body::{Body, Broken, collect, full},
+    body::{Body, Broken, Loss, collect, full},
     contention, cost,
     crash_watch::{
         find_ended, record_answer, record_sound, report_break, suspect, wait_if_suspected,
@@ -188,8 +188,8 @@
     connection: PooledConnection,
 ) -> Response<Body> {
     let left = matched.deadline.since(matched.gateway.now());
-    let error = match tokio::time::timeout(left, collect(body)).await {
-        Ok(Ok(body)) => {
+    let error = match collect(body, left, matched.answer_charge()).await {
+        Ok(body) => {
             connection.return_to_pool();
             // A failing engine may not have run the request.
             if !head.status.is_server_error() {
@@ -198,8 +198,12 @@
             matched.trace.end("answered", head.status, "");
             return Response::from_parts(head, full(body));
         }
-        Ok(Err(e)) => ErrorResponse::may_have_run("upstream failed", e.to_string()),
-        Err(_) => ErrorResponse::timed_out("no whole answer in time"),
+        Err(_) if matched.deadline <= matched.gateway.now() => {
+            ErrorResponse::timed_out("no whole answer in time")
+        }
+        Err(Loss::Broken(why) | Loss::Full(why)) => {
+            ErrorResponse::may_have_run("upstream failed", why)
+        }
     };
     matched.trace.respond(&error)
 }
--- a/crates/goldcrestvale_gateway/src/trace.rs
+++ b/crates/goldcrestvale_gateway/src/trace.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Display, net::SocketAddr, sync::Arc, time::Duration};
 
 use goldcrestvale_base::{content::Content, id::Upstream, prompt::Parts, time::Instant};
-use goldcrestvale_entry::crash_watch::Attempt;
+use goldcrestvale_entry::{crash_watch::Attempt, intake::Charge};
 use goldcrestvale_route::cost::Estimate;
 use http::{HeaderValue, Response, StatusCode};
 use log::info;
@@ -47,6 +47,8 @@
     pub(crate) estimate: Option<Estimate>,
     /// Tokens of the complete answer.
     pub(crate) answer_tokens: Option<f64>,
+    /// Memory of the request itself.
+    pub(crate) charge: Option<Charge>,
     outcome: &'static str,
     detail: String,
     status: u16,
@@ -76,6 +78,7 @@
             max_event_gap: Duration::ZERO,
             estimate: None,
             answer_tokens: None,
+            charge: None,
             outcome: "caller left",
             detail: String::new(),
             status: 0,
--- a/crates/goldcrestvale_standin/src/service/api.rs
+++ b/crates/goldcrestvale_standin/src/service/api.rs
@@ -85,7 +85,7 @@
         }
         let large = number(&parts, "answer_bytes");
         if large > 0 {
-            return Ok(reply::text(StatusCode::OK, &"a".repeat(large as usize)));
+            return Ok(reply::text(StatusCode::OK, "a".repeat(large as usize)));
         }
         let response = reply::json(StatusCode::OK, &answer);
         if self.faults.take(|faults| &mut faults.close_half) {
--- a/crates/goldcrestvale_upstream/src/service.rs
+++ b/crates/goldcrestvale_upstream/src/service.rs
@@ -9,7 +9,7 @@
 use crate::{
     error::{Error, Result},
     message::ServiceLoad,
-    pool::{Limits, Pool, Protocol, decode, json_request},
+    pool::{Limits, Pool, Protocol, StreamingReply, decode, json_request},
 };
 
 /// A call to a plain service.
@@ -65,22 +65,26 @@
         exchange: Exchange<Unsent>,
         timeout: Duration,
     ) -> Result<Answer> {
-        let mut request = Request::new(call.body);
-        *request.method_mut() = call.method;
-        *request.headers_mut() = call.headers;
-        match call.path.parse() {
-            Ok(uri) => *request.uri_mut() = uri,
-            Err(_) => {
-                let detail = format!("{:?} is not a path", call.path);
-                return Err(Error::Unsent { address, detail, verdict: exchange.refuse() });
-            }
-        }
-        let host = address.to_string().try_into().expect("an address is a valid header value");
-        request.headers_mut().insert(http::header::HOST, host);
+        let (request, exchange) = request(address, call, exchange)?;
         let reply = self.pool.call(address, request, exchange, timeout).await?;
         Ok(Answer { status: reply.head.status, headers: reply.head.headers, body: reply.body })
     }
 
+    /// Sends a call once and returns its answer once the head was received.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Pool::open`] does.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        call: Call,
+        exchange: Exchange<Unsent>,
+    ) -> Result<StreamingReply> {
+        let (request, exchange) = request(address, call, exchange)?;
+        self.pool.open(address, request, exchange).await
+    }
+
     /// Fetches the load report of an instance, which may be stale.
     ///
     /// # Errors
@@ -92,3 +96,23 @@
         decode(address, &reply.body)
     }
 }
+
+fn request(
+    address: SocketAddr,
+    call: Call,
+    exchange: Exchange<Unsent>,
+) -> Result<(Request<Bytes>, Exchange<Unsent>)> {
+    let mut request = Request::new(call.body);
+    *request.method_mut() = call.method;
+    *request.headers_mut() = call.headers;
+    match call.path.parse() {
+        Ok(uri) => *request.uri_mut() = uri,
+        Err(_) => {
+            let detail = format!("{:?} is not a path", call.path);
+            return Err(Error::Unsent { address, detail, verdict: exchange.refuse() });
+        }
+    }
+    let host = address.to_string().try_into().expect("an address is a valid header value");
+    request.headers_mut().insert(http::header::HOST, host);
+    Ok((request, exchange))
+}
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -1,6 +1,6 @@
 //! Crowds of clients that send without end, stop short or do not read: the process lives, stays within
 //! the memory and the descriptors of its machine, and answers an ordinary request beside the crowd.
-#![allow(clippy::unwrap_used, unreachable_pub)]
+#![allow(clippy::unwrap_used, clippy::print_stdout, unreachable_pub)]
 
 #[allow(dead_code)]
 #[path = "../platform/tests/gateway/store.rs"]
--- a/tests/crowds/client.rs
+++ b/tests/crowds/client.rs
@@ -172,9 +172,8 @@
         }
         let mut tasks = JoinSet::new();
         // A server that closes the connection ends the member.
-        for streams in join_all(openers).await.into_iter().filter_map(|opened| opened.unwrap().ok())
-        {
-            if let Ok(streams) = streams {
+        for opened in join_all(openers).await {
+            if let Ok(Ok(streams)) = opened.unwrap() {
                 tasks.spawn(streams);
             }
         }
