Name the memory as the cause of a refusal

An entry instance answered `busy` both where too many requests were in progress and where the memory for them was used up, and closed the connection of a request whose whole body it had read. Refusals for the memory have a cause of their own, and the connection is closed where the body was not read: for `memory`, `oversized` and `slow-body`.

--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use goldcrestvale_base::id::{Customer, Request as RequestId};
 use http::{HeaderValue, Request, Response, Version, header::CONNECTION, request::Parts};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use uuid::Uuid;
 
 use crate::{
@@ -44,19 +44,18 @@
     let id = RequestId(Uuid::now_v7());
     let mut trace = Trace::start(node.clone(), id, &request);
     let version = request.version();
-    let has_body = !request.body().is_end_stream();
-    let mut is_refused = false;
+    let mut is_unread = false;
     let mut response = match route(node, id, request, &mut trace).await {
         Ok(response) => response,
         Err(refusal) => {
-            is_refused = is_unread(refusal.cause);
+            is_unread = matches!(refusal.cause, Cause::Memory | Cause::Oversized | Cause::SlowBody);
             trace.record_refusal(&refusal);
             refusal.respond(id)
         }
     };
     let text = id.to_string().try_into().expect("a UUID is a valid header value");
     response.headers_mut().insert(header::REQUEST, text);
-    if is_refused && version < Version::HTTP_2 && has_body {
+    if is_unread && version < Version::HTTP_2 {
         // The rest of the body is not taken for another request.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -165,11 +164,6 @@
     node.limits.take(node.clock.now(), customer, rate, share)
 }
 
-/// Returns whether the body of a request that was refused for this cause may not have been read.
-fn is_unread(cause: Cause) -> bool {
-    matches!(cause, Cause::Busy | Cause::Oversized | Cause::SlowBody | Cause::Malformed)
-}
-
 fn busy(node: &Node) -> Refusal {
     let max_requests = node.settings.callers.streams;
     Refusal::unsent(Cause::Busy, format!("{max_requests} requests are in progress"))
--- a/crates/goldcrestvale_entry/src/receive.rs
+++ b/crates/goldcrestvale_entry/src/receive.rs
@@ -164,7 +164,7 @@
 /// # Errors
 ///
 /// Rejects the request with [`Cause::Oversized`], [`Cause::SlowBody`], [`Cause::Malformed`] or
-/// [`Cause::Busy`].
+/// [`Cause::Memory`].
 pub async fn read_body(
     body: Incoming,
     max_bytes: usize,
@@ -181,6 +181,6 @@
 
 impl From<Full> for Refusal {
     fn from(full: Full) -> Self {
-        Self::unsent(Cause::Busy, full.to_string()).retry_after(full.retry_after)
+        Self::unsent(Cause::Memory, full.to_string()).retry_after(full.retry_after)
     }
 }
--- a/crates/goldcrestvale_entry/src/refusal.rs
+++ b/crates/goldcrestvale_entry/src/refusal.rs
@@ -35,6 +35,8 @@
     Method,
     /// Too many requests are in progress.
     Busy,
+    /// The memory for requests is used up, or the request gave way to others.
+    Memory,
     /// The customer is over its limit.
     Limit,
     /// The request cannot meet its deadline.
@@ -77,6 +79,7 @@
             Self::Unknown => "unknown",
             Self::Method => "method",
             Self::Busy => "busy",
+            Self::Memory => "memory",
             Self::Limit => "limit",
             Self::Deadline => "deadline",
             Self::NoUpstream => "no-upstream",
@@ -111,6 +114,7 @@
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
             Self::Busy
+            | Self::Memory
             | Self::NoUpstream
             | Self::Quarantined
             | Self::LogOut
