Count connections by the limit that ended them

Operators could not see which limit ended connections of callers: only those that gave way to others, or found no place, were counted. `goldcrestvale_connections_ended_total{limit}` has all of them: gave way, no place, late head, idle and unread. Two tests of caller_limits read it, one of a caller that sends requests and reads no answer; the metric is new, so they cannot be run on the code before.

--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -25,8 +25,8 @@
 use tower::{BoxError, Service, ServiceExt};
 
 pub use bounds::{Bounds, SharedBounds};
-use opentelemetry::metrics::{AsyncInstrument, Meter};
-use slots::{Slot, Slots};
+use opentelemetry::metrics::Meter;
+use slots::{Limit, Slot, Slots};
 use stream::Stream;
 
 use crate::{
@@ -100,24 +100,14 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let bounds = bounds.into();
-        let slots = Slots::new(bounds.load().connections, None);
+        let slots = Slots::new(bounds.load().connections);
         Ok(Self { listener, bounds, slots, connections: TaskTracker::new() })
     }
 
     /// Ends bodies that are arriving and answers that are not read for new connections, once all are
     /// in use, and reports the connections as metrics.
     pub fn with_intake(mut self, intake: Arc<Intake>, meter: &Meter) -> Self {
-        self.slots = Slots::new(self.bounds.load().connections, Some(intake));
-        let slots = self.slots.clone();
-        let gauge = meter.u64_observable_gauge("goldcrestvale_connections");
-        gauge.with_callback(move |o| o.observe(slots.counts()[0], &[])).build();
-        let names = ["goldcrestvale_connections_closed", "goldcrestvale_connections_refused"];
-        for (index, name) in names.into_iter().enumerate() {
-            let slots = self.slots.clone();
-            let observe =
-                move |o: &dyn AsyncInstrument<u64>| o.observe(slots.counts()[index + 1], &[]);
-            meter.u64_observable_counter(name).with_callback(observe).build();
-        }
+        self.slots = Slots::with_intake(self.bounds.load().connections, intake, meter);
         self
     }
 
@@ -280,8 +270,14 @@
             false => return,
         },
         expiry = activity.expired(times) => match expiry {
-            Expiry::Idle => None,
-            Expiry::Head => return,
+            Expiry::Idle => {
+                slot.count(Limit::Idle);
+                None
+            }
+            Expiry::Head => {
+                slot.count(Limit::LateHead);
+                return;
+            }
         },
     };
     let ended = match ended {
@@ -302,6 +298,9 @@
         }
     };
     if let Err(e) = ended {
+        if stream::is_unread(e.as_ref()) {
+            slot.count(Limit::Unread);
+        }
         debug!(error:% = e; "connection ended");
     }
 }
--- a/crates/goldcrestvale_entry/src/server/bounds.rs
+++ b/crates/goldcrestvale_entry/src/server/bounds.rs
@@ -19,7 +19,7 @@
     pub connections: usize,
 }
 
-/// Bounds that can be replaced; sizes hold for new connections, times for all.
+/// Bounds that can be replaced; sizes hold for new connections, times from the next one on.
 ///
 /// # Examples
 ///
--- a/crates/goldcrestvale_entry/src/server/slots.rs
+++ b/crates/goldcrestvale_entry/src/server/slots.rs
@@ -2,14 +2,15 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use goldcrestvale_route::intake::{Connection, Connections, Opening};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Meter},
+};
 use tokio::{sync::Notify, time::timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -32,10 +33,36 @@
 struct Shared {
     clock: Clock,
     intake: Option<Arc<Intake>>,
+    ended: Option<Counter<u64>>,
     table: Mutex<Table>,
     released: Notify,
-    closed: AtomicU64,
-    refused: AtomicU64,
+}
+
+/// The limit that ended a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Limit {
+    /// It gave way to a new one.
+    GaveWay,
+    /// There was no place for it.
+    NoPlace,
+    /// A head did not arrive in time.
+    LateHead,
+    /// It was idle for too long.
+    Idle,
+    /// Its caller did not read.
+    Unread,
+}
+
+impl Limit {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::GaveWay => "gave way",
+            Self::NoPlace => "no place",
+            Self::LateHead => "late head",
+            Self::Idle => "idle",
+            Self::Unread => "unread",
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -62,15 +89,29 @@
 }
 
 impl Slots {
-    pub(super) fn new(max: usize, intake: Option<Arc<Intake>>) -> Self {
+    pub(super) fn new(max: usize) -> Self {
+        Self::with(max, None, None)
+    }
+
+    /// Creates places for callers, with metrics; bodies that arrive give way to new connections.
+    pub(super) fn with_intake(max: usize, intake: Arc<Intake>, meter: &Meter) -> Self {
+        let ended = meter.u64_counter("goldcrestvale_connections_ended").build();
+        let slots = Self::with(max, Some(intake), Some(ended));
+        let shared = slots.shared.clone();
+        let open = move || shared.table().connections.len() as u64;
+        let gauge = meter.u64_observable_gauge("goldcrestvale_connections");
+        gauge.with_callback(move |o| o.observe(open(), &[])).build();
+        slots
+    }
+
+    fn with(max: usize, intake: Option<Arc<Intake>>, ended: Option<Counter<u64>>) -> Self {
         let table = Table { connections: Connections::new(max), closers: HashMap::new() };
         let shared = Shared {
             clock: Clock::start(),
             intake,
+            ended,
             table: Mutex::new(table),
             released: Notify::new(),
-            closed: AtomicU64::new(0),
-            refused: AtomicU64::new(0),
         };
         Self { shared: Arc::new(shared) }
     }
@@ -80,7 +121,7 @@
         match self.try_open() {
             Attempt::Open(slot) => return Some(slot),
             Attempt::Full => {
-                self.shared.refused.fetch_add(1, Ordering::AcqRel);
+                self.shared.count(Limit::NoPlace);
                 return None;
             }
             Attempt::Wait => {}
@@ -98,7 +139,7 @@
         };
         let slot = timeout(CLOSE_TIMEOUT, waiting).await.ok();
         if slot.is_none() {
-            self.shared.refused.fetch_add(1, Ordering::AcqRel);
+            self.shared.count(Limit::NoPlace);
         }
         slot
     }
@@ -111,7 +152,7 @@
         match table.connections.open(now) {
             Opening::Open(connection) => Attempt::Open(self.insert(&mut table, connection)),
             Opening::Wait(connection) => {
-                shared.closed.fetch_add(1, Ordering::AcqRel);
+                shared.count(Limit::GaveWay);
                 if let Some(closer) = table.closers.get(&connection) {
                     closer.cancel();
                 }
@@ -143,24 +184,26 @@
         table.closers.insert(connection, closer.clone());
         Slot { shared: self.shared.clone(), connection, closer }
     }
-
-    /// Returns the number of open connections, of those that were closed for others, and of those
-    /// that found no place.
-    pub(super) fn counts(&self) -> [u64; 3] {
-        let open = self.shared.table().connections.len() as u64;
-        let [closed, refused] =
-            [&self.shared.closed, &self.shared.refused].map(|count| count.load(Ordering::Acquire));
-        [open, closed, refused]
-    }
 }
 
 impl Shared {
+    fn count(&self, limit: Limit) {
+        if let Some(ended) = &self.ended {
+            ended.add(1, &[KeyValue::new("limit", limit.as_str())]);
+        }
+    }
+
     fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Slot {
+    /// Counts the connection as ended by a limit.
+    pub(super) fn count(&self, limit: Limit) {
+        self.shared.count(limit);
+    }
+
     /// Records what the connection does.
     pub(super) async fn follow(&self, activity: &Activity) {
         let mut states = activity.subscribe();
--- a/crates/goldcrestvale_entry/src/server/stream.rs
+++ b/crates/goldcrestvale_entry/src/server/stream.rs
@@ -1,11 +1,13 @@
 //! The byte stream of a connection, which notices heads that arrive and callers that do not read.
 
 use std::{
+    error::Error,
     io::{self, IoSlice},
     pin::Pin,
     task::{Context, Poll, ready},
 };
 
+use snafu::Snafu;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -18,6 +20,26 @@
 /// The first bytes of a connection of HTTP/2, by which no method of HTTP/1 begins.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
+/// The caller did not read anything for too long.
+#[derive(Debug, Snafu)]
+#[snafu(display("the caller does not read"))]
+struct Unread;
+
+/// Returns whether a connection ended since its caller did not read.
+pub(super) fn is_unread(error: &(dyn Error + 'static)) -> bool {
+    let mut source = Some(error);
+    while let Some(error) = source {
+        let inner = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
+        if let Some(inner) = inner
+            && inner.is::<Unread>()
+        {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
 /// The byte stream of a connection.
 #[derive(Debug)]
 pub(super) struct Stream {
@@ -59,7 +81,7 @@
         let timeout = self.bounds.load().idle_timeout;
         let blocked = self.blocked.get_or_insert_with(|| Box::pin(sleep(timeout)));
         ready!(blocked.as_mut().poll(cx));
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the caller does not read")))
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, Unread)))
     }
 }
 
--- a/tests/caller_limits.rs
+++ b/tests/caller_limits.rs
@@ -1,4 +1,5 @@
 //! Limits on the size and the duration of requests, and on the number of connections.
+#![allow(clippy::unwrap_used)]
 
 use std::{
     io,
@@ -10,7 +11,7 @@
 use goldcrestvale_standin::{platform, server::Handle};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 const HEADER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -71,6 +72,43 @@
     Ok(())
 }
 
+/// Returns how many connections a limit has ended.
+fn ended_by(instance: &serve::Instance, limit: &str) -> u64 {
+    let text = String::from_utf8(instance.node().metrics.scrape().unwrap()).unwrap();
+    let label = format!("limit=\"{limit}\"");
+    let mut lines = text.lines().filter(|line| {
+        line.starts_with("goldcrestvale_connections_ended_total") && line.contains(&label)
+    });
+    lines.next().and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_are_counted() -> io::Result<()> {
+    let (_platform, instance) = instance().await?;
+    let _ = exchange(instance.callers(), b"GET / HT").await?;
+    assert_eq!(ended_by(&instance, "late head"), 1);
+    let _ = exchange(instance.callers(), b"").await?;
+    assert_eq!(ended_by(&instance, "idle"), 1);
+    assert_eq!(ended_by(&instance, "unread"), 0);
+    assert!(instance.stop().await);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answers() -> io::Result<()> {
+    let (_platform, instance) = instance().await?;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(4 << 10)?;
+    let mut stream = socket.connect(instance.callers()).await?;
+    let requests = "GET /x HTTP/1.1\r\nhost: a\r\n\r\n".repeat(1_000);
+    // Sends until the instance closes the connection, and reads nothing.
+    let sending = async { while stream.write_all(requests.as_bytes()).await.is_ok() {} };
+    tokio::time::timeout(2 * CLOSE_TIMEOUT, sending).await.map_err(io::Error::other)?;
+    assert_eq!(ended_by(&instance, "unread"), 1);
+    assert!(instance.stop().await);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_body() -> io::Result<()> {
     let (_platform, instance) = instance().await?;
