--- a/crates/goldcrestvale_entry/src/server/slots.rs
+++ b/crates/goldcrestvale_entry/src/server/slots.rs
@@ -23,7 +23,7 @@
 /// Maximum time that a new connection waits for one that is being closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The connections that a server has open, and how many it had to close or refuse.
+/// The places for open connections of a server.
 #[derive(Debug, Clone)]
 pub(super) struct Slots {
     shared: Arc<Shared>,
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -2,6 +2,9 @@
 //! the memory and the descriptors of its machine, and answers an ordinary request beside the crowd.
 #![allow(clippy::unwrap_used, clippy::print_stdout, unreachable_pub)]
 
+#[allow(dead_code)]
+#[path = "../platform/tests/gateway/proxy.rs"]
+mod proxy;
 #[allow(dead_code)]
 #[path = "../platform/tests/gateway/store.rs"]
 mod store;
@@ -13,6 +16,8 @@
 
 use std::time::Duration;
 
+use proxy::Cut;
+
 use crowds::{
     Front,
     client::{Client, Content, Crowd},
@@ -139,6 +144,28 @@
     endure(&Gateway::start().await, crowd).await;
 }
 
+/// An instance that has lost its links passes bodies on to its peer: both stay within their bounds.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_through_a_peer() {
+    let _alone = crowds::alone().await;
+    let peer = Gateway::start().await;
+    let (cut, link) = Gateway::start_beside(&peer).await;
+    let started = [cut.usage(), peer.usage()];
+    link.cut(Cut::Reset).await;
+    cut.check_answer().await;
+    let content = Content::sized(LEGAL_BODY);
+    cut.check_body(content.clone()).await;
+    let crowd = Crowd::new(50, Client::body(content.clone()))
+        .and(50, Client::body(content.stop_short(MISSING)));
+    let crowd = crowd.start(&cut).await;
+    tokio::time::sleep(STAY).await;
+    for (front, started) in [&cut, &peer].into_iter().zip(&started) {
+        front.check_answer().await;
+        front.check_usage(started);
+    }
+    drop(crowd);
+}
+
 /// Bodies of legal size are served one after the other in calm.
 #[tokio::test(flavor = "multi_thread")]
 async fn legal_bodies_in_calm() {
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tempfile::NamedTempFile;
+use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::{
@@ -16,6 +17,7 @@
     usage::{Usage, Watch},
 };
 use crate::{
+    proxy::Proxy,
     store::Store,
     web::{self, Body, full},
 };
@@ -42,6 +44,8 @@
     watch: Watch,
     callers: SocketAddr,
     ready: SocketAddr,
+    control: SocketAddr,
+    upstream: SocketAddr,
     _settings: NamedTempFile,
     _stop: DropGuard,
 }
@@ -50,12 +54,31 @@
     /// Starts the gateway and waits until it is ready.
     pub async fn start() -> Self {
         let stop = CancellationToken::new();
-        let store = Store::start(stop.clone()).await;
         let upstream = web::serve(stop.clone(), answer).await;
+        Self::start_with("front-1", upstream, "", stop).await
+    }
+
+    /// Starts a gateway that reaches the upstream through a link of its own, and knows another one.
+    pub async fn start_beside(peer: &Self) -> (Self, Proxy) {
+        let stop = CancellationToken::new();
+        let link = Proxy::start(peer.upstream, stop.clone()).await;
+        let seeds = peer.control.to_string();
+        (Self::start_with("front-2", link.address, &seeds, stop).await, link)
+    }
+
+    async fn start_with(
+        name: &str,
+        upstream: SocketAddr,
+        seeds: &str,
+        stop: CancellationToken,
+    ) -> Self {
+        let store = Store::start(stop.clone()).await;
         store.put("keyed.op", "config", &configuration());
         store.put("keyed.servers", "desk-1", &registration(upstream));
+        let control = free_address().await;
+        let fields = fields(name, store.address, control, seeds);
         let mut settings = NamedTempFile::with_suffix(".ini").unwrap();
-        settings.write_all(fill_template(store.address).as_bytes()).unwrap();
+        settings.write_all(fill_template(&fields).as_bytes()).unwrap();
         let path = settings.path().display().to_string();
         let arguments = ["serve".to_owned(), "--settings".to_owned(), path];
         let program = Path::new(env!("CARGO_BIN_EXE_goldcrestvale"));
@@ -68,6 +91,8 @@
             watch,
             callers: address("callers"),
             ready: address("ready"),
+            control,
+            upstream,
             _process: process,
             _settings: settings,
             _stop: stop.drop_guard(),
@@ -151,13 +176,18 @@
     })
 }
 
-/// Fills in the deploy template as the platform does.
-fn fill_template(store: SocketAddr) -> String {
-    let fields = json!({
-        "node": "front-bole-1", "role": "gateway", "machineClass": "front", "ip": "127.0.0.1",
-        "zone": "bole", "region": "addis", "firstStart": true, "heartbeatMs": 1_200, "seeds": "",
+/// Returns an address that no other socket listens on.
+async fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+/// Returns the fields that the platform fills into the template.
+fn fields(name: &str, store: SocketAddr, control: SocketAddr, seeds: &str) -> Value {
+    json!({
+        "node": name, "role": "gateway", "machineClass": "front", "ip": "127.0.0.1",
+        "zone": "bole", "region": "addis", "firstStart": true, "heartbeatMs": 1_200, "seeds": seeds,
         "listen": {
-            "front": "127.0.0.1:0", "ready": "127.0.0.1:0", "control": "127.0.0.1:0",
+            "front": "127.0.0.1:0", "ready": "127.0.0.1:0", "control": control.to_string(),
         },
         "innerPortRange": [0, 0],
         "limits": {
@@ -169,7 +199,11 @@
             "retryBudgetMin": 200,
         },
         "platform": { "address": store.to_string() },
-    });
+    })
+}
+
+/// Fills in the deploy template as the platform does.
+fn fill_template(fields: &Value) -> String {
     let template = include_str!("../../deploy/node.ini");
     let mut text = String::new();
     let mut rest = template;
