List HTTP/2 on every connection as a crowd that breaks the bound

Found when the change was read again: the crowd of HTTP/2 has 200 connections, and a gateway of 96 MB allows 400. With all of them it holds 122.2 MB (release build) and 126.1 MB (unoptimized), up to 270 KiB a connection, where the sum counts 32.

--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -134,6 +134,14 @@
         Crowd::new(100, Client::Unread);
 }
 
+/// Streams of HTTP/2 on as many connections as the gateway has stay within the same bounds.
+#[tokio::test(flavor = "multi_thread")]
+async fn http2_at_every_connection() {
+    let _alone = crowds::alone().await;
+    let crowd = Crowd::new(400, Client::Http2 { streams: 100 });
+    endure(&Gateway::start().await, crowd).await;
+}
+
 /// Bodies that a peer passes on are within the same bounds.
 #[tokio::test(flavor = "multi_thread")]
 async fn relayed_bodies() {
