Add crowds on every connection, with many fields and with tiny frames

Further crowds of that kind: HTTP/2 on every connection of an entry instance, heads of 400 fields of one byte (which take several times their length), bodies in frames of one byte, and unread answers on every connection of a gateway. A writer of frames of its own sends what no client library does.

--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -22,6 +22,7 @@
     Front,
     client::{Client, Content, Crowd},
     entry::Entry,
+    frames::Frames,
     gateway::Gateway,
 };
 
@@ -123,6 +124,12 @@
     http2_streams:
         Crowd::new(200, Client::Http2 { streams: 100 }),
         Crowd::new(200, Client::Http2 { streams: 100 });
+    http2_tiny_frames:
+        Crowd::new(200, Client::frames(Frames::new(16).with_data(3_500))),
+        Crowd::new(200, Client::frames(Frames::new(16).with_data(3_500)));
+    http2_many_fields:
+        Crowd::new(200, Client::frames(Frames::new(16).with_fields(400))),
+        Crowd::new(200, Client::frames(Frames::new(16).with_fields(400)));
     partial_heads:
         Crowd::new(1_500, Client::Head { bytes: 14 * KIB }),
         Crowd::new(4_500, Client::Head { bytes: 14 * KIB });
@@ -142,6 +149,21 @@
     endure(&Gateway::start().await, crowd).await;
 }
 
+/// Streams of HTTP/2 on as many connections as an entry instance has stay within the same bounds.
+#[tokio::test(flavor = "multi_thread")]
+async fn http2_at_every_entry_connection() {
+    let _alone = crowds::alone().await;
+    let crowd = Crowd::new(1_900, Client::frames(Frames::new(16).with_fields(100)));
+    endure(&Entry::start().await, crowd).await;
+}
+
+/// Answers that are not read on as many connections as the gateway has stay within the same bounds.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_at_every_connection() {
+    let _alone = crowds::alone().await;
+    endure(&Gateway::start().await, Crowd::new(400, Client::Unread)).await;
+}
+
 /// Bodies that a peer passes on are within the same bounds.
 #[tokio::test(flavor = "multi_thread")]
 async fn relayed_bodies() {
--- a/tests/crowds/client.rs
+++ b/tests/crowds/client.rs
@@ -15,7 +15,7 @@
     task::JoinSet,
 };
 
-use super::{Front, Target};
+use super::{Front, Target, frames::Frames};
 
 /// Longest time that a client takes to send what it sends; then it stays as it is.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
@@ -98,6 +98,8 @@
         /// Number of streams.
         streams: usize,
     },
+    /// Sends frames of HTTP/2, one stream after the other, and stays.
+    Frames(Frames),
     /// Sends a part of a head.
     Head {
         /// Its size in bytes.
@@ -115,6 +117,11 @@
         Self::Body(content)
     }
 
+    /// Creates a client that sends frames of HTTP/2.
+    pub fn frames(frames: Frames) -> Self {
+        Self::Frames(frames)
+    }
+
     fn target(&self) -> Target {
         match self {
             Self::Unread => Target::Large,
@@ -209,6 +216,7 @@
             let padding = "p".repeat(bytes - head.len());
             (format!("{head}x-padding: {padding}").into_bytes(), bytes)
         }
+        Client::Frames(frames) => (frames.bytes(&head), 16 << 10),
         Client::Unread => (format!("{head}content-length: 2\r\n\r\nhi").into_bytes(), 1 << 10),
         Client::Silent | Client::Http2 { .. } => (Vec::new(), 1),
     };
--- a/tests/crowds/mod.rs
+++ b/tests/crowds/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod entry;
+pub mod frames;
 pub mod gateway;
 pub mod usage;
 
