Bound the connections of HTTP/2 by the machine

What callers saw: HTTP/2 on every connection took a process over the memory of its machine, 137.7 MB of 96 at a gateway with 400 connections and 409.0 of 256 at an entry instance with 1,900. Cause: a connection counts 32 KiB in the sum, and one with 16 streams takes several hundred, mostly for the heads of its streams. That a connection uses HTTP/2 is known only once its preface has arrived.

Change: an eighth of the memory is for connections with HTTP/2, 1 MiB each. `intake::Connections` has a maximum for them; once a preface has arrived, nothing more is read until there is a place. A connection that has sent no request for 500 ms, then the one that was idle for longest, gives way; otherwise the new one is closed. Other callers are not affected. Setting `[callers] http2_connections`, by default as many as the machine bears; the users' callers speak HTTP/1.1. Metrics `goldcrestvale_http2_connections` and the limit "no place for http2" of `goldcrestvale_connections_ended_total`. Control listeners and the operators' interface have four such connections. The limits that end a connection are counted where they are applied, since the HTTP/2 library does not keep the cause of an error: unread answers of HTTP/2 were not counted.

Drawn orders cover the new maximum.

--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -100,14 +100,14 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let bounds = bounds.into();
-        let slots = Slots::new(bounds.load().connections);
+        let slots = Slots::new(&bounds.load());
         Ok(Self { listener, bounds, slots, connections: TaskTracker::new() })
     }
 
     /// Ends bodies that are arriving and answers that are not read for new connections, once all are
     /// in use, and reports the connections as metrics.
     pub fn with_intake(mut self, intake: Arc<Intake>, meter: &Meter) -> Self {
-        self.slots = Slots::with_intake(self.bounds.load().connections, intake, meter);
+        self.slots = Slots::with_intake(&self.bounds.load(), intake, meter);
         self
     }
 
@@ -251,7 +251,7 @@
         }
     });
     let builder = builder(bounds.load());
-    let stream = Stream::new(stream, activity.clone(), bounds.clone());
+    let stream = Stream::new(stream, activity.clone(), bounds.clone(), slot.place.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let times = || {
@@ -271,11 +271,11 @@
         },
         expiry = activity.expired(times) => match expiry {
             Expiry::Idle => {
-                slot.count(Limit::Idle);
+                slot.place.count(Limit::Idle);
                 None
             }
             Expiry::Head => {
-                slot.count(Limit::LateHead);
+                slot.place.count(Limit::LateHead);
                 return;
             }
         },
@@ -298,9 +298,6 @@
         }
     };
     if let Err(e) = ended {
-        if stream::is_unread(e.as_ref()) {
-            slot.count(Limit::Unread);
-        }
         debug!(error:% = e; "connection ended");
     }
 }
--- a/crates/goldcrestvale_entry/src/server/bounds.rs
+++ b/crates/goldcrestvale_entry/src/server/bounds.rs
@@ -17,6 +17,8 @@
     /// Maximum number of open connections, fixed at the start. Once it is reached, a connection
     /// without a request in progress is closed for a further one.
     pub connections: usize,
+    /// How many of them may use HTTP/2, fixed at the start.
+    pub http2_connections: usize,
 }
 
 /// Bounds that can be replaced; sizes hold for new connections, times from the next one on.
@@ -34,6 +36,7 @@
 ///     header_timeout: 3 * second,
 ///     idle_timeout: 60 * second,
 ///     connections: 100,
+///     http2_connections: 10,
 /// };
 /// let shared = SharedBounds::from(bounds);
 /// shared.store(Bounds { idle_timeout: 15 * second, ..bounds });
--- a/crates/goldcrestvale_entry/src/server/slots.rs
+++ b/crates/goldcrestvale_entry/src/server/slots.rs
@@ -14,6 +14,7 @@
 use tokio::{sync::Notify, time::timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::Bounds;
 use crate::{
     activity::{Activity, State},
     clock::Clock,
@@ -45,6 +46,8 @@
     GaveWay,
     /// There was no place for it.
     NoPlace,
+    /// There was no place for HTTP/2.
+    NoHttp2Place,
     /// A head did not arrive in time.
     LateHead,
     /// It was idle for too long.
@@ -54,10 +57,11 @@
 }
 
 impl Limit {
-    fn as_str(self) -> &'static str {
+    pub(super) fn as_str(self) -> &'static str {
         match self {
             Self::GaveWay => "gave way",
             Self::NoPlace => "no place",
+            Self::NoHttp2Place => "no place for http2",
             Self::LateHead => "late head",
             Self::Idle => "idle",
             Self::Unread => "unread",
@@ -74,38 +78,53 @@
 /// The place of one connection; dropping it frees the place.
 #[derive(Debug)]
 pub(super) struct Slot {
-    shared: Arc<Shared>,
-    connection: Connection,
+    pub(super) place: Place,
     /// Cancelled when the connection is to be closed.
     pub(super) closer: CancellationToken,
 }
 
+/// Refers to the place of one connection.
+#[derive(Debug, Clone)]
+pub(super) struct Place {
+    shared: Arc<Shared>,
+    connection: Connection,
+}
+
 /// The outcome of an attempt to take a place.
-enum Attempt {
-    Open(Slot),
+enum Attempt<T> {
+    Open(T),
     /// A place is becoming free.
     Wait,
     Full,
 }
 
 impl Slots {
-    pub(super) fn new(max: usize) -> Self {
-        Self::with(max, None, None)
+    pub(super) fn new(bounds: &Bounds) -> Self {
+        Self::with(bounds, None, None)
     }
 
     /// Creates places for callers, with metrics; bodies that arrive give way to new connections.
-    pub(super) fn with_intake(max: usize, intake: Arc<Intake>, meter: &Meter) -> Self {
+    pub(super) fn with_intake(bounds: &Bounds, intake: Arc<Intake>, meter: &Meter) -> Self {
         let ended = meter.u64_counter("goldcrestvale_connections_ended").build();
-        let slots = Self::with(max, Some(intake), Some(ended));
-        let shared = slots.shared.clone();
-        let open = move || shared.table().connections.len() as u64;
-        let gauge = meter.u64_observable_gauge("goldcrestvale_connections");
-        gauge.with_callback(move |o| o.observe(open(), &[])).build();
+        let slots = Self::with(bounds, Some(intake), Some(ended));
+        type Gauge = (&'static str, fn(&Connections) -> usize);
+        let gauges: [Gauge; 2] = [
+            ("goldcrestvale_connections", Connections::len),
+            ("goldcrestvale_http2_connections", Connections::multiplexed),
+        ];
+        for (name, read) in gauges {
+            let shared = slots.shared.clone();
+            let value = move || read(&shared.table().connections) as u64;
+            let gauge = meter.u64_observable_gauge(name);
+            gauge.with_callback(move |o| o.observe(value(), &[])).build();
+        }
         slots
     }
 
-    fn with(max: usize, intake: Option<Arc<Intake>>, ended: Option<Counter<u64>>) -> Self {
-        let table = Table { connections: Connections::new(max), closers: HashMap::new() };
+    fn with(bounds: &Bounds, intake: Option<Arc<Intake>>, ended: Option<Counter<u64>>) -> Self {
+        let connections = Connections::new(bounds.connections);
+        let connections = connections.with_multiplexed(bounds.http2_connections);
+        let table = Table { connections, closers: HashMap::new() };
         let shared = Shared {
             clock: Clock::start(),
             intake,
@@ -118,26 +137,7 @@
 
     /// Returns a place for a new connection, if one is free or becomes free at once.
     pub(super) async fn open(&self) -> Option<Slot> {
-        match self.try_open() {
-            Attempt::Open(slot) => return Some(slot),
-            Attempt::Full => {
-                self.shared.count(Limit::NoPlace);
-                return None;
-            }
-            Attempt::Wait => {}
-        }
-        let waiting = async {
-            loop {
-                let released = self.shared.released.notified();
-                tokio::pin!(released);
-                released.as_mut().enable();
-                if let Some(slot) = self.try_take() {
-                    return slot;
-                }
-                released.await;
-            }
-        };
-        let slot = timeout(CLOSE_TIMEOUT, waiting).await.ok();
+        let slot = self.shared.take(|| self.try_open(), || self.try_take()).await;
         if slot.is_none() {
             self.shared.count(Limit::NoPlace);
         }
@@ -145,17 +145,13 @@
     }
 
     /// Takes a free place, or lets another connection give way.
-    fn try_open(&self) -> Attempt {
+    fn try_open(&self) -> Attempt<Slot> {
         let shared = &self.shared;
-        let now = shared.clock.now();
         let mut table = shared.table();
-        match table.connections.open(now) {
+        match table.connections.open(shared.clock.now()) {
             Opening::Open(connection) => Attempt::Open(self.insert(&mut table, connection)),
             Opening::Wait(connection) => {
-                shared.count(Limit::GaveWay);
-                if let Some(closer) = table.closers.get(&connection) {
-                    closer.cancel();
-                }
+                shared.close(&table, connection);
                 Attempt::Wait
             }
             Opening::Full => {
@@ -182,7 +178,7 @@
     fn insert(&self, table: &mut Table, connection: Connection) -> Slot {
         let closer = CancellationToken::new();
         table.closers.insert(connection, closer.clone());
-        Slot { shared: self.shared.clone(), connection, closer }
+        Slot { place: Place { shared: self.shared.clone(), connection }, closer }
     }
 }
 
@@ -196,25 +192,85 @@
     fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Closes a connection that gives way.
+    fn close(&self, table: &Table, connection: Connection) {
+        self.count(Limit::GaveWay);
+        if let Some(closer) = table.closers.get(&connection) {
+            closer.cancel();
+        }
+    }
+
+    /// Takes a place; if one is becoming free, waits until `try_take` gets it.
+    async fn take<T>(
+        &self,
+        attempt: impl FnOnce() -> Attempt<T>,
+        try_take: impl Fn() -> Option<T>,
+    ) -> Option<T> {
+        match attempt() {
+            Attempt::Open(place) => return Some(place),
+            Attempt::Full => return None,
+            Attempt::Wait => {}
+        }
+        let waiting = async {
+            loop {
+                let released = self.released.notified();
+                tokio::pin!(released);
+                released.as_mut().enable();
+                if let Some(place) = try_take() {
+                    return place;
+                }
+                released.await;
+            }
+        };
+        timeout(CLOSE_TIMEOUT, waiting).await.ok()
+    }
 }
 
-impl Slot {
+impl Place {
     /// Counts the connection as ended by a limit.
     pub(super) fn count(&self, limit: Limit) {
         self.shared.count(limit);
     }
 
+    /// Lets the connection use HTTP/2, if a place for that is free or becomes free at once.
+    pub(super) async fn multiplex(&self) -> bool {
+        let Self { shared, connection } = self;
+        let decide = || {
+            let mut table = shared.table();
+            match table.connections.multiplex(shared.clock.now(), *connection) {
+                Opening::Open(_) => Attempt::Open(()),
+                Opening::Wait(other) => {
+                    shared.close(&table, other);
+                    Attempt::Wait
+                }
+                Opening::Full => Attempt::Full,
+            }
+        };
+        let try_take = || {
+            let mut table = shared.table();
+            let is_full = table.connections.is_multiplexed_full();
+            let now = shared.clock.now();
+            (!is_full && matches!(table.connections.multiplex(now, *connection), Opening::Open(_)))
+                .then_some(())
+        };
+        shared.take(decide, try_take).await.is_some()
+    }
+}
+
+impl Slot {
     /// Records what the connection does.
     pub(super) async fn follow(&self, activity: &Activity) {
+        let Place { shared, connection } = &self.place;
         let mut states = activity.subscribe();
         let mut was_busy = false;
         loop {
             let is_busy = matches!(*states.borrow_and_update(), State::Busy(_));
             if is_busy != was_busy {
-                let mut table = self.shared.table();
+                let mut table = shared.table();
                 match is_busy {
-                    true => table.connections.set_busy(self.connection),
-                    false => table.connections.set_idle(self.connection, self.shared.clock.now()),
+                    true => table.connections.set_busy(*connection),
+                    false => table.connections.set_idle(*connection, shared.clock.now()),
                 }
                 was_busy = is_busy;
             }
@@ -227,10 +283,11 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let mut table = self.shared.table();
-        table.connections.close(self.connection);
-        table.closers.remove(&self.connection);
+        let Place { shared, connection } = &self.place;
+        let mut table = shared.table();
+        table.connections.close(*connection);
+        table.closers.remove(connection);
         drop(table);
-        self.shared.released.notify_waiters();
+        shared.released.notify_waiters();
     }
 }
--- a/crates/goldcrestvale_entry/src/server/stream.rs
+++ b/crates/goldcrestvale_entry/src/server/stream.rs
@@ -1,7 +1,7 @@
-//! The byte stream of a connection, which notices heads that arrive and callers that do not read.
+//! The byte stream of a connection, which applies the limits that depend on what arrives and on whether
+//! the caller reads.
 
 use std::{
-    error::Error,
     io::{self, IoSlice},
     pin::Pin,
     task::{Context, Poll, ready},
@@ -14,61 +14,85 @@
     time::{Sleep, sleep},
 };
 
-use super::SharedBounds;
+use super::{
+    SharedBounds,
+    slots::{Limit, Place},
+};
 use crate::activity::Activity;
 
 /// The first bytes of a connection of HTTP/2, by which no method of HTTP/1 begins.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
-/// The caller did not read anything for too long.
+/// A limit has ended the connection.
 #[derive(Debug, Snafu)]
-#[snafu(display("the caller does not read"))]
-struct Unread;
-
-/// Returns whether a connection ended since its caller did not read.
-pub(super) fn is_unread(error: &(dyn Error + 'static)) -> bool {
-    let mut source = Some(error);
-    while let Some(error) = source {
-        let inner = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
-        if let Some(inner) = inner
-            && inner.is::<Unread>()
-        {
-            return true;
-        }
-        source = error.source();
-    }
-    false
+#[snafu(display("the connection has reached a limit: {}", limit.as_str()))]
+struct Exceeded {
+    limit: Limit,
+}
+
+/// The protocol of a connection, by the bytes that have arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Protocol {
+    /// This number of bytes of the preface of HTTP/2 have arrived.
+    Unknown(usize),
+    Http1,
+    Http2,
 }
 
 /// The byte stream of a connection.
-#[derive(Debug)]
 pub(super) struct Stream {
     stream: TcpStream,
     activity: Activity,
     bounds: SharedBounds,
-    /// Number of bytes of the preface of HTTP/2 that have arrived; `None` for HTTP/1.
-    preface: Option<usize>,
+    place: Place,
+    protocol: Protocol,
+    /// Returns whether the connection may use HTTP/2; nothing is read until then.
+    opening: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
     /// Ends the connection if nothing can be written until then.
     blocked: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
-    pub(super) fn new(stream: TcpStream, activity: Activity, bounds: SharedBounds) -> Self {
-        Self { stream, activity, bounds, preface: Some(0), blocked: None }
+    pub(super) fn new(
+        stream: TcpStream,
+        activity: Activity,
+        bounds: SharedBounds,
+        place: Place,
+    ) -> Self {
+        let protocol = Protocol::Unknown(0);
+        Self { stream, activity, bounds, place, protocol, opening: None, blocked: None }
     }
 
     /// Records bytes that have arrived. Frames of HTTP/2 may arrive without a request.
     fn record_read(&mut self, bytes: &[u8]) {
-        if let Some(seen) = self.preface {
-            let rest = &HTTP2_PREFACE[seen..];
-            let length = rest.len().min(bytes.len());
-            self.preface = (rest[..length] == bytes[..length]).then_some(seen + length);
+        if let Protocol::Unknown(seen) = self.protocol {
+            let expected = &HTTP2_PREFACE[seen..];
+            let length = expected.len().min(bytes.len());
+            self.protocol = if expected[..length] != bytes[..length] {
+                Protocol::Http1
+            } else if length < expected.len() {
+                Protocol::Unknown(seen + length)
+            } else {
+                let place = self.place.clone();
+                self.opening = Some(Box::pin(async move { place.multiplex().await }));
+                Protocol::Http2
+            };
         }
-        if self.preface.is_none() {
+        if self.protocol == Protocol::Http1 {
             self.activity.start_head();
         }
     }
 
+    fn poll_opening(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(opening) = &mut self.opening {
+            if !ready!(opening.as_mut().poll(cx)) {
+                return Poll::Ready(Err(self.exceed(Limit::NoHttp2Place)));
+            }
+            self.opening = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn check_blocked<T>(
         &mut self,
         cx: &mut Context<'_>,
@@ -81,7 +105,13 @@
         let timeout = self.bounds.load().idle_timeout;
         let blocked = self.blocked.get_or_insert_with(|| Box::pin(sleep(timeout)));
         ready!(blocked.as_mut().poll(cx));
-        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, Unread)))
+        Poll::Ready(Err(self.exceed(Limit::Unread)))
+    }
+
+    /// Counts the connection as ended by a limit, and returns the error that ends it.
+    fn exceed(&self, limit: Limit) -> io::Error {
+        self.place.count(limit);
+        io::Error::new(io::ErrorKind::TimedOut, Exceeded { limit })
     }
 }
 
@@ -91,6 +121,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.poll_opening(cx))?;
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         let read = &buffer.filled()[before..];
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -82,6 +82,8 @@
     pub idle_timeout: Duration,
     /// Maximum number of open connections; the machine may hold fewer.
     pub connections: usize,
+    /// How many of them may use HTTP/2; the machine may hold fewer.
+    pub http2_connections: usize,
     /// Maximum number of drafts and service calls in progress; further ones are refused.
     pub streams: usize,
 }
@@ -96,6 +98,7 @@
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             connections: 10_000,
+            http2_connections: 10_000,
             streams: 4_000,
         }
     }
--- a/crates/goldcrestvale_gateway/src/gateway.rs
+++ b/crates/goldcrestvale_gateway/src/gateway.rs
@@ -152,11 +152,15 @@
         let clock = Clock::start();
         let links = Arc::new(Mutex::new(Links::default()));
         let mut rng = StdRng::from_os_rng();
-        let connections = settings.max_connections.min(settings.machine.connections());
+        let machine = &settings.machine;
+        let callers_bounds = instance::bounds(
+            settings.max_connections.min(machine.connections()),
+            settings.max_http2_connections.min(machine.multiplexed_connections()),
+        );
         Self {
             port,
             intake: Intake::new(settings.machine, clock, &metrics.recorder().meter()),
-            callers_bounds: instance::bounds(connections).into(),
+            callers_bounds: callers_bounds.into(),
             table: ArcSwap::default(),
             versions: Mutex::default(),
             view: ArcSwap::default(),
--- a/crates/goldcrestvale_gateway/src/instance.rs
+++ b/crates/goldcrestvale_gateway/src/instance.rs
@@ -42,6 +42,9 @@
 /// Maximum number of connections to the readiness check and to the metrics.
 const MAX_CONTROL_CONNECTIONS: usize = 32;
 
+/// How many of them may use HTTP/2.
+const MAX_CONTROL_HTTP2_CONNECTIONS: usize = 4;
+
 /// How long a control request in progress may take during the stop.
 const CONTROL_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -190,12 +193,13 @@
 }
 
 /// Returns the bounds of a server before a configuration limits them.
-pub(crate) fn bounds(connections: usize) -> Bounds {
+pub(crate) fn bounds(connections: usize, http2_connections: usize) -> Bounds {
     Bounds {
         header_bytes: MAX_HEADER_BYTES,
         header_timeout: HEADER_TIMEOUT,
         idle_timeout: IDLE_TIMEOUT,
         connections,
+        http2_connections,
     }
 }
 
@@ -211,7 +215,7 @@
         let answer = answer(&gateway, &request);
         async move { Ok::<_, Infallible>(answer) }
     });
-    let bounds = bounds(MAX_CONTROL_CONNECTIONS);
+    let bounds = bounds(MAX_CONTROL_CONNECTIONS, MAX_CONTROL_HTTP2_CONNECTIONS);
     let context = ListenSnafu { address, interface };
     ServerHandle::start(address, bounds, service, CONTROL_DRAIN_TIMEOUT).await.context(context)
 }
--- a/crates/goldcrestvale_gateway/src/settings.rs
+++ b/crates/goldcrestvale_gateway/src/settings.rs
@@ -21,6 +21,8 @@
     pub metrics: SocketAddr,
     /// Maximum number of open connections of callers; the machine may hold fewer.
     pub max_connections: usize,
+    /// How many of them may use HTTP/2; the machine may hold fewer.
+    pub max_http2_connections: usize,
     /// Memory and descriptors of the process.
     pub machine: Machine,
     /// Retry budget.
@@ -155,6 +157,7 @@
             ready: loopback,
             metrics: loopback,
             max_connections: 2_000,
+            max_http2_connections: 2_000,
             machine: Machine::default(),
             retry: Retry::default(),
             cost_routing: Mode::Off,
--- a/crates/goldcrestvale_route/src/intake/connections.rs
+++ b/crates/goldcrestvale_route/src/intake/connections.rs
@@ -29,7 +29,8 @@
 ///
 /// Once it is reached, a connection that has not sent a request for a while is closed for a new
 /// one, the oldest first; if there is none, the one that has been idle for longest. Connections
-/// with a request in progress stay.
+/// with a request in progress stay. The same holds among multiplexed connections, which have several
+/// requests at once and a maximum of their own.
 ///
 /// # Examples
 ///
@@ -49,8 +50,16 @@
 #[derive(Debug, Clone)]
 pub struct Connections {
     max: usize,
+    max_multiplexed: usize,
+    multiplexed: usize,
     next: u64,
-    open: BTreeMap<Connection, State>,
+    open: BTreeMap<Connection, Entry>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    state: State,
+    is_multiplexed: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,9 +75,25 @@
 }
 
 impl Connections {
-    /// Creates a table of at most `max` connections.
+    /// Creates a table of at most `max` connections, all of which may be multiplexed.
     pub fn new(max: usize) -> Self {
-        Self { max, next: 0, open: BTreeMap::new() }
+        Self { max, max_multiplexed: max, multiplexed: 0, next: 0, open: BTreeMap::new() }
+    }
+
+    /// Sets how many of the connections may be multiplexed.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestvale_base::time::Instant;
+    /// use goldcrestvale_route::intake::{Connections, Opening};
+    ///
+    /// let mut connections = Connections::new(2).with_multiplexed(0);
+    /// let Opening::Open(first) = connections.open(Instant(0)) else { panic!("no room") };
+    /// assert_eq!(connections.multiplex(Instant(1), first), Opening::Full);
+    /// ```
+    pub fn with_multiplexed(self, max_multiplexed: usize) -> Self {
+        Self { max_multiplexed, ..self }
     }
 
     /// Opens a connection, or chooses one that gives way.
@@ -76,16 +101,26 @@
         if self.open.len() < self.max {
             let connection = Connection(self.next);
             self.next += 1;
-            self.open.insert(connection, State::Waiting(now));
+            let entry = Entry { state: State::Waiting(now), is_multiplexed: false };
+            self.open.insert(connection, entry);
             return Opening::Open(connection);
         }
-        match self.choose(now) {
-            Some(connection) => {
-                self.open.insert(connection, State::Closing);
-                Opening::Wait(connection)
-            }
-            None => Opening::Full,
+        self.close_for(now, |_| true)
+    }
+
+    /// Lets an open connection have several requests at once, or chooses another such connection that
+    /// gives way.
+    pub fn multiplex(&mut self, now: Instant, connection: Connection) -> Opening {
+        let Some(entry) = self.open.get_mut(&connection) else { return Opening::Full };
+        if entry.is_multiplexed {
+            return Opening::Open(connection);
         }
+        if self.multiplexed < self.max_multiplexed {
+            entry.is_multiplexed = true;
+            self.multiplexed += 1;
+            return Opening::Open(connection);
+        }
+        self.close_for(now, |entry| entry.is_multiplexed)
     }
 
     /// Records that a request is in progress.
@@ -100,7 +135,9 @@
 
     /// Removes a connection.
     pub fn close(&mut self, connection: Connection) {
-        self.open.remove(&connection);
+        if self.open.remove(&connection).is_some_and(|entry| entry.is_multiplexed) {
+            self.multiplexed -= 1;
+        }
     }
 
     /// Returns the number of open connections.
@@ -108,30 +145,48 @@
         self.open.len()
     }
 
+    /// Returns the number of multiplexed connections.
+    pub fn multiplexed(&self) -> usize {
+        self.multiplexed
+    }
+
     /// Returns whether the maximum is reached.
     pub fn is_full(&self) -> bool {
         self.open.len() >= self.max
     }
 
+    /// Returns whether no further connection may be multiplexed.
+    pub fn is_multiplexed_full(&self) -> bool {
+        self.multiplexed >= self.max_multiplexed
+    }
+
     /// Returns whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
 
     fn set(&mut self, connection: Connection, state: State) {
-        if let Some(current) = self.open.get_mut(&connection).filter(|s| **s != State::Closing) {
-            *current = state;
+        if let Some(entry) = self.open.get_mut(&connection)
+            && entry.state != State::Closing
+        {
+            entry.state = state;
         }
     }
 
-    fn choose(&self, now: Instant) -> Option<Connection> {
-        let rank = |(connection, state): (&Connection, &State)| match *state {
+    /// Closes the connection without a request in progress that ranks first among the candidates.
+    fn close_for(&mut self, now: Instant, is_candidate: impl Fn(&Entry) -> bool) -> Opening {
+        let rank = |(connection, entry): (&Connection, &Entry)| match entry.state {
+            _ if !is_candidate(entry) => None,
             State::Waiting(since) if now.since(since) >= MIN_WAITING_AGE => {
                 Some((false, since, *connection))
             }
             State::Idle(since) => Some((true, since, *connection)),
             _ => None,
         };
-        self.open.iter().filter_map(rank).min().map(|(_, _, connection)| connection)
+        let Some((_, _, connection)) = self.open.iter().filter_map(rank).min() else {
+            return Opening::Full;
+        };
+        self.set(connection, State::Closing);
+        Opening::Wait(connection)
     }
 }
--- a/crates/goldcrestvale_route/src/intake/machine.rs
+++ b/crates/goldcrestvale_route/src/intake/machine.rs
@@ -6,14 +6,19 @@
 /// Memory of an open connection, in bytes: its buffers, filled by a head that is not complete.
 const CONNECTION_BYTES: u64 = 32 << 10;
 
+/// Memory of a multiplexed connection beyond that, in bytes: its streams, their heads and the bytes
+/// that no request has read yet.
+const MULTIPLEXED_BYTES: u64 = 1 << 20;
+
 goldcrestvale_base::domain! {
     copy
     /// Memory and descriptors that a process may use.
     ///
-    /// A quarter of the memory is for callers' connections, a quarter for their requests and answers.
-    /// The other half is for the process itself, its configuration, upstreams and peers. Callers'
-    /// connections take at most half of the descriptors, since each request in progress may need a
-    /// connection to an upstream.
+    /// A quarter of the memory is for callers' connections, a quarter for their requests and answers,
+    /// and an eighth for what connections with several requests at once hold beyond that. The rest is
+    /// for the process itself, its configuration, upstreams and peers. Callers' connections take at
+    /// most half of the descriptors, since each request in progress may need a connection to an
+    /// upstream.
     ///
     /// # Examples
     ///
@@ -23,6 +28,7 @@
     /// let machine = Machine { memory_bytes: 160_000_000, descriptors: 4_100 };
     /// assert_eq!(machine.request_bytes(), 40_000_000);
     /// assert_eq!(machine.connections(), 1_220);
+    /// assert_eq!(machine.multiplexed_connections(), 19);
     /// ```
     pub struct Machine {
         /// Resident memory, in bytes.
@@ -48,6 +54,16 @@
     pub fn connections(&self) -> usize {
         let by_memory = self.memory_bytes / 4 / CONNECTION_BYTES;
         let by_descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
-        usize::try_from(by_memory.min(by_descriptors).max(1)).unwrap_or(usize::MAX)
+        count(by_memory.min(by_descriptors))
+    }
+
+    /// Returns how many of these connections may have several requests at once.
+    pub fn multiplexed_connections(&self) -> usize {
+        count(self.memory_bytes / 8 / MULTIPLEXED_BYTES).min(self.connections())
     }
 }
+
+/// Returns a maximum of connections: at least one.
+fn count(connections: u64) -> usize {
+    usize::try_from(connections.max(1)).unwrap_or(usize::MAX)
+}
--- a/crates/goldcrestvale_route/tests/connection_places.rs
+++ b/crates/goldcrestvale_route/tests/connection_places.rs
@@ -41,23 +41,44 @@
     assert_eq!(connections.open(at(600)), Opening::Wait(silent));
 }
 
+#[test]
+fn multiplexed_connections_have_a_maximum() {
+    let mut connections = Connections::new(4).with_multiplexed(1);
+    let silent = open(&mut connections, 0);
+    let first = open(&mut connections, 0);
+    let second = open(&mut connections, 0);
+    assert_eq!(connections.multiplex(at(0), first), Opening::Open(first));
+    assert_eq!(connections.multiplex(at(0), first), Opening::Open(first));
+    assert_eq!(connections.multiplex(at(0), second), Opening::Full);
+    // Only another multiplexed connection gives way.
+    assert_eq!(connections.multiplex(at(1_000), second), Opening::Wait(first));
+    assert_eq!(connections.multiplex(at(1_000), second), Opening::Full);
+    connections.close(first);
+    assert_eq!(connections.multiplex(at(1_000), second), Opening::Open(second));
+    connections.set_busy(second);
+    assert_eq!(connections.multiplex(at(2_000), silent), Opening::Full);
+    assert_eq!((connections.len(), connections.multiplexed()), (2, 1));
+}
+
 #[test]
 fn machine_bounds_connections() {
     let table = [
-        (160_000_000, 4_100, 1_220),
-        (260_000_000, 4_200, 1_983),
-        (390_000_000, 6_150, 2_975),
-        (64_000_000, 100, 1),
+        (160_000_000, 4_100, 1_220, 19),
+        (260_000_000, 4_200, 1_983, 30),
+        (390_000_000, 6_150, 2_975, 46),
+        (64_000_000, 100, 1, 1),
     ];
-    for (memory_bytes, descriptors, expected) in table {
+    for (memory_bytes, descriptors, connections, multiplexed) in table {
         let machine = Machine { memory_bytes, descriptors };
-        assert_eq!(machine.connections(), expected, "{machine:?}");
+        assert_eq!(machine.connections(), connections, "{machine:?}");
+        assert_eq!(machine.multiplexed_connections(), multiplexed, "{machine:?}");
     }
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Open,
+    Multiplex(usize),
     Busy(usize),
     Idle(usize),
     Close(usize),
@@ -67,6 +88,7 @@
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
         3 => Just(Step::Open),
+        2 => any::<usize>().prop_map(Step::Multiplex),
         2 => any::<usize>().prop_map(Step::Busy),
         2 => any::<usize>().prop_map(Step::Idle),
         2 => any::<usize>().prop_map(Step::Close),
@@ -77,8 +99,9 @@
 
 proptest! {
     #[test]
-    fn drawn_orders(max in 1..8_usize, steps in steps()) {
-        let mut connections = Connections::new(max);
+    fn drawn_orders(max in 1..8_usize, max_multiplexed in 0..4_usize, steps in steps()) {
+        let mut connections = Connections::new(max).with_multiplexed(max_multiplexed);
+        let mut multiplexed: BTreeSet<Connection> = BTreeSet::new();
         let mut open: BTreeSet<Connection> = BTreeSet::new();
         let mut busy: BTreeSet<Connection> = BTreeSet::new();
         let mut closing: BTreeSet<Connection> = BTreeSet::new();
@@ -97,6 +120,20 @@
                     }
                     Opening::Full => prop_assert_eq!(open.len(), max),
                 },
+                Step::Multiplex(index) => if let Some(connection) = nth(index) {
+                    match connections.multiplex(at(now), connection) {
+                        Opening::Open(granted) => {
+                            prop_assert_eq!(granted, connection);
+                            multiplexed.insert(connection);
+                        }
+                        Opening::Wait(other) => {
+                            prop_assert!(multiplexed.contains(&other) && other != connection);
+                            prop_assert!(!busy.contains(&other));
+                            prop_assert!(closing.insert(other));
+                        }
+                        Opening::Full => prop_assert_eq!(multiplexed.len(), max_multiplexed),
+                    }
+                },
                 Step::Busy(index) => if let Some(connection) = nth(index) {
                     connections.set_busy(connection);
                     if !closing.contains(&connection) {
@@ -112,11 +149,14 @@
                     open.remove(&connection);
                     busy.remove(&connection);
                     closing.remove(&connection);
+                    multiplexed.remove(&connection);
                 },
                 Step::Pass(millis) => now += millis,
             }
             prop_assert_eq!(connections.len(), open.len());
             prop_assert!(open.len() <= max);
+            prop_assert_eq!(connections.multiplexed(), multiplexed.len());
+            prop_assert!(multiplexed.len() <= max_multiplexed);
         }
     }
 }
--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -77,8 +77,7 @@
         .settings(
             &entry.instance.name,
             &entry.instance.domain,
-            entry.callers.address,
-            entry.callers.connections,
+            &entry.callers,
             entry.machine,
             &entry.peer,
         )
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -39,6 +39,9 @@
 /// Maximum number of connections of operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
 
+/// How many of them may use HTTP/2.
+const MAX_OPERATOR_HTTP2_CONNECTIONS: usize = 4;
+
 /// A failure to run an instance.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -188,12 +191,13 @@
 }
 
 async fn listen_callers(node: &Arc<Node>) -> Result<ServerHandle> {
-    let callers = &node.settings.callers;
+    let Settings { callers, machine, .. } = &node.settings;
     let bounds = Bounds {
         header_bytes: callers.header_bytes,
         header_timeout: callers.header_timeout,
         idle_timeout: callers.idle_timeout,
-        connections: callers.connections.min(node.settings.machine.connections()),
+        connections: callers.connections.min(machine.connections()),
+        http2_connections: callers.http2_connections.min(machine.multiplexed_connections()),
     };
     let shared = node.clone();
     let drain = node.settings.stop.timeout;
@@ -214,6 +218,7 @@
         header_timeout: callers.header_timeout,
         idle_timeout: callers.idle_timeout,
         connections: MAX_OPERATOR_CONNECTIONS,
+        http2_connections: MAX_OPERATOR_HTTP2_CONNECTIONS,
     };
     let drain = node.settings.callers.body_timeout;
     let answer = service_fn(move |request| {
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -97,6 +97,7 @@
     field!("callers", "body_timeout_ms", MILLIS, entry.callers.body_timeout, parse::millis),
     field!("callers", "idle_timeout_ms", MILLIS, entry.callers.idle_timeout, parse::millis),
     field!("callers", "connections", COUNT, entry.callers.connections, count),
+    field!("callers", "http2_connections", COUNT, entry.callers.http2_connections, count),
     field!("callers", "streams", COUNT, entry.callers.streams, count),
     field!("operators", "address", ADDRESS, entry.operators.address, parse::from_str),
     field!("operators", "token", "a secret text", entry.operators.token, token),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use goldcrestvale_base::id::{Domain, Instance};
+use goldcrestvale_entry::settings::Callers;
 use goldcrestvale_gateway::settings::{Mode, Peer, Retry, Settings};
 use goldcrestvale_route::intake::Machine;
 
@@ -67,17 +68,17 @@
         &self,
         name: &Instance,
         domain: &Domain,
-        callers: SocketAddr,
-        connections: usize,
+        callers: &Callers,
         machine: Machine,
         peer: &goldcrestvale_entry::settings::Peer,
     ) -> Option<(Settings, SocketAddr)> {
         let store = self.store?;
         let mut settings = Settings::new(name.clone(), domain.clone());
-        settings.callers = callers;
+        settings.callers = callers.address;
         settings.ready = self.ready?;
         settings.metrics = self.metrics?;
-        settings.max_connections = connections;
+        settings.max_connections = callers.connections;
+        settings.max_http2_connections = callers.http2_connections;
         settings.machine = machine;
         settings.retry = self.retry;
         settings.cost_routing = self.cost_routing;
--- a/tests/caller_limits.rs
+++ b/tests/caller_limits.rs
@@ -33,6 +33,7 @@
     settings.callers.body_timeout = BODY_TIMEOUT;
     settings.callers.idle_timeout = IDLE_TIMEOUT;
     settings.callers.connections = 3;
+    settings.callers.http2_connections = 1;
     let instance = serve::Instance::start(settings).await.map_err(io::Error::other)?;
     while !instance.node().lifecycle.is_ready() {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -137,6 +138,23 @@
     Ok(())
 }
 
+/// What a client of HTTP/2 sends first: the preface and its settings.
+const HTTP2_OPENING: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn too_many_http2_connections() -> io::Result<()> {
+    let (_platform, instance) = instance().await?;
+    let mut first = TcpStream::connect(instance.callers()).await?;
+    first.write_all(HTTP2_OPENING).await?;
+    first.read_u8().await?;
+    exchange(instance.callers(), HTTP2_OPENING).await?;
+    assert_eq!(ended_by(&instance, "no place for http2"), 1);
+    let (read, _) = exchange(instance.callers(), b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n").await?;
+    assert!(read.starts_with("HTTP/1.1 404"), "{read}");
+    assert!(instance.stop().await);
+    Ok(())
+}
+
 /// Creates customer `c` with credential `b`.
 async fn configure(instance: &serve::Instance) -> io::Result<()> {
     let credential = goldcrestvale::base::id::Digest::of(b"b");
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -28,6 +28,11 @@
             "127.0.0.1:8080",
         ),
         ("[callers]\nstreams = 0", "[callers] streams: \"0\" is not from 1", "1000000"),
+        (
+            "[callers]\nhttp2_connections = 0",
+            "[callers] http2_connections: \"0\" is not from 1",
+            "1000000",
+        ),
         ("[callers]\nstreams = many", "[callers] streams: \"many\"", "1000000"),
         ("[machine]\nmemory_mb = 1", "[machine] memory_mb: \"1\"", "64 to 1000000"),
         ("[machine]\ndescriptors = few", "[machine] descriptors: \"few\"", "512 to 10000000"),
