Let a body that is complete while it gives way end

With several threads, a body could be complete at the moment at which it was told to give way. Its request went on, and the request that waited for its memory waited until it had ended, or until its own time was over. Found on reading.

Change: a holder that is giving way cannot take that back, and a complete body finds out; its request is refused and did not run. `complete_body_still_gives_way` and the drawn orders of `intake_budget` fail without the check (trial with the check taken out: 2 of 7 tests); the interface is new, so they cannot run on the code before.

--- a/crates/goldcrestvale_entry/src/intake.rs
+++ b/crates/goldcrestvale_entry/src/intake.rs
@@ -224,9 +224,14 @@
         self.intake.released.notify_waiters();
     }
 
-    /// Sets whether this holder can give way to others.
-    pub fn set_yields(&mut self, yields: bool) {
-        self.intake.table().budget.set_yields(self.ticket, yields);
+    /// Lets this holder give way to others from now on, or no longer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has to give way already.
+    pub fn set_yields(&mut self, yields: bool) -> Result<()> {
+        let is_set = self.intake.table().budget.set_yields(self.ticket, yields);
+        if is_set { Ok(()) } else { Err(self.give_way()) }
     }
 
     /// Lets this holder give way from now on by cancelling a token.
--- a/crates/goldcrestvale_entry/src/receive.rs
+++ b/crates/goldcrestvale_entry/src/receive.rs
@@ -72,9 +72,10 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    charge.set_yields(true);
+    charge.set_yields(true).map_err(no_room)?;
     let bytes = receive(body, max_bytes, timeout, charge).await?;
-    charge.set_yields(false);
+    // A body that is complete may have been told to give way at the same moment.
+    charge.set_yields(false).map_err(no_room)?;
     Ok(bytes.into())
 }
 
@@ -149,16 +150,17 @@
         if length > bytes.capacity() {
             let doubled = (2 * bytes.capacity()).max(MIN_BUFFER).min(longest);
             let capacity = doubled.max(length);
-            charge
-                .grow(capacity - bytes.capacity())
-                .await
-                .map_err(|full| BodyError::Full { full })?;
+            charge.grow(capacity - bytes.capacity()).await.map_err(no_room)?;
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&data);
     }
 }
 
+fn no_room(full: Full) -> BodyError {
+    BodyError::Full { full }
+}
+
 /// Reads a complete request body of at most `max_bytes` within `timeout`.
 ///
 /// # Errors
--- a/crates/goldcrestvale_route/src/intake/budget.rs
+++ b/crates/goldcrestvale_route/src/intake/budget.rs
@@ -153,11 +153,13 @@
         ticket
     }
 
-    /// Sets whether a holder can give way.
-    pub fn set_yields(&mut self, ticket: Ticket, yields: bool) {
-        if let Some(holder) = self.holders.get_mut(&ticket) {
-            holder.yields = yields;
-        }
+    /// Sets whether a holder can give way. Fails, and returns `false`, for a holder that is giving way:
+    /// others wait for its memory.
+    pub fn set_yields(&mut self, ticket: Ticket, yields: bool) -> bool {
+        let holder = self.holders.get_mut(&ticket).filter(|holder| !holder.is_leaving);
+        let Some(holder) = holder else { return false };
+        holder.yields = yields;
+        true
     }
 
     /// Asks for more memory for a holder.
--- a/crates/goldcrestvale_route/tests/intake_budget.rs
+++ b/crates/goldcrestvale_route/tests/intake_budget.rs
@@ -82,6 +82,16 @@
     assert_eq!(budget.make_way(at(1_000)), None);
 }
 
+#[test]
+fn complete_body_still_gives_way() {
+    let mut budget = Budget::new(TOTAL);
+    let first = stalled(&mut budget, at(0), Owner(1), TOTAL / 2);
+    let other = budget.enter(at(10), at(10) + TIMEOUT, Owner(1));
+    assert!(matches!(budget.grow(at(10), other, KIB << 10), Decision::Wait(_)));
+    // It is complete at the moment at which another one waits for its room.
+    assert!(!budget.set_yields(first, false));
+}
+
 #[test]
 fn refusals_name_a_time() {
     let mut budget = Budget::new(TOTAL);
@@ -171,8 +181,10 @@
                 }
                 Step::Complete { index } => {
                     let Some(ticket) = nth(&holders, index) else { continue };
-                    budget.set_yields(ticket, false);
-                    holders.get_mut(&ticket).unwrap().yields = false;
+                    let holder = holders.get_mut(&ticket).unwrap();
+                    let is_set = budget.set_yields(ticket, false);
+                    prop_assert_eq!(is_set, !holder.is_leaving);
+                    holder.yields &= holder.is_leaving;
                 }
                 Step::Leave { index } => {
                     let Some(ticket) = nth(&holders, index) else { continue };
