Count the fields of a request's head

Cause: a request counted the length of its head, but each field takes about 128 bytes beside its name and value. HTTP/1.1 allows 100 fields, which the fixed part of a request covers; a head of HTTP/2 may have nearly 500.

Change: each field counts 128 bytes more.

--- a/crates/goldcrestvale_entry/src/callers/mod.rs
+++ b/crates/goldcrestvale_entry/src/callers/mod.rs
@@ -115,7 +115,7 @@
     let requested = caller.deadline_ms.map_or(Duration::MAX, Duration::from_millis);
     let timeout = limits.body_timeout.min(requested);
     let owner = Owner::named(caller.customer.as_str());
-    let mut charge = node.intake.admit(owner, timeout, head_bytes(head)).await?;
+    let mut charge = node.intake.admit(owner, timeout, head).await?;
     let body = receive::read_body(body, limits.body_bytes, timeout, &mut charge).await?;
     guard.attach_charge(charge);
     Ok(body)
--- a/crates/goldcrestvale_entry/src/intake.rs
+++ b/crates/goldcrestvale_entry/src/intake.rs
@@ -9,6 +9,7 @@
 use goldcrestvale_base::time::Instant;
 use goldcrestvale_route::intake::{Budget, Decision, Ticket};
 pub use goldcrestvale_route::intake::{Machine, Owner};
+use http::request::Parts;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Meter},
@@ -17,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
+use crate::{callers::head_bytes, clock::Clock};
 
 /// The result of a request for memory.
 pub type Result<T> = std::result::Result<T, Full>;
@@ -25,6 +26,9 @@
 /// Memory that a request takes besides its head, its body and its answer, in bytes.
 const REQUEST_BYTES: usize = 16 << 10;
 
+/// Memory that a field of a head takes besides its name and its value, in bytes.
+const FIELD_BYTES: usize = 128;
+
 /// When a caller may retry whose request gave way.
 const YIELDED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -119,7 +123,7 @@
         Charge { intake: self.clone(), ticket, bytes: 0, until, yielded }
     }
 
-    /// Takes the memory of a request with a head of `head_bytes`.
+    /// Takes the memory of a request with a head.
     ///
     /// # Errors
     ///
@@ -128,10 +132,10 @@
         self: &Arc<Self>,
         owner: Owner,
         time: Duration,
-        head_bytes: usize,
+        head: &Parts,
     ) -> Result<Charge> {
         let mut charge = self.enter(owner, time);
-        charge.grow(REQUEST_BYTES + head_bytes).await?;
+        charge.grow(REQUEST_BYTES + head_memory(head)).await?;
         Ok(charge)
     }
 
@@ -165,6 +169,11 @@
     }
 }
 
+/// Returns the memory that a head takes, in bytes.
+fn head_memory(head: &Parts) -> usize {
+    head_bytes(head) + FIELD_BYTES * head.headers.len()
+}
+
 impl Table {
     fn cancel(&self, ticket: Ticket) {
         if let Some(yielded) = self.holders.get(&ticket) {
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -123,11 +123,10 @@
     trace.parts.clone_from(&head.parts);
     let owner = Owner::named(&trace.customer);
     let timeout = head.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-    let head_bytes = head_bytes(&parts);
-    if let Some(error) = table.bounds().and_then(|bounds| check_head(head_bytes, bounds)) {
+    if let Some(error) = table.bounds().and_then(|bounds| check_head(&parts, bounds)) {
         return close(&parts, trace.respond(&error));
     }
-    let mut charge = match gateway.intake.admit(owner, timeout, head_bytes).await {
+    let mut charge = match gateway.intake.admit(owner, timeout, &parts).await {
         Ok(charge) => charge,
         Err(full) => return close(&parts, trace.respond(&no_room(full))),
     };
@@ -254,8 +253,8 @@
     })
 }
 
-fn check_head(head_bytes: usize, bounds: &Bounds) -> Option<ErrorResponse> {
-    (head_bytes > bounds.header_bytes as usize).then(|| {
+fn check_head(parts: &Parts, bounds: &Bounds) -> Option<ErrorResponse> {
+    (head_bytes(parts) > bounds.header_bytes as usize).then(|| {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         let detail = format!("the head is larger than {} bytes", bounds.header_bytes);
         ErrorResponse::rejected(status, "oversized head", detail)
