Bound the read buffers of connections to upstreams

Cause: the read buffer of a connection to an upstream grows up to 400 KiB while a large answer arrives, outside the budget, and there may be as many such connections as requests.

Change: the buffer has at most 32 KiB, and with it the head of an upstream's answer.

--- a/crates/goldcrestvale_upstream/src/connection.rs
+++ b/crates/goldcrestvale_upstream/src/connection.rs
@@ -23,6 +23,9 @@
 /// link, but less than a caller waits for an event.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of the read buffer of an HTTP/1.1 connection, and of the head of an answer, in bytes.
+const MAX_READ_BUFFER: usize = 32 << 10;
+
 /// The protocol of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Protocol {
@@ -49,7 +52,11 @@
         let io = TokioIo::new(stream);
         match protocol {
             Protocol::Http1 => {
-                let (sender, task) = http1::handshake(io).await.map_err(|e| e.to_string())?;
+                let (sender, task) = http1::Builder::new()
+                    .max_buf_size(MAX_READ_BUFFER)
+                    .handshake(io)
+                    .await
+                    .map_err(|e| e.to_string())?;
                 tokio::spawn(task);
                 Ok(Self::Http1(sender))
             }
