Count 40 KiB for a connection

A connection with a head of 14 KiB that is not complete takes 39 KiB of an entry instance with several threads, where the sum counted 32: `entry::partial_heads` took 76 MB where 64 are for connections. 40 KiB count now, so a machine with 160 MB has 976 connections in place of 1,220.

--- a/crates/goldcrestvale_route/src/intake/machine.rs
+++ b/crates/goldcrestvale_route/src/intake/machine.rs
@@ -4,7 +4,7 @@
 const FILE_DESCRIPTORS: u64 = 200;
 
 /// Memory of an open connection, in bytes: its buffers, filled by a head that is not complete.
-const CONNECTION_BYTES: u64 = 32 << 10;
+const CONNECTION_BYTES: u64 = 40 << 10;
 
 /// Memory of a multiplexed connection beyond that, in bytes: its streams, their heads and the bytes
 /// that no request has read yet.
@@ -27,7 +27,7 @@
     ///
     /// let machine = Machine { memory_bytes: 160_000_000, descriptors: 4_100 };
     /// assert_eq!(machine.request_bytes(), 40_000_000);
-    /// assert_eq!(machine.connections(), 1_220);
+    /// assert_eq!(machine.connections(), 976);
     /// assert_eq!(machine.multiplexed_connections(), 19);
     /// ```
     pub struct Machine {
