Read nothing after a connection was refused HTTP/2

A second read after the refusal would have polled a future that had completed, which panics. Found on reading; no such read was seen, since the HTTP library ends a connection after an error.

--- a/crates/goldcrestvale_entry/src/server/stream.rs
+++ b/crates/goldcrestvale_entry/src/server/stream.rs
@@ -86,6 +86,8 @@
     fn poll_opening(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if let Some(opening) = &mut self.opening {
             if !ready!(opening.as_mut().poll(cx)) {
+                // Nothing is read after the error.
+                self.opening = Some(Box::pin(std::future::pending()));
                 return Poll::Ready(Err(self.exceed(Limit::NoHttp2Place)));
             }
             self.opening = None;
