Bound the connections from peers by the machine

Cause: 1,024 connections are accepted there, whatever the machine has.

Change: connections from peers take at most an eighth of the descriptors: 487 with 4,100, where an instance has up to 48 links.

--- a/crates/goldcrestvale_entry/src/peers.rs
+++ b/crates/goldcrestvale_entry/src/peers.rs
@@ -287,7 +287,7 @@
 }
 
 fn peer_settings(node: &Node, address: SocketAddr, secret: &Secret) -> Settings {
-    let settings::Settings { instance, peer, .. } = &node.settings;
+    let settings::Settings { instance, machine, peer, .. } = &node.settings;
     let own = Identity {
         instance: instance.name.clone(),
         incarnation: node.incarnation,
@@ -301,7 +301,8 @@
         .gossip(peer.heartbeat * 5)
         .loan_duration(peer.limit_hold);
     let keys = Keyring { primary: secret.clone(), secondary: peer.accepted_secret.clone() };
-    Settings { max_connections: peer.connections, ..Settings::new(membership, keys) }
+    let max_connections = peer.connections.min(machine.peer_connections());
+    Settings { max_connections, ..Settings::new(membership, keys) }
         .origin(node.clock.origin())
         .max_frame(peer.frame_bytes)
         .queue(MAX_QUEUED_MESSAGES, peer.queue_bytes)
--- a/crates/goldcrestvale_entry/src/settings.rs
+++ b/crates/goldcrestvale_entry/src/settings.rs
@@ -178,7 +178,7 @@
     pub frame_bytes: usize,
     /// Maximum size of the messages queued for one peer, in bytes.
     pub queue_bytes: usize,
-    /// Maximum number of connections from peers.
+    /// Maximum number of connections from peers; the machine may hold fewer.
     pub connections: usize,
     /// Maximum time to wait for a peer's answer to a query.
     pub ask_timeout: Duration,
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -264,6 +264,8 @@
         .gossip(settings.heartbeat * 4);
     let secret = settings.secret.clone().unwrap_or_else(|| Secret::new([0; 32]));
     let tasks = Tasks::new(membership, Keyring::new(secret)).origin(gateway.clock.origin());
+    let max_connections = tasks.max_connections.min(gateway.settings.machine.peer_connections());
+    let tasks = Tasks { max_connections, ..tasks };
     let handler = Handler { gateway: Arc::downgrade(gateway) };
     // A second start keeps the tasks of the first one.
     let _ = gateway.peers.handle.set(peer::start_on(listener, tasks, handler));
--- a/crates/goldcrestvale_route/src/intake/machine.rs
+++ b/crates/goldcrestvale_route/src/intake/machine.rs
@@ -18,7 +18,7 @@
     /// and an eighth for what connections with several requests at once hold beyond that. The rest is
     /// for the process itself, its configuration, upstreams and peers. Callers' connections take at
     /// most half of the descriptors, since each request in progress may need a connection to an
-    /// upstream.
+    /// upstream, and connections from peers an eighth.
     ///
     /// # Examples
     ///
@@ -29,6 +29,7 @@
     /// assert_eq!(machine.request_bytes(), 40_000_000);
     /// assert_eq!(machine.connections(), 976);
     /// assert_eq!(machine.multiplexed_connections(), 19);
+    /// assert_eq!(machine.peer_connections(), 487);
     /// ```
     pub struct Machine {
         /// Resident memory, in bytes.
@@ -53,14 +54,22 @@
     /// Returns the number of connections that callers may keep open.
     pub fn connections(&self) -> usize {
         let by_memory = self.memory_bytes / 4 / CONNECTION_BYTES;
-        let by_descriptors = self.descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
-        count(by_memory.min(by_descriptors))
+        count(by_memory.min(self.sockets() / 2))
     }
 
     /// Returns how many of these connections may have several requests at once.
     pub fn multiplexed_connections(&self) -> usize {
         count(self.memory_bytes / 8 / MULTIPLEXED_BYTES).min(self.connections())
     }
+
+    /// Returns the number of connections from peers, and from whoever connects to their address.
+    pub fn peer_connections(&self) -> usize {
+        count(self.sockets() / 8)
+    }
+
+    fn sockets(&self) -> u64 {
+        self.descriptors.saturating_sub(FILE_DESCRIPTORS)
+    }
 }
 
 /// Returns a maximum of connections: at least one.
--- a/crates/goldcrestvale_route/tests/connection_places.rs
+++ b/crates/goldcrestvale_route/tests/connection_places.rs
@@ -63,15 +63,16 @@
 #[test]
 fn machine_bounds_connections() {
     let table = [
-        (160_000_000, 4_100, 976, 19),
-        (260_000_000, 4_200, 1_586, 30),
-        (390_000_000, 6_150, 2_380, 46),
-        (64_000_000, 100, 1, 1),
+        (160_000_000, 4_100, 976, 19, 487),
+        (260_000_000, 4_200, 1_586, 30, 500),
+        (390_000_000, 6_150, 2_380, 46, 743),
+        (64_000_000, 100, 1, 1, 1),
     ];
-    for (memory_bytes, descriptors, connections, multiplexed) in table {
+    for (memory_bytes, descriptors, connections, multiplexed, peers) in table {
         let machine = Machine { memory_bytes, descriptors };
         assert_eq!(machine.connections(), connections, "{machine:?}");
         assert_eq!(machine.multiplexed_connections(), multiplexed, "{machine:?}");
+        assert_eq!(machine.peer_connections(), peers, "{machine:?}");
     }
 }
 
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -246,3 +246,15 @@
     gateway.check_ready().await;
     drop(crowd);
 }
+
+/// A crowd at the address for peers leaves the gateway within its descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn crowd_at_the_peers() {
+    let _alone = crowds::alone().await;
+    let gateway = Gateway::start().await;
+    let started = gateway.usage();
+    let crowd = Crowd::new(1_500, Client::Silent).start_at(gateway.peers_address()).await;
+    gateway.check_answer().await;
+    gateway.check_usage(&started);
+    drop(crowd);
+}
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -107,6 +107,11 @@
         self.ready
     }
 
+    /// Returns the address for peers.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.control
+    }
+
     /// Waits until the readiness check succeeds.
     pub async fn check_ready(&self) {
         let caller = goldcrestvale_standin::caller::Caller::default();
