--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -12,6 +12,7 @@
 #[path = "../platform/tests/gateway/web.rs"]
 mod web;
 
+#[allow(dead_code)]
 mod crowds;
 
 use std::time::Duration;
--- a/tests/crowds/client.rs
+++ b/tests/crowds/client.rs
@@ -155,6 +155,11 @@
         self
     }
 
+    /// Returns the number of members and what the first one does.
+    pub fn describe(&self) -> String {
+        format!("{} x {:?}", self.members.len(), self.members.first())
+    }
+
     /// Sends to a front end and returns once every member has sent what it sends.
     pub async fn start(self, front: &impl Front) -> Staying {
         self.run(front.address(), |client| front.head(client.target())).await
--- a/tests/crowds/gateway.rs
+++ b/tests/crowds/gateway.rs
@@ -3,7 +3,7 @@
 use std::{io::Write, net::SocketAddr, path::Path, time::Duration};
 
 use bytes::Bytes;
-use goldcrestvale_standin::process::Process;
+use goldcrestvale_standin::process::{Process, Signal};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -40,16 +40,35 @@
 
 /// A gateway process, with a store and an upstream in the process of the test.
 pub struct Gateway {
-    _process: Process,
+    process: Process,
     watch: Watch,
     callers: SocketAddr,
     ready: SocketAddr,
     control: SocketAddr,
     upstream: SocketAddr,
-    _settings: NamedTempFile,
+    store: Store,
+    settings: NamedTempFile,
     _stop: DropGuard,
 }
 
+/// Limits of the configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub body_bytes: usize,
+    pub header_timeout: Duration,
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: IDLE_TIMEOUT,
+        }
+    }
+}
+
 impl Gateway {
     /// Starts the gateway and waits until it is ready.
     pub async fn start() -> Self {
@@ -73,35 +92,55 @@
         stop: CancellationToken,
     ) -> Self {
         let store = Store::start(stop.clone()).await;
-        store.put("keyed.op", "config", &configuration());
+        store.put("keyed.op", "config", &configuration(1, Limits::default()));
         store.put("keyed.servers", "desk-1", &registration(upstream));
         let control = free_address().await;
         let fields = fields(name, store.address, control, seeds);
         let mut settings = NamedTempFile::with_suffix(".ini").unwrap();
         settings.write_all(fill_template(&fields).as_bytes()).unwrap();
-        let path = settings.path().display().to_string();
-        let arguments = ["serve".to_owned(), "--settings".to_owned(), path];
-        let program = Path::new(env!("CARGO_BIN_EXE_goldcrestvale"));
-        let mut process = Process::spawn(program, &arguments).unwrap();
-        let line = process.wait_line("\"listening\"").await.unwrap();
-        let line: Value = serde_json::from_str(&line).unwrap();
-        let address = |key: &str| line[key].as_str().unwrap().parse().unwrap();
+        let (process, callers, ready) = spawn(settings.path()).await;
         let watch = Watch::new(process.id());
+        let stop = stop.drop_guard();
         let gateway = Self {
+            process,
             watch,
-            callers: address("callers"),
-            ready: address("ready"),
+            callers,
+            ready,
             control,
             upstream,
-            _process: process,
-            _settings: settings,
-            _stop: stop.drop_guard(),
+            store,
+            settings,
+            _stop: stop,
         };
-        gateway.check_ready().await;
-        gateway.check_answer().await;
+        gateway.check_serves().await;
         gateway
     }
 
+    /// Waits until the gateway is ready and answers.
+    async fn check_serves(&self) {
+        self.check_ready().await;
+        self.check_answer().await;
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal).expect("the process has ended");
+    }
+
+    /// Waits until the process, which has got a signal, has ended, and starts another one.
+    pub async fn restart(&mut self) {
+        let ended = tokio::time::timeout(super::ANSWER_TIMEOUT, self.process.wait()).await;
+        ended.expect("the process does not end").unwrap();
+        (self.process, self.callers, self.ready) = spawn(self.settings.path()).await;
+        self.watch = Watch::new(self.process.id());
+        self.check_serves().await;
+    }
+
+    /// Writes a version of the configuration.
+    pub fn configure(&self, version: u64, limits: Limits) {
+        self.store.put("keyed.op", "config", &configuration(version, limits));
+    }
+
     /// Returns the address of the readiness check.
     pub fn ready_address(&self) -> SocketAddr {
         self.ready
@@ -155,10 +194,22 @@
     }
 }
 
-/// Returns a configuration with one service and limits like those of the users.
-fn configuration() -> Value {
+/// Starts a gateway, and returns it with its addresses for callers and for the readiness check.
+async fn spawn(settings: &Path) -> (Process, SocketAddr, SocketAddr) {
+    let path = settings.display().to_string();
+    let arguments = ["serve".to_owned(), "--settings".to_owned(), path];
+    let program = Path::new(env!("CARGO_BIN_EXE_goldcrestvale"));
+    let mut process = Process::spawn(program, &arguments).unwrap();
+    let line = process.wait_line("\"listening\"").await.unwrap();
+    let line: Value = serde_json::from_str(&line).unwrap();
+    let address = |key: &str| line[key].as_str().unwrap().parse().unwrap();
+    (process, address("callers"), address("ready"))
+}
+
+/// Returns a configuration with one service, and limits that are by default like those of the users.
+fn configuration(version: u64, limits: Limits) -> Value {
     json!({
-        "version": 1,
+        "version": version,
         "routes": [{
             "name": "desk", "host": HOST, "pathPrefix": "/desk/", "kind": "safe", "service": "desk",
             "timeoutMs": 60_000, "targetLatencyMs": 30_000, "priority": 1, "maxAttempts": 2,
@@ -168,8 +219,9 @@
             { "name": "desk", "healthPath": "/health", "maxConns": 1_000, "protocol": "h1" },
         ],
         "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3_000,
-            "idleTimeoutMs": IDLE_TIMEOUT.as_millis() as u64,
+            "maxHeaderBytes": 16_384, "maxBodyBytes": limits.body_bytes,
+            "headerTimeoutMs": limits.header_timeout.as_millis() as u64,
+            "idleTimeoutMs": limits.idle_timeout.as_millis() as u64,
         },
     })
 }
