End a list whose pages do not get on

What callers saw: while a page of a list led back to itself, instances that started were never ready, and those that listed again read nothing any more.

Cause: nothing in `Store::newest` ends but `hasMore`. A page without a new record was added again and the same page asked for again.

Such a list is marked as partial: upstreams that it lacks count as gone only after the time that the records of live ones take to come back, trials are added to the known ones in place of replacing them, and it is counted (`partial list`) and logged.

--- a/crates/goldcrestvale_entry/src/trial_log.rs
+++ b/crates/goldcrestvale_entry/src/trial_log.rs
@@ -81,6 +81,15 @@
     pub next: Offset,
 }
 
+/// The newest record of each key at least.
+#[derive(Debug, Clone, PartialEq)]
+pub struct List {
+    /// The records.
+    pub page: Page,
+    /// Whether the list did not reach all records.
+    pub is_partial: bool,
+}
+
 /// A front end whose requests are sent in trials.
 pub trait Host: Send + Sync + 'static {
     /// Returns what the instance knows of requests that crash upstreams.
@@ -102,7 +111,7 @@
     fn set_tried(&self) {}
 
     /// Returns the newest record of each key at least, in the order of the log.
-    fn list(&self) -> impl Future<Output = Result<Page>> + Send;
+    fn list(&self) -> impl Future<Output = Result<List>> + Send;
 
     /// Reads the records from an offset on; waits up to `wait` for the first one.
     fn tail(&self, from: Offset, wait: Duration) -> impl Future<Output = Result<Page>> + Send;
@@ -339,8 +348,15 @@
             page
         }
         None => {
-            let page = host.list().await?;
-            host.watch().reset_records(host.clock().now(), host.clock().wall(), &page.records);
+            let List { page, is_partial } = host.list().await?;
+            let (now, wall) = (host.clock().now(), host.clock().wall());
+            if is_partial {
+                warn!(records = page.records.len(); "list of the trials is not whole");
+                host.count_failure();
+                host.watch().apply_records(now, wall, &page.records);
+            } else {
+                host.watch().reset_records(now, wall, &page.records);
+            }
             page
         }
     };
--- a/crates/goldcrestvale_entry/src/trial_stream.rs
+++ b/crates/goldcrestvale_entry/src/trial_stream.rs
@@ -13,7 +13,7 @@
     daemon::{Builder, Part},
     node::Node,
     phase::Prerequisite,
-    trial_log::{self, Error, Host, Page, Position, Result},
+    trial_log::{self, Error, Host, List, Page, Position, Result},
 };
 
 /// The name of the stream.
@@ -60,7 +60,7 @@
         self.lifecycle.satisfy(Prerequisite::Trials);
     }
 
-    async fn list(&self) -> Result<Page> {
+    async fn list(&self) -> Result<List> {
         let (mut records, mut next) = (Vec::new(), Offset(0));
         loop {
             match read(self, next, Duration::ZERO).await {
@@ -68,7 +68,7 @@
                     records.extend(page.records);
                     next = page.next;
                     if next >= end {
-                        return Ok(Page { records, next });
+                        return Ok(List { page: Page { records, next }, is_partial: false });
                     }
                 }
                 Err(goldcrestvale_platform::Error::Trimmed { oldest, .. }) => next = oldest,
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -16,13 +16,16 @@
     directory_changes::{SentChange, encode, millis, record_effects},
     directory_state::{position, upstream_pace},
     gateway::Gateway,
-    port::{Change, Error, Page, Port, Resource, Result},
+    port::{Change, Error, List, Page, Port, Resource, Result},
 };
 
 /// Maximum time between two looks at the schedule of a resource, whose times change with messages
 /// of the peers.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
+/// Label under which lists that did not reach all records are counted as failures.
+const PARTIAL_LIST: &str = "partial list";
+
 /// Part of the operator's bound for which a read of the configuration waits for a change. The other
 /// instances of the failure domain notice after little more than that time that the reads ended.
 const WAIT_PART: u32 = 5;
@@ -44,7 +47,7 @@
         let Some(read) = stop.run_until_cancelled(read).await else { return };
         log_reachability(Resource::Configuration, &read, &mut is_reachable);
         let page = match read {
-            Ok(page) => page,
+            Ok(List { page, .. }) => page,
             Err(Error::Trimmed { .. }) => {
                 next = None;
                 continue;
@@ -118,7 +121,10 @@
         let Some(read) = stop.run_until_cancelled(read).await else { return };
         log_reachability(Resource::Upstreams, &read, &mut is_reachable);
         match read {
-            Ok(page) => {
+            Ok(List { page, is_partial }) => {
+                if is_partial {
+                    gateway.directory.upstreams().start_grace(&gateway);
+                }
                 let changes = apply_read(&gateway, &page, from.is_none(), now);
                 gateway.set_listed();
                 if let Some(changes) = changes {
@@ -165,19 +171,27 @@
     resource: Resource,
     from: Option<Offset>,
     wait: Duration,
-) -> Result<Page> {
+) -> Result<List<Page>> {
     let (call, read) = match from {
-        Some(from) => ("tail", gateway.port.tail(resource, from, wait).await),
+        Some(from) => {
+            let tail = gateway.port.tail(resource, from, wait).await;
+            ("tail", tail.map(|page| List { page, is_partial: false }))
+        }
         None => ("list", gateway.port.list(resource).await),
     };
     gateway.metrics.count_directory_read(call);
-    if read.is_err() {
-        gateway.metrics.count_directory_failure(call);
+    match &read {
+        Ok(List { is_partial: true, page }) => {
+            gateway.metrics.count_directory_failure(PARTIAL_LIST);
+            warn!(subject:? = resource, changes = page.changes.len(); "list of the directory is not whole");
+        }
+        Ok(_) => {}
+        Err(_) => gateway.metrics.count_directory_failure(call),
     }
-    read.map(Page::newest)
+    read.map(|list| List { page: list.page.newest(), ..list })
 }
 
-fn log_reachability(resource: Resource, read: &Result<Page>, is_reachable: &mut bool) {
+fn log_reachability(resource: Resource, read: &Result<List<Page>>, is_reachable: &mut bool) {
     match read {
         Ok(_) if !*is_reachable => info!(subject:? = resource; "directory is reached again"),
         Err(e) if *is_reachable => {
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -273,10 +273,19 @@
     }
 }
 
+/// The newest record of every key.
+#[derive(Debug, Clone, PartialEq)]
+pub struct List<P> {
+    /// The records, as a page of changes.
+    pub page: P,
+    /// Whether the list did not reach all records. It then has those that were written lately.
+    pub is_partial: bool,
+}
+
 /// Reads the records of operators and upstreams.
 pub trait Directory: Send + Sync + 'static {
     /// Returns the newest record of every key.
-    fn list(&self, resource: Resource) -> impl Future<Output = Result<Page>> + Send;
+    fn list(&self, resource: Resource) -> impl Future<Output = Result<List<Page>>> + Send;
 
     /// Reads the changes from an offset on; waits up to `wait` for the first one.
     fn tail(
@@ -410,7 +419,7 @@
 /// Keeps the trials of requests in a log that all instances read, by key.
 pub trait TrialLog: Send + Sync + 'static {
     /// Returns the newest record of every key.
-    fn list_trials(&self) -> impl Future<Output = Result<TrialPage>> + Send;
+    fn list_trials(&self) -> impl Future<Output = Result<List<TrialPage>>> + Send;
 
     /// Reads the records from an offset on; waits up to `wait` for the first one.
     fn tail_trials(
--- a/crates/goldcrestvale_gateway/src/trial_log.rs
+++ b/crates/goldcrestvale_gateway/src/trial_log.rs
@@ -6,7 +6,7 @@
 use goldcrestvale_entry::{
     clock::Clock,
     crash_watch::CrashWatch,
-    trial_log::{self, Attempt, Error, Held, Host, Page, Position},
+    trial_log::{self, Attempt, Error, Held, Host, List, Page, Position},
 };
 use goldcrestvale_route::trials::Record;
 
@@ -39,12 +39,13 @@
         self.metrics.count_directory_failure("trials");
     }
 
-    async fn list(&self) -> trial_log::Result<Page> {
-        page(self.port.list_trials().await)
+    async fn list(&self) -> trial_log::Result<List> {
+        let list = self.port.list_trials().await.map_err(error)?;
+        Ok(List { page: page(list.page), is_partial: list.is_partial })
     }
 
     async fn tail(&self, from: Offset, wait: Duration) -> trial_log::Result<Page> {
-        page(self.port.tail_trials(from, wait).await)
+        self.port.tail_trials(from, wait).await.map(page).map_err(error)
     }
 
     async fn append(&self, records: &[Record]) -> trial_log::Result<()> {
@@ -52,8 +53,8 @@
     }
 }
 
-fn page(read: port::Result<TrialPage>) -> trial_log::Result<Page> {
-    read.map(|TrialPage { records, next }| Page { records, next }).map_err(error)
+fn page(TrialPage { records, next }: TrialPage) -> Page {
+    Page { records, next }
 }
 
 fn error(error: port::Error) -> Error {
