Log and count the records of upstreams that cannot be read

What operators saw: nothing.

Cause: only an unreadable configuration was logged.

Change: each write of such a record is counted (`goldcrestvale_unreadable_records`, without a label: its name comes from outside), and its key and the error are logged once for up to 64 keys. A log line escapes the key as any other value.

--- a/crates/goldcrestvale_gateway/src/directory_state.rs
+++ b/crates/goldcrestvale_gateway/src/directory_state.rs
@@ -1,6 +1,7 @@
 //! What is known of the directory, and when this instance reads it.
 
 use std::{
+    collections::HashSet,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -15,6 +16,9 @@
 /// change arrives in time although one of them is lost.
 const CONFIGURATION_READERS: usize = 2;
 
+/// Maximum number of records that cannot be decoded and are logged, each one once.
+const MAX_LOGGED_RECORDS: usize = 64;
+
 /// What is known of the directory, and when this instance reads it.
 #[derive(Debug)]
 pub(crate) struct DirectoryState {
@@ -30,6 +34,8 @@
     pub(crate) schedule: ReadSchedule,
     pub(crate) listing: Listing,
     pub(crate) recent: RecentReads,
+    /// Keys of the records that cannot be decoded and were logged.
+    logged: HashSet<String>,
     /// Until when records that vanished may return.
     grace_until: Option<Instant>,
 }
@@ -70,6 +76,11 @@
 }
 
 impl Upstreams {
+    /// Returns whether a record that cannot be decoded is to be logged: not for each of its writes.
+    pub(crate) fn may_log(&mut self, key: &str) -> bool {
+        self.logged.len() < MAX_LOGGED_RECORDS && self.logged.insert(key.to_owned())
+    }
+
     pub(crate) fn due<P>(&mut self, gateway: &Gateway<P>, pace: Pace) -> Instant {
         self.schedule.set_position(position(gateway));
         self.schedule.due(pace)
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -122,6 +122,7 @@
         log_reachability(Resource::Upstreams, &read, &mut is_reachable);
         match read {
             Ok(List { page, is_partial }) => {
+                record_unreadable(&gateway, &page);
                 if is_partial {
                     gateway.directory.upstreams().start_grace(&gateway);
                 }
@@ -202,6 +203,17 @@
     *is_reachable = read.is_ok();
 }
 
+/// Logs and counts the records that cannot be decoded.
+fn record_unreadable<P>(gateway: &Gateway<P>, page: &Page) {
+    for change in &page.changes {
+        let Change::Unreadable { key, detail } = change else { continue };
+        gateway.metrics.count_unreadable();
+        if gateway.directory.upstreams().may_log(key) {
+            warn!(key = key.as_str(), detail = detail.as_str(); "record of an upstream cannot be read");
+        }
+    }
+}
+
 /// Applies a page that this instance read; returns what the peers need to apply it as well.
 fn apply_read<P>(
     gateway: &Gateway<P>,
--- a/crates/goldcrestvale_gateway/src/metrics.rs
+++ b/crates/goldcrestvale_gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     recovery: Histogram<f64>,
     directory_reads: Counter<u64>,
     directory_failures: Counter<u64>,
+    unreadable_records: Counter<u64>,
     orders: Counter<u64>,
     estimate_ratio: Histogram<f64>,
     waiting: UpDownCounter<i64>,
@@ -42,6 +43,7 @@
             recovery: meter.f64_histogram("goldcrestvale_stream_recovery_seconds").build(),
             directory_reads: meter.u64_counter("goldcrestvale_directory_reads").build(),
             directory_failures: meter.u64_counter("goldcrestvale_directory_failures").build(),
+            unreadable_records: meter.u64_counter("goldcrestvale_unreadable_records").build(),
             orders: meter.u64_counter("goldcrestvale_engine_orders").build(),
             estimate_ratio: meter.f64_histogram("goldcrestvale_estimate_ratio").build(),
             waiting: meter.i64_up_down_counter("goldcrestvale_waiting").build(),
@@ -90,6 +92,11 @@
         self.directory_failures.add(1, &[KeyValue::new("call", call)]);
     }
 
+    /// Counts a record of the directory that cannot be decoded.
+    pub(crate) fn count_unreadable(&self) {
+        self.unreadable_records.add(1, &[]);
+    }
+
     /// Records how an answer compares to its estimate.
     pub(crate) fn record_estimate_ratio(&self, ratio: f64) {
         self.estimate_ratio.record(ratio, &[]);
