Decode what peers send of the directory one by one

What callers saw: an instance that the store does not reach knows upstreams by its peers only. One entry of a peer's list, or one change, that this build can't decode took all of the message away, so it refused requests that its upstreams could serve.

Cause: the JSON lists of a message were decoded as a whole. Every sender writes what its own build can decode, so this needs builds side by side; no run of ours has shown it.

Evidence: a peer of the tests sends six odd entries around a new upstream, in a list, in changes and in amendments. On the code before, the upstream gets no request; both tests fail.

Change: `base::lenient::Entry` decodes the entries of a list one by one. A list that lacks some removes no upstream, and after changes that lack some the directory is listed again. A list without any byte is malformed as before.

Result: both tests pass.

--- a/crates/goldcrestvale_base/src/lib.rs
+++ b/crates/goldcrestvale_base/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod exchange;
 pub mod id;
+pub mod lenient;
 pub mod prompt;
 pub mod retry_loan;
 pub mod time;
--- a/crates/goldcrestvale_gateway/src/directory_changes.rs
+++ b/crates/goldcrestvale_gateway/src/directory_changes.rs
@@ -3,11 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use goldcrestvale_base::id::{Instance, Offset, Upstream};
+use goldcrestvale_base::{
+    id::{Instance, Offset, Upstream},
+    lenient::{self, Entry},
+};
 use goldcrestvale_member::leaving::Source;
 use goldcrestvale_peer::events::{Changes, List, Scope};
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     catalog::CatalogChange,
@@ -74,8 +77,9 @@
     match changes.scope() {
         Scope::Configuration => gateway.handle_read(from, changes.next),
         Scope::Amendments => {
-            let Some(sent) = decode(from, &changes.bytes) else { return };
+            let Some(sent) = decode_changes(from, &changes.bytes) else { return };
             let presences: Vec<Presence> = sent
+                .decoded
                 .into_iter()
                 .filter_map(|change| match change {
                     SentChange::Registered(presence) => Some(presence),
@@ -89,7 +93,7 @@
             });
         }
         Scope::Upstreams => {
-            let Some(sent) = decode(from, &changes.bytes) else { return };
+            let Some(sent) = decode_changes(from, &changes.bytes) else { return };
             handle_upstreams(gateway, changes, sent, precedes);
         }
     }
@@ -98,7 +102,7 @@
 fn handle_upstreams<P>(
     gateway: &Gateway<P>,
     changes: &Changes,
-    sent: Vec<SentChange>,
+    sent: Received<SentChange>,
     precedes: bool,
 ) {
     let now = gateway.now();
@@ -115,6 +119,7 @@
     upstreams.schedule.record_update(now, precedes);
     let page = Page {
         changes: sent
+            .decoded
             .into_iter()
             .map(|change| match change {
                 SentChange::Registered(presence) => Change::Registered(presence.registration),
@@ -131,6 +136,13 @@
     if let Some(applied) = &applied {
         upstreams.recent.insert(own, applied.clone());
     }
+    if !sent.is_whole {
+        // The directory has what could not be decoded.
+        upstreams.listing.restart();
+        let draw = gateway.random_unit();
+        upstreams.schedule.record_gap(now, upstream_pace(gateway), draw);
+        gateway.directory.upstreams_wakeup.notify_one();
+    }
     let listing = &upstreams.listing;
     gateway.update(|state| {
         let gone = page.changes.iter().filter(|change| is_gone(change, listing)).cloned();
@@ -160,16 +172,17 @@
     gateway: &Gateway<P>,
     from: &Instance,
     list: &List,
-    presences: &[Presence],
+    presences: &Received<Presence>,
 ) -> Vec<Presence> {
     let now = gateway.now();
-    let known_to = Offset(list.offset);
+    // A list that lacks what could not be decoded shows no upstream to be gone.
+    let known_to = if presences.is_whole { Offset(list.offset) } else { Offset(0) };
     let grace = Duration::from_millis(list.grace_ms.into());
     let grace = (!grace.is_zero()).then_some(grace);
     let mut merged = Vec::new();
     gateway.update(|state| {
         let own_known_to = state.catalog.known_to();
-        let effects = state.catalog.merge_list(presences, known_to, now, grace);
+        let effects = state.catalog.merge_list(&presences.decoded, known_to, now, grace);
         if !effects.is_empty() {
             info!(
                 instance:% = from,
@@ -242,14 +255,38 @@
     }
 }
 
-fn decode(from: &Instance, bytes: &Bytes) -> Option<Vec<SentChange>> {
-    if bytes.is_empty() {
-        return Some(Vec::new());
+/// The entries of a message of a peer.
+pub(crate) struct Received<T> {
+    /// The entries that could be decoded, in order.
+    pub(crate) decoded: Vec<T>,
+    /// Whether these are all.
+    pub(crate) is_whole: bool,
+}
+
+/// Decodes changes that a peer sent; no bytes are no changes.
+fn decode_changes(from: &Instance, bytes: &Bytes) -> Option<Received<SentChange>> {
+    match bytes.is_empty() {
+        true => Some(Received { decoded: Vec::new(), is_whole: true }),
+        false => decode_entries(from, bytes),
     }
-    match serde_json::from_slice(bytes) {
-        Ok(changes) => Some(changes),
+}
+
+/// Decodes a JSON list that a peer sent; returns `None` if it is no list.
+pub(crate) fn decode_entries<T: DeserializeOwned>(
+    from: &Instance,
+    bytes: &Bytes,
+) -> Option<Received<T>> {
+    match serde_json::from_slice::<Vec<Entry<T>>>(bytes) {
+        Ok(entries) => {
+            let (decoded, errors) = lenient::split(entries);
+            if let Some(e) = errors.first() {
+                let count = errors.len();
+                warn!(instance:% = from, count, error:% = e; "entries of a peer cannot be read");
+            }
+            Some(Received { decoded, is_whole: errors.is_empty() })
+        }
         Err(e) => {
-            warn!(instance:% = from, error:% = e; "a peer's changes are malformed");
+            warn!(instance:% = from, error:% = e; "a peer's list is malformed");
             None
         }
     }
--- a/crates/goldcrestvale_gateway/src/peers.rs
+++ b/crates/goldcrestvale_gateway/src/peers.rs
@@ -44,7 +44,7 @@
 
 use crate::{
     crash_watch::handle_evidence,
-    directory_changes::{handle_changes, merge_list, millis, send_amendments},
+    directory_changes::{decode_entries, handle_changes, merge_list, millis, send_amendments},
     failover::probe,
     gateway::Gateway,
     port::{Port, Presence, Registration},
@@ -437,15 +437,11 @@
         if gateway.is_directory_reached() {
             return;
         }
-        match serde_json::from_slice::<Vec<Presence>>(&list.bytes) {
-            Ok(presences) => {
-                let merged = merge_list(&gateway, from, &list, &presences);
-                gateway.set_listed();
-                if !merged.is_empty() {
-                    tokio::spawn(async move { send_amendments(&gateway, merged).await });
-                }
-            }
-            Err(e) => warn!(instance:% = from, error:% = e; "a peer's list is malformed"),
+        let Some(presences) = decode_entries::<Presence>(from, &list.bytes) else { return };
+        let merged = merge_list(&gateway, from, &list, &presences);
+        gateway.set_listed();
+        if !merged.is_empty() {
+            tokio::spawn(async move { send_amendments(&gateway, merged).await });
         }
     }
 
