Decode the instance list one by one

What callers saw: on the own interface, one entry of the platform's list with an unknown role or state, an address that is none or a name of another form took the whole list away. An instance that started was not ready; a running one kept what it knew and learned of nothing new.

Cause: `Listing` was decoded as a whole.

Evidence: on the code before, the new test fails with the first of its 8 odd entries (`invalid type: integer 7, expected struct Listed`).

That some are left out is logged once.

--- a/crates/goldcrestvale_platform/src/message.rs
+++ b/crates/goldcrestvale_platform/src/message.rs
@@ -1,12 +1,19 @@
 //! JSON bodies of the requests to the platform and of its answers.
 
+use std::sync::Once;
+
 use goldcrestvale_base::{
     domain,
     id::{Domain, Offset, RecordId},
+    lenient::{self, Entry as LenientEntry},
     time::Wall,
 };
+use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 
+/// Limits the log lines on instances that cannot be read to one.
+static UNREADABLE_INSTANCE: Once = Once::new();
+
 /// A record to append.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
@@ -100,7 +107,20 @@
     pub struct Listing {
         /// Time that the list describes, which lags behind the current time.
         pub as_of: Wall,
-        /// The instances.
+        /// The instances. Those of another form in the JSON text are left out.
+        #[serde(deserialize_with = "listed")]
         pub instances: Vec<Listed>,
     }
 }
+
+/// Decodes the instances of a list, each by itself.
+fn listed<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Listed>, D::Error> {
+    let entries = Vec::<LenientEntry<Listed>>::deserialize(deserializer)?;
+    let (instances, errors) = lenient::split(entries);
+    if let Some(e) = errors.first() {
+        UNREADABLE_INSTANCE.call_once(|| {
+            log::warn!(count = errors.len(), error:% = e; "entries of the instance list cannot be read");
+        });
+    }
+    Ok(instances)
+}
--- /dev/null
+++ b/crates/goldcrestvale_platform/tests/odd_entry.rs
@@ -0,0 +1,66 @@
+//! Entries of the instance list and records of the log that other writers left.
+#![allow(clippy::unwrap_used)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestvale_base::time::Wall;
+use goldcrestvale_platform::list::List;
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Starts a platform that answers each call with the same JSON text.
+async fn platform(body: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let answer = [head.as_bytes(), body.as_bytes()].concat();
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await;
+                // The reader may have closed the connection already.
+                let _ = stream.write_all(&answer).await;
+            });
+        }
+    });
+    address
+}
+
+fn listed(name: &str) -> Value {
+    json!({
+        "name": name, "role": "engine", "pool": "drafting", "address": "127.0.0.1:7201",
+        "domain": "bole", "state": "live",
+    })
+}
+
+#[tokio::test]
+async fn odd_entries_of_the_list_are_skipped() {
+    let odd = [
+        "7".to_owned(),
+        "null".to_owned(),
+        "{}".to_owned(),
+        listed("a").to_string().replace("engine", "printer"),
+        listed("a").to_string().replace("live", "resting"),
+        listed("a").to_string().replace("127.0.0.1:7201", "somewhere"),
+        listed("a").to_string().replace("bole", "b o/l&e"),
+        listed("a").to_string().replace("\"a\"", "\"\\udc80\""),
+    ];
+    for entry in &odd {
+        let (first, last) = (listed("large-1"), listed("large-2"));
+        let body = format!("{{\"as_of\":5,\"instances\":[{first},{entry},{last}]}}");
+        let list = List::new(platform(body).await, TIMEOUT).fetch().await;
+        let listing = list.unwrap_or_else(|e| panic!("{entry}: {e}"));
+        let names: Vec<&str> = listing.instances.iter().map(|i| i.name.as_str()).collect();
+        assert_eq!((listing.as_of, &names[..]), (Wall(5), &["large-1", "large-2"][..]));
+    }
+}
