Read past a record of the log without a valid id

What callers saw: on the own interface, no reader got past a record whose id is not one of ours: no configuration, claim, lease or trial behind it was read by any instance, until the platform had dropped the record.

Cause: `Page` was decoded as a whole, and the id of a record is what its writer makes it.

Change: such a record is named by incarnation 0 and its offset, which is the same for every instance and the name of none, and keeps its place, time and data. So offsets have no gap, and the folds decide on the data as on any other: a claim in it is granted to nobody who could send, so a key never runs twice by it.

Old and new builds: an old one stops at the record as it did; no message changes.

--- a/crates/goldcrestvale_platform/src/message.rs
+++ b/crates/goldcrestvale_platform/src/message.rs
@@ -4,7 +4,7 @@
 
 use goldcrestvale_base::{
     domain,
-    id::{Domain, Offset, RecordId},
+    id::{Domain, Incarnation, Offset, RecordId},
     lenient::{self, Entry as LenientEntry},
     time::Wall,
 };
@@ -43,10 +43,12 @@
 
 /// A record of the log.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+#[serde(from = "AnyRecord")]
 pub struct Record {
     /// Position in the stream.
     pub offset: Offset,
-    /// Identity assigned by the writer.
+    /// Identity assigned by the writer. A record of another writer, whose identity has another form,
+    /// has incarnation 0 and its offset as the sequence number.
     pub id: RecordId,
     /// Time at which the platform accepted the record.
     pub written: Wall,
@@ -54,6 +56,26 @@
     pub data: Box<RawValue>,
 }
 
+/// A record of any writer.
+#[derive(Deserialize)]
+struct AnyRecord {
+    offset: Offset,
+    id: LenientEntry<RecordId>,
+    written: Wall,
+    data: Box<RawValue>,
+}
+
+impl From<AnyRecord> for Record {
+    fn from(record: AnyRecord) -> Self {
+        let AnyRecord { offset, id: LenientEntry(id), written, data } = record;
+        let id = id.unwrap_or_else(|e| {
+            log::debug!(offset = offset.0, error:% = e; "record has no valid id");
+            RecordId { incarnation: Incarnation(0), sequence: offset.0 }
+        });
+        Self { offset, id, written, data }
+    }
+}
+
 /// The answer to `GET /streams/{stream}/records?from=N&max=M&wait_ms=W`.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct Page {
--- a/crates/goldcrestvale_platform/tests/odd_entry.rs
+++ b/crates/goldcrestvale_platform/tests/odd_entry.rs
@@ -3,8 +3,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use goldcrestvale_base::time::Wall;
-use goldcrestvale_platform::list::List;
+use goldcrestvale_base::{id::Offset, time::Wall};
+use goldcrestvale_platform::{list::List, log::Log, reader::Reader};
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -64,3 +64,33 @@
         assert_eq!((listing.as_of, &names[..]), (Wall(5), &["large-1", "large-2"][..]));
     }
 }
+
+fn record(offset: u64, id: &Value, data: &str) -> String {
+    format!("{{\"offset\":{offset},\"id\":{id},\"written\":9,\"data\":{data}}}")
+}
+
+fn page(records: &[String], end: u64) -> String {
+    format!("{{\"oldest\":0,\"end\":{end},\"records\":[{}]}}", records.join(","))
+}
+
+fn id(sequence: u64) -> Value {
+    json!(format!("{:032x}-{sequence}", 1))
+}
+
+/// Guards against a stream that no reader gets past a record of another writer.
+#[tokio::test]
+async fn records_with_odd_ids_are_read() {
+    for odd in [json!("not an id"), json!(""), json!(7), json!(null), json!({})] {
+        let records =
+            [record(0, &id(0), "1"), record(1, &odd, "{\"any\":2}"), record(2, &id(2), "3")];
+        let log = Log::new(platform(page(&records, 3)).await, TIMEOUT);
+        let mut reader = Reader::new(log, "config", Offset(0));
+        let read = reader.read(Duration::ZERO).await.unwrap_or_else(|e| panic!("{odd}: {e}"));
+        let data: Vec<&str> = read.iter().map(|record| record.data.get()).collect();
+        assert_eq!(data, ["1", "{\"any\":2}", "3"]);
+        assert_eq!(reader.position(), Offset(3));
+        // All instances name it alike, and by no identity of an instance.
+        assert_eq!(read[1].id.to_string(), format!("{:032x}-1", 0));
+        assert_eq!(read[1].written, Wall(9));
+    }
+}
