Treat a page of the log that does not get on as a failed read

A platform whose answer to a read lacks the records that it announces (an empty page before the end, other offsets, an outdated replica, `410` for a record that is the oldest) was asked for the same page as fast as it answered, and the list of trials kept its records again.

Cause: readers pause after an error and while they wait at the end, and a page without progress was neither.

Change: `Log::read` and `Reader::read` fail with `Malformed` then, so that all callers pause and report the log as out of reach as after any failed read. An old page has no effect where nothing is missing, as before. The list of trials does not go back with an old page.

--- a/crates/goldcrestvale_entry/src/trial_stream.rs
+++ b/crates/goldcrestvale_entry/src/trial_stream.rs
@@ -99,7 +99,8 @@
     wait: Duration,
 ) -> goldcrestvale_platform::Result<(Page, Offset)> {
     let page = node.log.read(STREAM, from, PAGE_RECORDS, wait).await?;
-    let next = page.records.last().map_or(from, |record| record.offset.next());
+    // An old page may be delivered again.
+    let next = page.records.last().map_or(from, |record| record.offset.next()).max(from);
     let decode = |record: &goldcrestvale_platform::message::Record| {
         let decoded = serde_json::from_str(record.data.get());
         decoded
--- a/crates/goldcrestvale_platform/src/log.rs
+++ b/crates/goldcrestvale_platform/src/log.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     client::Client,
-    error::{Result, TrimmedSnafu},
+    error::{MalformedSnafu, Result, TrimmedSnafu},
     message::{Append, Appended, Entry, Page},
 };
 
@@ -55,7 +55,8 @@
     /// # Errors
     ///
     /// Fails with [`Error::Trimmed`](crate::Error::Trimmed) if the stream no longer retains the
-    /// offset, and otherwise if the transport fails.
+    /// offset, with [`Error::Malformed`](crate::Error::Malformed) if the page lacks the record at the
+    /// offset although the stream holds it, and otherwise if the transport fails.
     pub async fn read(
         &self,
         stream: &str,
@@ -67,10 +68,19 @@
         let path = format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
         let answer = self.client.get(&path, wait).await?;
         let page: Page = answer.decode()?;
+        if answer.status == StatusCode::GONE && page.oldest <= from {
+            let detail = format!("record {from} is gone, but {} is the oldest", page.oldest);
+            return MalformedSnafu { call: answer.call, detail }.fail();
+        }
         if answer.status == StatusCode::GONE {
             return TrimmedSnafu { stream, requested: from, oldest: page.oldest, end: page.end }
                 .fail();
         }
+        let has_record = page.records.iter().any(|record| record.offset == from);
+        if !has_record && from < page.end && page.oldest <= from {
+            let detail = format!("it ends at {} and holds no record {from}", page.end);
+            return MalformedSnafu { call: answer.call, detail }.fail();
+        }
         Ok(page)
     }
 }
--- a/crates/goldcrestvale_platform/src/reader.rs
+++ b/crates/goldcrestvale_platform/src/reader.rs
@@ -5,7 +5,7 @@
 use goldcrestvale_base::id::Offset;
 
 use crate::{
-    error::Result,
+    error::{MalformedSnafu, Result},
     log::Log,
     message::{Page, Record},
 };
@@ -56,10 +56,19 @@
     ///
     /// # Errors
     ///
-    /// Fails as [`Log::read`] does; the reader keeps its position, so the call can be retried.
+    /// Fails as [`Log::read`] does, and with [`Error::Malformed`](crate::Error::Malformed) if an old
+    /// page lacks records that the platform has announced; the reader keeps its position, so the call
+    /// can be retried.
     pub async fn read(&mut self, wait: Duration) -> Result<Vec<Record>> {
         let page = self.log.read(&self.stream, self.next, PAGE_RECORDS, wait).await?;
-        Ok(self.accept(page))
+        let end = page.end;
+        let records = self.accept(page);
+        if records.is_empty() && self.next < self.end {
+            let call = format!("a read of stream {} from {}", self.stream, self.next);
+            let detail = format!("it ends at {end}, the stream at {} or later", self.end);
+            return MalformedSnafu { call, detail }.fail();
+        }
+        Ok(records)
     }
 
     /// Returns the records of a page that follow the position without a gap, and advances it.
