Escape names in the paths of the command line

What operators saw: `drain ADDRESS booking-1#x` drained booking-1, and `config get customer 'family?x'` printed the customer family. A blank in a name was reported as an invalid request.

Cause: the names were written into the path as they stood.

Evidence: the new test fails on the code before with `config get customer family#x`, which prints the customer.

Change: each segment of a path is percent-encoded. Names of entities consist of letters, digits, `-`, `_` and `.`, which stay as they are, so every valid command sends what it sent, and instances of any build answer it.

Result: 12 odd ends of a name, for `config get` and `drain`, exit with 2 and name no entity; nothing is leaving afterwards.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -6,6 +6,7 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy, rt::TokioExecutor};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 use snafu::{ResultExt, Snafu};
 
@@ -42,6 +43,15 @@
     pub(super) body: Value,
 }
 
+/// The bytes of a name that are escaped in a path: all but those that stand for themselves in any.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.').remove(b'~');
+
+/// Returns the path of an entity. Each segment is escaped, so a name is that of no other entity.
+pub(super) fn path(segments: &[&str]) -> String {
+    let escape = |segment: &&str| format!("/{}", utf8_percent_encode(segment, ESCAPED));
+    segments.iter().map(escape).collect()
+}
+
 /// Sends one request and waits for its response.
 pub(super) fn call(at: &Endpoint, method: Method, path: &str, body: &[u8]) -> Result<Response> {
     let runtime =
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -105,12 +105,14 @@
         let exit = match &self.action {
             Action::Put(put) => put.run(&self.at),
             Action::Get { kind, name, wait } => {
-                wait.then(&self.at, || get(format!("/config/{kind}/{name}")))
+                wait.then(&self.at, || get(client::path(&["config", kind, name])))
+            }
+            Action::List { kind, wait } => {
+                wait.then(&self.at, || get(client::path(&["config", kind])))
             }
-            Action::List { kind, wait } => wait.then(&self.at, || get(format!("/config/{kind}"))),
             Action::Status { wait: None } => get("/config/status".to_owned()),
             Action::Status { wait: Some(version) } => wait_in_force(&self.at, *version),
-            Action::Outcome { id } => get(format!("/config/changes/{id}")),
+            Action::Outcome { id } => get(client::path(&["config", "changes", id])),
         };
         exit.into()
     }
@@ -174,7 +176,9 @@
             },
         };
         let path = match (&self.id, self.issued) {
-            (Some(id), Some(issued)) => format!("/config/changes/{id}?issued={issued}"),
+            (Some(id), Some(issued)) => {
+                format!("{}?issued={issued}", client::path(&["config", "changes", id]))
+            }
             _ => CHANGES.to_owned(),
         };
         let change = build(&self.kind, &self.name, base, body, &self.operator);
@@ -211,7 +215,7 @@
     kind: &str,
     name: &str,
 ) -> client::Result<Option<Offset>> {
-    let response = client::call(at, Method::GET, &format!("/config/{kind}/{name}"), &[])?;
+    let response = client::call(at, Method::GET, &client::path(&["config", kind, name]), &[])?;
     if response.status == StatusCode::NOT_FOUND {
         return Ok(None);
     }
--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -44,7 +44,7 @@
     pub fn run(self) -> ExitCode {
         let at = Endpoint { at: self.address, token: self.token };
         let path = match &self.upstream {
-            Some(upstream) => format!("/drain/{upstream}"),
+            Some(upstream) => client::path(&["drain", upstream]),
             None => "/drain".to_owned(),
         };
         match client::finish(client::call(&at, Method::POST, &path, &[])) {
--- a/tests/operator_tools.rs
+++ b/tests/operator_tools.rs
@@ -23,7 +23,11 @@
 /// Runs a command to its end and returns its exit code and output.
 async fn run(arguments: &str) -> io::Result<(Option<i32>, String)> {
     let arguments: Vec<String> = arguments.split_whitespace().map(str::to_owned).collect();
-    let mut process = Process::spawn(Path::new(ROUTER), &arguments)?;
+    run_arguments(&arguments).await
+}
+
+async fn run_arguments(arguments: &[String]) -> io::Result<(Option<i32>, String)> {
+    let mut process = Process::spawn(Path::new(ROUTER), arguments)?;
     let code = process.wait().await?;
     Ok((code, process.output().await))
 }
@@ -61,6 +65,33 @@
     Ok(())
 }
 
+// `drain ADDRESS booking-1#x` drained booking-1.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_name_is_that_of_no_other() -> io::Result<()> {
+    let fleet = fleet().await?;
+    let at = fleet.entries[0].operators;
+    let options = format!("--at {at} --token {TOKEN}");
+    let (code, output) = run(&format!("customer {options} put family --credential c")).await?;
+    assert_eq!(code, Some(0), "{output}");
+    for end in ["#x", "?x", "/../booking-1", " ", "&x", "%20", "%", "\u{e9}", "\t", "\n", "\"", "/"]
+    {
+        let get = ["config", "--at", &at.to_string(), "--token", TOKEN, "get", "customer"];
+        let drain = ["drain", &at.to_string(), "--token", TOKEN];
+        for (command, name) in
+            [(&get[..], format!("family{end}")), (&drain, format!("booking-1{end}"))]
+        {
+            let mut arguments: Vec<String> = command.iter().map(|&text| text.to_owned()).collect();
+            arguments.push(name);
+            let (code, output) = run_arguments(&arguments).await?;
+            assert_eq!(code, Some(2), "{arguments:?}: {output}");
+            assert!(output.contains("no customer") || output.contains("no upstream"), "{output}");
+        }
+    }
+    let (_, dump) = run(&format!("dump {at} --token {TOKEN}")).await?;
+    assert!(dump.contains("\"leaving\": false") && !dump.contains("\"leaving\": true"), "{dump}");
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn dump_signal() -> io::Result<()> {
     let mut fleet = fleet().await?;
