Explain requests from logs with lines that are not UTF-8

What operators saw: `goldcrestvale explain` ended with `cannot read FILE` if one line of the log, of another program for example, was not UTF-8.

Cause: the lines were read as text; the error of one was that of the file.

Evidence: the new test fails on the code before (exit code 2 in place of 0).

Change: the lines are read as bytes, and what is not UTF-8 is replaced. A carriage return at the end of a line stays in it, which the JSON of a line ignores.

Result: the test passes; the output is the same as without such lines.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -66,8 +66,8 @@
 }
 
 fn read(path: &Path, lines: &mut Vec<LogLine>) -> io::Result<()> {
-    for text in BufReader::new(fs::File::open(path)?).lines() {
-        let text = text?;
+    for line in BufReader::new(fs::File::open(path)?).split(b'\n') {
+        let text = String::from_utf8_lossy(&line?).into_owned();
         // A log collector may prefix the line with its own fields.
         let Some(start) = text.find('{') else { continue };
         let Ok(fields) = serde_json::from_str::<Value>(&text[start..]) else { continue };
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -40,3 +40,18 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8(output.stderr).expect("text").contains("\"a7\""));
 }
+
+// A line that is not UTF-8 ended the command with an error.
+#[test]
+fn line_of_other_bytes_is_skipped() {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    let log = [b"\xff\xfe {\x80}\n", LOG.as_bytes(), b"\xff\n"].concat();
+    std::fs::write(file.path(), log).expect("a log");
+    let output = Command::new(env!("CARGO_BIN_EXE_goldcrestvale"))
+        .args(["explain", "a1"])
+        .arg(file.path())
+        .output()
+        .expect("the program");
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(output.stdout, explain("a1").stdout);
+}
