--- a/crates/goldcrestvale_entry/src/trial_log.rs
+++ b/crates/goldcrestvale_entry/src/trial_log.rs
@@ -351,7 +351,7 @@
             let List { page, is_partial } = host.list().await?;
             let (now, wall) = (host.clock().now(), host.clock().wall());
             if is_partial {
-                warn!(records = page.records.len(); "list of the trials is not whole");
+                warn!(records = page.records.len(); "list of the trials is partial");
                 host.count_failure();
                 host.watch().apply_records(now, wall, &page.records);
             } else {
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -184,7 +184,7 @@
     match &read {
         Ok(List { is_partial: true, page }) => {
             gateway.metrics.count_directory_failure(PARTIAL_LIST);
-            warn!(subject:? = resource, changes = page.changes.len(); "list of the directory is not whole");
+            warn!(subject:? = resource, changes = page.changes.len(); "list of the directory is partial");
         }
         Ok(_) => {}
         Err(_) => gateway.metrics.count_directory_failure(call),
--- a/tests/odd_answer.rs
+++ b/tests/odd_answer.rs
@@ -31,8 +31,7 @@
         let raw = Self { address: listener.local_addr()?, answer: Arc::default() };
         let answer = raw.answer.clone();
         tokio::spawn(async move {
-            loop {
-                let (mut stream, _) = listener.accept().await?;
+            while let Ok((mut stream, _)) = listener.accept().await {
                 let answer = answer.clone();
                 tokio::spawn(async move {
                     let mut request = [0; 8_192];
@@ -43,8 +42,6 @@
                     let _ = stream.write_all(&bytes).await;
                 });
             }
-            #[allow(unreachable_code)]
-            Ok::<(), io::Error>(())
         });
         Ok(raw)
     }
