Pause after a read that found nothing and did not wait for it

What callers saw: nothing yet. A store that answers a waiting read at once, without a record, was asked again as fast as it answered, for the configuration and for the trials; the calls of all instances share a rate and are priced.

Cause: both tasks rely on the store to wait.

Change: a read that took less than 100 ms and found nothing is followed by a pause of 100 ms. A read that waits, and one that found something, are followed by what they were.

--- a/crates/goldcrestvale_entry/src/trial_log.rs
+++ b/crates/goldcrestvale_entry/src/trial_log.rs
@@ -27,7 +27,8 @@
 /// noticed.
 const READ_WAIT: Duration = Duration::from_secs(3);
 
-/// Pause after a read that found records, so that several of them are read at once.
+/// Pause after a read that found records, so that several of them are read at once, and after one that
+/// found nothing and did not wait for it.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after a failed call.
@@ -310,9 +311,11 @@
 /// Follows the log until the token is cancelled.
 pub async fn follow<H: Host>(host: Arc<H>, stop: CancellationToken) {
     loop {
+        let started = host.clock().now();
         let Some(read) = stop.run_until_cancelled(read(&host)).await else { return };
+        let is_early = host.clock().now().since(started) < READ_PAUSE;
         let pause = match read {
-            Ok(0) => Duration::ZERO,
+            Ok(0) if !is_early => Duration::ZERO,
             Ok(_) => READ_PAUSE,
             Err(Error::Trimmed) => {
                 host.position().set_next(None);
--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -30,6 +30,9 @@
 /// instances of the failure domain notice after little more than that time that the reads ended.
 const WAIT_PART: u32 = 5;
 
+/// Pause after a read that found nothing and did not wait for it.
+const EARLY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Follows the configuration until the token is cancelled.
 pub(crate) async fn sync_configuration<P: Port>(gateway: Arc<Gateway<P>>, stop: CancellationToken) {
     let wait = gateway.settings.directory.configuration_bound / WAIT_PART;
@@ -88,6 +91,10 @@
         }
         gateway.directory.configuration().record_read(started, gateway.now());
         gateway.send_read().await;
+        let is_early = is_empty && gateway.now().since(started) < EARLY_PAUSE;
+        if is_early && stop.run_until_cancelled(tokio::time::sleep(EARLY_PAUSE)).await.is_none() {
+            return;
+        }
     }
 }
 
