Pause where listed records are dropped before they are read on

What callers saw: nothing yet. Where a store drops records as soon as they are written, each read of the configuration after a list is answered with 410, and the list was read again at once.

Cause: a dropped history is followed by a list without a pause, which is right once.

Change: the second such answer in a row, without a read between, is a failed read and followed by its pause. The first is still followed by a list at once (`shared_reads::dropped_history_is_listed_at_once`).

--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -38,6 +38,8 @@
     let wait = gateway.settings.directory.configuration_bound / WAIT_PART;
     let pace = Pace { interval: Duration::ZERO, update_interval: wait };
     let mut next = None;
+    // Whether the records after the last list were dropped, and none was read since.
+    let mut was_trimmed = false;
     let mut is_reachable = true;
     let mut is_unreadable = false;
     loop {
@@ -53,6 +55,11 @@
             Ok(List { page, .. }) => page,
             Err(Error::Trimmed { .. }) => {
                 next = None;
+                if std::mem::replace(&mut was_trimmed, true) {
+                    // What was listed is dropped before it can be read on from there.
+                    let draw = gateway.random_unit();
+                    gateway.directory.configuration().record_failure(gateway.now(), draw);
+                }
                 continue;
             }
             Err(_) => {
@@ -61,6 +68,7 @@
                 continue;
             }
         };
+        was_trimmed &= next.is_none();
         next = Some(page.next);
         let is_empty = page.changes.is_empty();
         for change in page.changes {
