--- a/review/harness-2/lab.rs
+++ b/review/harness-2/lab.rs
@@ -213,6 +213,8 @@
 #[derive(Default)]
 struct StoreState {
     topics: BTreeMap<String, Vec<(Instant, Entry)>>,
+    /// Offset of the first record of each topic that can still be read.
+    first: BTreeMap<String, usize>,
     /// Whether all calls are refused with 503.
     is_down: bool,
     era: u64,
@@ -264,6 +266,15 @@
         changed.notify_all();
     }
 
+    /// Deletes the records of the operator and of the servers but for the newest one of each key.
+    pub fn compact(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        for topic in [OPERATOR, SERVERS] {
+            let end = state.topics.get(topic).map_or(0, Vec::len);
+            state.first.insert(topic.to_owned(), end);
+        }
+    }
+
     /// Comes back from a copy of this age: the entries of the servers since then are lost.
     pub fn restore(&self, age: Duration) {
         let (lock, changed) = &*self.state;
@@ -318,13 +329,14 @@
                 if state.is_down {
                     break Response::new(503, "");
                 }
-                if from > end {
-                    break json(410, r#"{"first":0}"#.to_owned());
+                let first = state.first.get(&topic).copied().unwrap_or(0);
+                if from > end || from < first {
+                    break json(410, format!(r#"{{"first":{first}}}"#));
                 }
                 if end > from || left.is_zero() {
                     let mut body = Vec::new();
                     body.extend_from_slice(&(end as u64).to_be_bytes());
-                    body.extend_from_slice(&0_u64.to_be_bytes());
+                    body.extend_from_slice(&(first as u64).to_be_bytes());
                     let entries = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
                     for (_, (key, value)) in &entries[from..] {
                         let length = 1 + key.len() + value.len();
