Pass on a promise of "not run" only where the upstream states it

A service that runs a request and fails at its end answers 503, the gateway passed that on, and callers take 503, as 408, 421 and 429, for the promise that the request did not run and never will.

Cause: `plain::deliver`, `stream::deliver` and `relay::deliver` passed on any signed answer with its status. `ResponseHead::is_not_run` was asked only to decide whether the request may go elsewhere.

Change: `route::promise` decides which statuses promise "not run" and which answers may make that promise; the words of an upstream that state it are decoded in `platform/`, as before. An answer that may not be passed on becomes a 502 of the instance's own, without a header of the upstream. Requests of safe routes and of streams that may be resumed get what they got. An answer that a peer passes on, also one of an older build, counts as an upstream's if it is signed; the peer's own rejections stay promises. Nothing changes before the answer leaves: retries, pauses and crash reports are decided by the status of the upstream, which the line of the request has as `upstream_status`.

--- a/crates/goldcrestvale_gateway/src/error_response.rs
+++ b/crates/goldcrestvale_gateway/src/error_response.rs
@@ -49,6 +49,14 @@
         Self { status, cause: "late", detail: detail.into(), retry_after: None }
     }
 
+    /// Creates a response in place of an upstream's answer whose status promises that the request did
+    /// not run, which the upstream does not state.
+    pub(crate) fn unstated_rejection(status: StatusCode) -> Self {
+        let detail =
+            format!("answered {status} without the statement that the request did not run");
+        Self::may_have_run("unstated rejection", detail)
+    }
+
     pub(crate) fn to_response(&self) -> Response<Body> {
         let mut response = Response::new(full(format!("{}: {}\n", self.cause, self.detail)));
         *response.status_mut() = self.status;
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -14,6 +14,7 @@
 };
 use goldcrestvale_route::{
     forward::{Bounds, Customer, Kind, Refusal as NoMatch, Route, Table},
+    promise,
     quarantine::Hold,
     retry::Exclusions,
 };
@@ -73,6 +74,21 @@
         }
     }
 
+    /// Returns the error response that replaces an upstream's answer which may promise falsely that
+    /// the request did not run; `states_not_run` is whether its sender states that.
+    pub(crate) fn check_promise(
+        &self,
+        status: StatusCode,
+        states_not_run: bool,
+    ) -> Result<(), ErrorResponse> {
+        let is_idempotent = self.route.is_idempotent();
+        let answer = promise::Answer { status: status.as_u16(), states_not_run, is_idempotent };
+        match answer.may_be_forwarded() {
+            true => Ok(()),
+            false => Err(ErrorResponse::unstated_rejection(status)),
+        }
+    }
+
     pub(crate) fn customer_name(&self) -> Option<&str> {
         self.customer.as_ref().map(|customer| customer.name.as_str())
     }
--- a/crates/goldcrestvale_gateway/src/plain.rs
+++ b/crates/goldcrestvale_gateway/src/plain.rs
@@ -128,6 +128,9 @@
         if trial.is_some() {
             matched.trial = trial;
         }
+        if let Outcome::Complete(head, _) = &outcome {
+            matched.trace.upstream_status = Some(head.status);
+        }
         match outcome {
             Outcome::Complete(head, body) if may_answer_yet && head.status.is_server_error() => {
                 sending.may_have_run = true;
@@ -253,6 +256,10 @@
     if !head.status.is_server_error() {
         record_answer(&matched.gateway, matched.content);
     }
+    // A rejection that the upstream states does not get here: the request goes on elsewhere.
+    if let Err(error) = matched.check_promise(head.status, false) {
+        return matched.trace.respond(&error);
+    }
     matched.gateway.port.strip_hop_headers(&mut head.headers);
     if matched.parts.method != http::Method::HEAD {
         head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/goldcrestvale_gateway/src/relay.rs
+++ b/crates/goldcrestvale_gateway/src/relay.rs
@@ -145,6 +145,13 @@
 
 fn deliver<P: Port>(mut matched: Matched<P>, reply: StreamingReply) -> Response<Body> {
     let (mut head, body, connection) = reply.into_parts();
+    let answer = matched.gateway.port.read_response(head.status, &head.headers);
+    // What no upstream has signed is the peer's own, whose rejections are promises. Older builds pass
+    // on an upstream's answer with any status.
+    if let Err(error) = matched.check_promise(head.status, answer.is_not_run || !answer.is_signed) {
+        matched.trace.upstream_status = Some(head.status);
+        return matched.trace.respond(&error);
+    }
     matched.gateway.port.strip_hop_headers(&mut head.headers);
     matched.trace.begin_answer(head.status);
     let answer = Answer { matched, body, connection };
--- a/crates/goldcrestvale_gateway/src/stream.rs
+++ b/crates/goldcrestvale_gateway/src/stream.rs
@@ -155,6 +155,7 @@
         Outcome::Failed(error) => return matched.trace.respond(&error),
     };
     let (mut head, active) = ActiveStream::new(*reply, guard, last_id);
+    matched.trace.upstream_status = Some(head.status);
     matched.gateway.port.strip_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     if head.status != StatusCode::OK {
@@ -195,8 +196,13 @@
             if !head.status.is_server_error() {
                 record_answer(&matched.gateway, matched.content);
             }
-            matched.trace.end("answered", head.status, "");
-            return Response::from_parts(head, full(body));
+            match matched.check_promise(head.status, false) {
+                Ok(()) => {
+                    matched.trace.end("answered", head.status, "");
+                    return Response::from_parts(head, full(body));
+                }
+                Err(error) => error,
+            }
         }
         Err(_) if matched.deadline <= matched.gateway.now() => {
             ErrorResponse::timed_out("no whole answer in time")
--- a/crates/goldcrestvale_gateway/src/trace.rs
+++ b/crates/goldcrestvale_gateway/src/trace.rs
@@ -29,6 +29,9 @@
     pub(crate) attempt: Attempt,
     /// How it waited for a place, or why it got none.
     pub(crate) wait: Option<Wait>,
+    /// Status of the last complete answer or begun stream of an upstream, which the caller may not
+    /// have received.
+    pub(crate) upstream_status: Option<StatusCode>,
     /// Peer that it was passed on to.
     pub(crate) relay: Option<SocketAddr>,
     /// Parts of its prompt that other requests may share.
@@ -68,6 +71,7 @@
             content: None,
             attempt: Attempt::default(),
             wait: None,
+            upstream_status: None,
             relay: None,
             parts: Parts::new(),
             broken_off: Vec::new(),
@@ -172,6 +176,7 @@
             cause = self.wait.as_ref().map(|wait| wait.cause),
             customer_streams = self.share.map_or(0, |share| share.streams),
             customer_share = self.share.map_or(0.0, |share| share.share),
+            upstream_status = self.upstream_status.map(|status| status.as_u16()),
             status = self.status,
             outcome = self.outcome,
             detail = self.detail.as_str(),
--- a/crates/goldcrestvale_route/src/forward/configuration.rs
+++ b/crates/goldcrestvale_route/src/forward/configuration.rs
@@ -109,3 +109,38 @@
         pub customers: Option<Vec<Customer>>,
     }
 }
+
+impl Route {
+    /// Returns whether a request of the route may run more than once.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// use goldcrestvale_route::forward::{Kind, Route};
+    ///
+    /// # let booking = Route {
+    /// #     name: "bookings".to_owned(),
+    /// #     host: "a.example".to_owned(),
+    /// #     prefix: "/book/".to_owned(),
+    /// #     kind: Kind::Unsafe,
+    /// #     timeout: Duration::from_secs(1),
+    /// #     target: Duration::from_secs(1),
+    /// #     target_gap: None,
+    /// #     priority: 0,
+    /// #     split: Default::default(),
+    /// #     attempts: 1,
+    /// #     public: false,
+    /// #     resumable: false,
+    /// # };
+    /// assert!(!booking.is_idempotent());
+    /// assert!(Route { kind: Kind::Safe, ..booking }.is_idempotent());
+    /// ```
+    pub fn is_idempotent(&self) -> bool {
+        match self.kind {
+            Kind::Safe => true,
+            Kind::Unsafe => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+}
--- a/crates/goldcrestvale_route/src/lib.rs
+++ b/crates/goldcrestvale_route/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod links;
 pub mod pipeline;
 pub mod prefix;
+pub mod promise;
 pub mod quarantine;
 pub mod rate_share;
 pub mod repeats;
