Answer a plain service's rejection of a call that may have run with 502

Callers of the own front end got a service's 503, 429, 408 or 421 with the status that promises "not run", beside the verdict `may-have-run` or, for all but 503, even `ran`.

Cause: `service::respond` passed on any status; only 503 was known to be doubtful, and calls with a key counted as settled by the three others. A plain service has no words for "not run".

Change: a call that may run only once gets 502 with the verdict `may-have-run`, and the detail names the status of the service. A key whose call was answered so stays claimed, as it did for 503; a repeat does not run. The answer that another instance has stored goes the same way, since an older build has stored such answers. Idempotent calls get what they got, with the same verdict. The records and messages are unchanged. The stand-in of a service in `odd_answer` moved to `tests/raw`, for both test files.

--- a/crates/goldcrestvale_entry/src/callers/keyed.rs
+++ b/crates/goldcrestvale_entry/src/callers/keyed.rs
@@ -13,7 +13,7 @@
     coordinator,
 };
 use goldcrestvale_peer::events::{AnswerState, StoredResult};
-use goldcrestvale_route::retry::Attempts;
+use goldcrestvale_route::{promise::is_promise, retry::Attempts};
 use goldcrestvale_upstream::{
     Error,
     service::{Answer, Call},
@@ -23,7 +23,7 @@
 
 use super::{
     crash,
-    service::{MAX_ATTEMPTS, PreparedCall, choose, respond, verdict_of},
+    service::{self, MAX_ATTEMPTS, PreparedCall, choose},
     trace::Trace,
 };
 use crate::{
@@ -102,7 +102,7 @@
             if let Some(upstream) = &upstream {
                 trace.set_upstream(upstream, attempts);
             }
-            result.map(|answer| respond(&answer))
+            result.and_then(|answer| forward(&answer))
         }
         Err(e) => Err(Refusal::new(Verdict::MayHaveRun, Cause::Internal, e.to_string())),
     }
@@ -187,7 +187,8 @@
     CallResult { upstream: tried.last().cloned(), attempts: tried.len() as u32, result }
 }
 
-/// Caches a complete answer for retries of the call and ends the claim.
+/// Caches a complete answer for retries of the call and ends the claim. An answer that may come from
+/// a service which rejected the call does not settle it.
 fn finish(
     node: &Node,
     claim: Claim<claim::Dispatched>,
@@ -195,11 +196,12 @@
     answer: Answer,
 ) -> Arc<Answer> {
     let answer = Arc::new(answer);
-    if verdict_of(&answer) == Verdict::Ran {
-        node.claims.answers().insert(claim.key(), answer.clone(), node.clock.now());
-        completion.report_settled(claim.settle(answer.status.as_u16()));
-    } else {
+    let status = answer.status.as_u16();
+    if is_promise(status) {
         completion.report_unanswered(claim.lose());
+    } else {
+        node.claims.answers().insert(claim.key(), answer.clone(), node.clock.now());
+        completion.report_settled(claim.settle(status));
     }
     answer
 }
@@ -208,7 +210,7 @@
 fn replay(node: &Node, claim: Claim<Lost>, outcome: &OwnerAnswer) -> Result<Response<Body>> {
     let key = claim.key();
     match (outcome, node.claims.answers().get(&key)) {
-        (OwnerAnswer::Ran, Some(answer)) => Ok(respond(&answer)),
+        (OwnerAnswer::Ran, Some(answer)) => forward(&answer),
         _ => Err(claimed(node, claim.end(outcome))),
     }
 }
@@ -232,7 +234,7 @@
             return Err(claimed(node, claim.end(&outcome_in_log(standing))));
         };
         match stored.state {
-            AnswerState::Settled => return forward(stored),
+            AnswerState::Settled => return forward_stored(stored),
             AnswerState::Running if left > QUERY_PAUSE => tokio::time::sleep(QUERY_PAUSE).await,
             AnswerState::Running => return Err(claimed(node, claim.end(&OwnerAnswer::MayHaveRun))),
             AnswerState::TooLong => return Err(claimed(node, claim.end(&OwnerAnswer::Ran))),
@@ -252,14 +254,20 @@
     }
 }
 
-fn forward(stored: StoredResult) -> Result<Response<Body>> {
+/// Forwards the answer to a keyed call, which may run only once.
+fn forward(answer: &Answer) -> Result<Response<Body>> {
+    service::forward(answer, false)
+}
+
+/// Forwards the answer that another instance has stored.
+fn forward_stored(stored: StoredResult) -> Result<Response<Body>> {
     let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     let header = |header: &goldcrestvale_peer::events::Header| {
         let name = header.name.parse::<HeaderName>().ok()?;
         Some((name, HeaderValue::from_bytes(&header.value).ok()?))
     };
     let headers: HeaderMap = stored.headers.iter().filter_map(header).collect();
-    Ok(respond(&Answer { status, headers, body: stored.body }))
+    forward(&Answer { status, headers, body: stored.body })
 }
 
 /// Returns the refusal of a call whose key another call holds.
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -10,13 +10,14 @@
     verdict::Verdict,
 };
 use goldcrestvale_config::record;
-use goldcrestvale_route::{balance::Choice, retry::Attempts};
+use goldcrestvale_route::{balance::Choice, promise, retry::Attempts};
 use goldcrestvale_upstream::{
     Error,
     service::{Answer, Call},
 };
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, response::Parts,
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header,
+    response::Parts,
 };
 use hyper::body::Incoming;
 use opentelemetry::KeyValue;
@@ -69,7 +70,11 @@
         let detail = format!("{} may not use service {}", caller.customer, target.service);
         Refusal::unsent(Cause::NotBound, detail)
     })?;
-    let key = read_key(&service.body, &target, &request)?;
+    let is_idempotent = is_idempotent(&service.body, &target, request.method());
+    let key = match is_idempotent {
+        true => None,
+        false => read_key(&service.body, &target, &request)?,
+    };
     let (head, incoming) = request.into_parts();
     let body = super::read_body(&node, &caller, &head, incoming, &mut guard).await?;
     let closer = head.extensions.get::<Closer>().map(|closer| closer.token().clone());
@@ -85,6 +90,7 @@
     ]);
     let prepared = PreparedCall {
         content,
+        is_idempotent,
         owner: Owner::named(caller.customer.as_str()),
         closer: closer.unwrap_or_default(),
         pool: service.body.pool.clone(),
@@ -111,6 +117,8 @@
 pub(super) struct PreparedCall {
     /// Identifier of the content, by which the call is recognized when it comes again.
     pub(super) content: Content,
+    /// Whether the call may run more than once.
+    is_idempotent: bool,
     /// The customer that its answer counts for.
     owner: Owner,
     /// Closes the connection of its caller.
@@ -158,7 +166,7 @@
         let failure = match fetch(&node, &prepared, row.address).await {
             Ok(Fetched::Answer(answer)) => {
                 crash::record_answer(&node, prepared.content);
-                return Ok(respond(&answer));
+                return forward(&answer, prepared.is_idempotent);
             }
             Ok(Fetched::NoMemory(verdict, detail)) => {
                 return Err(Refusal::new(verdict, Cause::Upstream, detail));
@@ -218,6 +226,14 @@
     }
 }
 
+/// Returns whether a call may run more than once, by the settings of its service.
+fn is_idempotent(service: &record::Service, target: &Target, method: &Method) -> bool {
+    let is_listed = |m: &&record::Method| {
+        m.method == method.as_str() && target.rest.starts_with(m.path.as_str())
+    };
+    service.methods.iter().find(is_listed).is_some_and(|m| m.idempotent)
+}
+
 /// Returns the idempotency key of a call that is not idempotent. Such a call needs one unless its
 /// service accepts calls without.
 fn read_key(
@@ -225,14 +241,6 @@
     target: &Target,
     request: &Request<Incoming>,
 ) -> Result<Option<Key>> {
-    let method = request.method().as_str();
-    let listed = service
-        .methods
-        .iter()
-        .find(|m| m.method == method && target.rest.starts_with(m.path.as_str()));
-    if listed.is_some_and(|m| m.idempotent) {
-        return Ok(None);
-    }
     if let Some(text) = request.headers().get(names::IDEMPOTENCY_KEY) {
         let key = text.to_str().ok().and_then(|text| text.parse::<Key>().ok());
         let detail = "Idempotency-Key is not a version 7 UUID";
@@ -245,6 +253,7 @@
         // Sent at most once, since a call is retried only while nothing of it was sent.
         return Ok(None);
     }
+    let method = request.method();
     let detail = format!("{method} {} is not idempotent and needs Idempotency-Key", target.rest);
     Err(Refusal::unsent(Cause::KeyMissing, detail))
 }
@@ -299,20 +308,30 @@
 }
 
 /// Builds the response that forwards an answer to the caller.
-pub(super) fn respond(answer: &Answer) -> Response<Body> {
+///
+/// # Errors
+///
+/// Fails if the answer may promise falsely that the call did not run.
+pub(super) fn forward(answer: &Answer, is_idempotent: bool) -> Result<Response<Body>> {
+    let status = answer.status.as_u16();
+    // A plain service has no words for it.
+    let states_not_run = false;
+    if (promise::Answer { status, states_not_run, is_idempotent }).may_be_forwarded() {
+        return Ok(respond(answer));
+    }
+    let detail = format!("the service answered {}, and the call may have run", answer.status);
+    Err(Refusal::new(Verdict::MayHaveRun, Cause::Upstream, detail))
+}
+
+fn respond(answer: &Answer) -> Response<Body> {
     let mut response = Response::new(body::full(answer.body.clone()));
     *response.status_mut() = answer.status;
     *response.headers_mut() = without_hop_headers(&answer.headers);
-    let verdict = HeaderValue::from_static(verdict_of(answer).as_str());
-    response.headers_mut().insert(names::VERDICT, verdict);
-    response
-}
-
-/// Returns the verdict that follows from a complete answer.
-pub(super) fn verdict_of(answer: &Answer) -> Verdict {
-    match answer.status {
+    let verdict = match answer.status {
         // The service may have rejected the call before it ran.
         StatusCode::SERVICE_UNAVAILABLE => Verdict::MayHaveRun,
         _ => Verdict::Ran,
-    }
+    };
+    response.headers_mut().insert(names::VERDICT, HeaderValue::from_static(verdict.as_str()));
+    response
 }
--- a/tests/odd_answer.rs
+++ b/tests/odd_answer.rs
@@ -1,66 +1,17 @@
 //! Answers of plain services whose status, fields or trailers are of no form that the protocol
 //! allows, at the own front end.
-#![allow(clippy::unwrap_used)]
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-};
+mod raw;
+
+use std::io;
 
 use goldcrestvale_standin::{
     caller::{Answer, Caller},
     fleet::{Builder, Fleet, Programs, SERVICE},
 };
 use http::{Method, StatusCode};
-use serde_json::json;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
-};
-
-/// A service that answers each call with the bytes that were set last.
-struct Raw {
-    address: SocketAddr,
-    answer: Arc<Mutex<Vec<u8>>>,
-}
 
-impl Raw {
-    async fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let raw = Self { address: listener.local_addr()?, answer: Arc::default() };
-        let answer = raw.answer.clone();
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let answer = answer.clone();
-                tokio::spawn(async move {
-                    let mut request = [0; 8_192];
-                    let read = stream.read(&mut request).await.unwrap_or_default();
-                    let is_load = request[..read].windows(6).any(|text| text == b"/load ");
-                    let bytes = if is_load { load() } else { answer.lock().unwrap().clone() };
-                    // The reader may have closed the connection already.
-                    let _ = stream.write_all(&bytes).await;
-                });
-            }
-        });
-        Ok(raw)
-    }
-}
-
-fn load() -> Vec<u8> {
-    let body = json!({
-        "upstream": "raw-1", "incarnation": "1", "running": 0, "waiting": 0, "age_ms": 0,
-        "leaving": false,
-    });
-    answer("200", "", &body.to_string()).into_bytes()
-}
-
-fn answer(status: &str, lines: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status} OK\r\nconnection: close\r\ncontent-length: {length}\r\n{lines}\r\n{body}"
-    )
-}
+use raw::{Raw, answer};
 
 fn chunked(trailers: &str) -> String {
     format!(
@@ -114,23 +65,17 @@
         .entry("entry-1", "")
         .start()
         .await?;
-    let raw = Raw::start().await?;
-    let listed = json!({
-        "name": "raw-1", "role": "service", "pool": SERVICE, "address": raw.address,
-        "domain": "local", "state": "live",
-    });
-    Caller::default().post(fleet.platform.address, "/instances", &listed).await?;
-    fleet.wait_dump(0, |dump| !dump["upstreams"]["rows"]["raw-1"]["report"].is_null()).await?;
+    let raw = Raw::start(&fleet).await?;
     for (number, sound) in
         [answer("200", "Fine: x\r\n", BODY), chunked("Fine: x\r\n")].iter().enumerate()
     {
-        *raw.answer.lock().unwrap() = sound.clone().into_bytes();
+        raw.answer_with(sound.clone());
         for answer in calls(&fleet, number).await? {
             assert_eq!((answer.status, &answer.body[..]), (StatusCode::OK, BODY.as_bytes()));
         }
     }
     for (number, odd) in odd_answers().into_iter().enumerate() {
-        *raw.answer.lock().unwrap() = odd.clone().into_bytes();
+        raw.answer_with(odd.clone());
         for answer in calls(&fleet, 100 + number).await? {
             assert!(answer.status.is_server_error(), "{odd:?}: {answer:?}");
             assert_eq!(answer.header("goldcrestvale-verdict"), "may-have-run", "{odd:?}");
