Take only a peer's own answer for its refusal of an older version

A caller whose request a peer had served got 503 with a time to retry, so an unsafe request would have run twice: an upstream's answer with a field `goldcrestvale-outdated`, which the peer passes on, was taken for the peer's refusal, and the request went to the next peer.

Cause: `relay::serve` asked for the field alone.

Evidence: field_of_an_upstream_is_no_refusal fails before this change (503 in place of the 200 of the upstream).

Change: the answer counts as the refusal only if no upstream has signed it. Older builds refuse without a signature as well.

Measured: the test passes, and so do the two of older_version.

--- a/crates/goldcrestvale_gateway/src/relay.rs
+++ b/crates/goldcrestvale_gateway/src/relay.rs
@@ -10,7 +10,9 @@
 use futures_util::stream::unfold;
 use goldcrestvale_base::exchange::Exchange;
 use goldcrestvale_upstream::pool::{PooledConnection, StreamingReply};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, response::Parts,
+};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -94,7 +96,7 @@
         };
         let sent = gateway.relay_pool.open(peer, request, Exchange::new());
         match tokio::time::timeout(matched.deadline.since(now) + GRACE, sent).await {
-            Ok(Ok(reply)) if reply.head.headers.contains_key(OUTDATED) => {
+            Ok(Ok(reply)) if is_outdated(&gateway, &reply) => {
                 detail = "the peers hold an older configuration".to_owned();
             }
             Ok(Ok(reply)) => return deliver(matched, reply),
@@ -111,6 +113,13 @@
     matched.trace.respond(&ErrorResponse::not_run("no relay", detail, RETRY_AFTER))
 }
 
+/// Returns whether an answer is the refusal of a peer that holds an older version only, and not that of
+/// an upstream with such a field.
+fn is_outdated<P: Port>(gateway: &Gateway<P>, reply: &StreamingReply) -> bool {
+    let Parts { status, headers, .. } = &reply.head;
+    headers.contains_key(OUTDATED) && !gateway.port.read_response(*status, headers).is_signed
+}
+
 fn request<P: Port>(
     matched: &Matched<P>,
     peer: SocketAddr,
