Take only a rejection by the log for the statement that nothing was appended

An operator whose change the log answered with 500, 502 or 504 got 503 and the verdict `not-run`, although the change may be in the log and come into force.

Cause: `Error::may_have_appended` was false for every answer with a status, also for those by which the log does not state that the append had no effect.

Change: errors of the call itself (400 to 499) and 503 state it, as docs/INTERFACES.md says; any other status leaves it unknown, and the operator gets the id to ask by.

--- a/crates/goldcrestvale_platform/src/error.rs
+++ b/crates/goldcrestvale_platform/src/error.rs
@@ -30,7 +30,7 @@
         /// The error of the transport.
         detail: String,
     },
-    /// The platform refused the call.
+    /// The platform answered the call with a status that is no success.
     #[snafu(display("the platform at {address} refused {call} with status {status}"))]
     Refused {
         /// Address of the platform.
@@ -64,10 +64,20 @@
     },
 }
 
+/// Returns whether a status states that a call had no effect: an error of the call itself, the rate of
+/// calls, or a log that is down.
+fn is_rejection(status: u16) -> bool {
+    matches!(status, 400..500 | 503)
+}
+
 impl Error {
     /// Returns whether the records of an append that failed this way may be in the log, now or
     /// later.
     pub fn may_have_appended(&self) -> bool {
-        matches!(self, Self::Lost { .. } | Self::Malformed { .. })
+        match self {
+            Self::Lost { .. } | Self::Malformed { .. } => true,
+            Self::Refused { status, .. } => !is_rejection(*status),
+            Self::Connect { .. } | Self::Trimmed { .. } => false,
+        }
     }
 }
