Treat a status that ends no request as a broken answer

A caller got 101, 600, 700 or 999 of an upstream in trouble as its answer; a 101 that nobody asked for also ends the protocol of the caller's connection. A status that an owner of a key had stored and that is none became 200.

Cause: the HTTP library reads any status from 100 to 999 and takes 101 for a final answer, and nothing behind it asked whether a status ends a request. The stored status of a peer fell back to 200.

Evidence: with the statuses 101, 199, 600, 700 and 999 added to the tests of odd answers, these fail on: odd_head_of_a_service (HTTP/1.1 and HTTP/2), odd_head_is_retried_at_another_service, odd_head_of_an_engine, odd_early_answer, odd_head_of_a_peer, odd_answer_is_a_failure of the own front end, odd_status_is_no_answer and odd_frames_are_no_answer of the client, odd_status_is_no_load_report, odd_status_of_an_owner_is_a_failure. Reads of the store, trailers and 199 were handled, their tests pass before and after.

Change: the pool that sends all requests to upstreams, peers, engines and the store takes only 200 to 599 for the end of a request (RFC 9110, 15); anything else is a broken answer like 000, with the same verdict, retries and reports. A stored status goes through the same check.

--- a/crates/goldcrestvale_entry/src/callers/keyed.rs
+++ b/crates/goldcrestvale_entry/src/callers/keyed.rs
@@ -17,6 +17,7 @@
 use goldcrestvale_upstream::{
     Error,
     service::{Answer, Call},
+    status::is_final,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use opentelemetry::KeyValue;
@@ -261,7 +262,12 @@
 
 /// Forwards the answer that another instance has stored.
 fn forward_stored(stored: StoredResult) -> Result<Response<Body>> {
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let status = StatusCode::from_u16(stored.status).ok().filter(|status| is_final(*status));
+    let Some(status) = status else {
+        let detail =
+            format!("the call ran, and its stored status {} ends no request", stored.status);
+        return Err(Refusal::new(Verdict::Ran, Cause::Upstream, detail));
+    };
     let header = |header: &goldcrestvale_peer::events::Header| {
         let name = header.name.parse::<HeaderName>().ok()?;
         Some((name, HeaderValue::from_bytes(&header.value).ok()?))
--- a/crates/goldcrestvale_upstream/src/lib.rs
+++ b/crates/goldcrestvale_upstream/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 pub mod prefix;
 pub mod service;
+pub mod status;
 
 pub use error::{Error, Result};
 
--- a/crates/goldcrestvale_upstream/src/pool.rs
+++ b/crates/goldcrestvale_upstream/src/pool.rs
@@ -23,6 +23,7 @@
         BrokenSnafu, Error, MalformedSnafu, OversizedSnafu, Result, TimeoutSnafu, UnsentSnafu,
     },
     exchange_body::ExchangeBody,
+    status,
 };
 
 /// Limits of a pool and of the calls through it.
@@ -340,6 +341,10 @@
             }
         };
         let (head, body) = response.into_parts();
+        if !status::is_final(head.status) {
+            let detail = format!("status {} ends no request", head.status.as_u16());
+            return BrokenSnafu { address, detail }.fail();
+        }
         let pooled = PooledConnection { pool: self.clone(), address, connection };
         Ok(Attempt::Answered(StreamingReply { head, body, pooled }))
     }
--- a/crates/goldcrestvale_upstream/tests/odd_answer.rs
+++ b/crates/goldcrestvale_upstream/tests/odd_answer.rs
@@ -8,6 +8,7 @@
 use goldcrestvale_upstream::{
     Error, Result,
     pool::{Limits, Pool, Protocol, Reply},
+    service::Service,
 };
 use http::Request;
 use tokio::{
@@ -17,8 +18,9 @@
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Statuses that are none.
-const STATUSES: [&str; 8] = ["000", "099", "20", "1000", "-1", "+20", "2 0", "2x0"];
+/// Statuses that are none, or that end no request.
+const STATUSES: [&str; 12] =
+    ["000", "099", "20", "1000", "-1", "+20", "2 0", "2x0", "101", "600", "700", "999"];
 
 /// Names of fields that are none.
 const NAMES: [&[u8]; 9] = [
@@ -232,3 +234,20 @@
         assert_broken(Protocol::Http2, trailer, &field).await;
     }
 }
+
+/// Guards against a load report that is used although its status is none.
+#[tokio::test]
+async fn odd_status_is_no_load_report() {
+    let body =
+        r#"{"upstream":"a","incarnation":"1","running":0,"waiting":0,"age_ms":0,"leaving":false}"#;
+    let report = |status: &str| {
+        let length = body.len();
+        format!("HTTP/1.1 {status} OK\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
+    };
+    let services = Service::new(Limits::default());
+    assert!(services.load(plain(report("200")).await, TIMEOUT).await.is_ok());
+    for status in STATUSES {
+        let load = services.load(plain(report(status)).await, TIMEOUT).await;
+        assert!(matches!(load, Err(Error::Broken { .. })), "{status}: {load:?}");
+    }
+}
--- a/tests/odd_answer.rs
+++ b/tests/odd_answer.rs
@@ -38,7 +38,8 @@
 ];
 
 fn odd_answers() -> Vec<String> {
-    let statuses = ["000", "099", "20", "1000"].map(|status| answer(status, "", BODY));
+    let statuses = ["000", "099", "20", "1000", "101", "199", "600", "700", "999"]
+        .map(|status| answer(status, "", BODY));
     let lines = LINES.iter().flat_map(|line| {
         let line = format!("{line}\r\n");
         let early = format!("HTTP/1.1 103 Early Hints\r\n{line}\r\n{}", answer("200", "", BODY));
--- a/tests/unstated_rejection.rs
+++ b/tests/unstated_rejection.rs
@@ -133,3 +133,16 @@
     }
     Ok(())
 }
+
+/// Guards against a stored status that is none, or that ends no request: it became 200, or reached the
+/// caller as it is.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_status_of_an_owner_is_a_failure() -> io::Result<()> {
+    for status in [0, 99, 101, 199, 600, 999, 1_000] {
+        let answer = call_of_an_owner(status).await?;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{status}: {answer:?}");
+        assert_eq!(answer.header("goldcrestvale-verdict"), "ran", "{status}");
+        assert_ne!(&answer.body[..], BODY.as_bytes(), "{status}");
+    }
+    Ok(())
+}
