Keep an answer that its caller is reading

Cause: the memory of an answer gave way to the next one from the moment at which it was handed to its connection, whether the caller read or not. Beside it, answers that arrived at once each took a part of the memory that the others lacked, and were refused.

Change: `intake::Budget` lets an answer give way only if nothing of it was taken for two seconds. The answer of a request waits for memory, in order, and takes its announced length at once; requests are refused at once, as before. `TrackedBody` hands a body to its connection in pieces of 64 KiB, and each piece counts as a read.

--- a/crates/goldcrestvale_entry/src/activity.rs
+++ b/crates/goldcrestvale_entry/src/activity.rs
@@ -3,7 +3,7 @@
 use std::{
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -11,6 +11,11 @@
 use hyper::body::{Frame, SizeHint};
 use tokio::{sync::watch, time::Instant};
 
+use crate::server::Reader;
+
+/// Maximum size of a piece of a response that is handed to its connection, in bytes.
+const MAX_PIECE: usize = 64 << 10;
+
 /// The state of one connection.
 #[derive(Debug, Clone)]
 pub(crate) struct Activity {
@@ -104,8 +109,8 @@
 
 impl ActiveRequest {
     /// Attaches the request to the body of its response; it ends when the body is dropped.
-    pub(crate) fn attach_to<B>(self, body: B) -> TrackedBody<B> {
-        TrackedBody { body, _request: self }
+    pub(crate) fn attach_to<B>(self, body: B, reader: Reader) -> TrackedBody<B> {
+        TrackedBody { body, rest: Bytes::new(), reader, _request: self }
     }
 }
 
@@ -120,12 +125,24 @@
     }
 }
 
-/// The body of a response, which keeps its request in progress.
+/// The body of a response, which keeps its request in progress. Its data goes to the connection in
+/// pieces, so that what is taken shows whether the caller reads.
 pub(crate) struct TrackedBody<B> {
     body: B,
+    /// The rest of a frame of which a piece was taken.
+    rest: Bytes,
+    reader: Reader,
     _request: ActiveRequest,
 }
 
+impl<B> TrackedBody<B> {
+    fn take_piece(&mut self) -> Frame<Bytes> {
+        self.reader.record();
+        let length = self.rest.len().min(MAX_PIECE);
+        Frame::data(self.rest.split_to(length))
+    }
+}
+
 impl<B: hyper::body::Body<Data = Bytes> + Unpin> hyper::body::Body for TrackedBody<B> {
     type Data = Bytes;
     type Error = B::Error;
@@ -134,14 +151,32 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if !self.rest.is_empty() {
+            return Poll::Ready(Some(Ok(self.take_piece())));
+        }
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx)?);
+        Poll::Ready(frame.map(|frame| {
+            Ok(match frame.into_data() {
+                Ok(data) => {
+                    self.rest = data;
+                    self.take_piece()
+                }
+                Err(frame) => frame,
+            })
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let mut hint = self.body.size_hint();
+        let rest = self.rest.len() as u64;
+        if let Some(upper) = hint.upper() {
+            hint.set_upper(upper + rest);
+        }
+        hint.set_lower(hint.lower() + rest);
+        hint
     }
 }
--- a/crates/goldcrestvale_entry/src/callers/service.rs
+++ b/crates/goldcrestvale_entry/src/callers/service.rs
@@ -39,7 +39,7 @@
     node::Node,
     receive::{self, BodyError},
     refusal::{Cause, Refusal, Result},
-    server::Closer,
+    server::Reader,
     table::Row,
     trial_log::{self, Trial},
 };
@@ -77,7 +77,7 @@
     };
     let (head, incoming) = request.into_parts();
     let body = super::read_body(&node, &caller, &head, incoming, &mut guard).await?;
-    let closer = head.extensions.get::<Closer>().map(|closer| closer.token().clone());
+    let reader = head.extensions.get::<Reader>().cloned();
     let deadline = trace.started() + timeout(&caller, &service.body);
     let requirements = Requirements { priority: binding.body.priority, deadline, cost: 1 };
     guard.attach_slot(admit::enter(&node, &node.calls, &caller, requirements).await?);
@@ -92,7 +92,7 @@
         content,
         is_idempotent,
         owner: Owner::named(caller.customer.as_str()),
-        closer: closer.unwrap_or_default(),
+        reader: reader.unwrap_or_else(|| Reader::new(CancellationToken::new())),
         pool: service.body.pool.clone(),
         call: Call {
             method: head.method,
@@ -121,8 +121,7 @@
     is_idempotent: bool,
     /// The customer that its answer counts for.
     owner: Owner,
-    /// Closes the connection of its caller.
-    closer: CancellationToken,
+    reader: Reader,
     pub(super) pool: String,
     pub(super) call: Call,
     pub(super) deadline: Instant,
@@ -211,7 +210,7 @@
     let left = prepared.deadline.since(node.clock.now());
     let charge = node.intake.enter(prepared.owner, left);
     let limit = node.settings.upstream.answer_bytes;
-    match receive::answer(body, limit, left, charge, prepared.closer.clone()).await {
+    match receive::answer(body, limit, left, charge, prepared.reader.clone()).await {
         Ok(body) => {
             connection.return_to_pool();
             let Parts { status, headers, .. } = head;
--- a/crates/goldcrestvale_entry/src/intake.rs
+++ b/crates/goldcrestvale_entry/src/intake.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers::head_bytes, clock::Clock};
+use crate::{callers::head_bytes, clock::Clock, server::Reader};
 
 /// The result of a request for memory.
 pub type Result<T> = std::result::Result<T, Full>;
@@ -32,6 +32,9 @@
 /// When a caller may retry whose request gave way.
 const YIELDED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Interval at which a holder that waits looks whether answers are still read.
+const READ_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The memory for requests and answers is used up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 #[snafu(display("the memory for requests is used up"))]
@@ -73,6 +76,8 @@
     budget: Budget,
     /// Cancelled when a holder is to give way.
     holders: HashMap<Ticket, CancellationToken>,
+    /// The callers of the answers that were handed over.
+    readers: HashMap<Ticket, Reader>,
 }
 
 /// Memory that counts until it is dropped.
@@ -91,7 +96,7 @@
         let budget = Budget::new(machine.request_bytes());
         let intake = Arc::new(Self {
             clock,
-            table: Mutex::new(Table { budget, holders: HashMap::new() }),
+            table: Mutex::new(Table { budget, holders: HashMap::new(), readers: HashMap::new() }),
             released: Notify::new(),
             refused: meter.u64_counter("goldcrestvale_intake_refused").build(),
         });
@@ -144,6 +149,7 @@
     pub fn make_way(&self) -> bool {
         let now = self.clock.now();
         let mut table = self.table();
+        table.record_reads(now);
         let Some(ticket) = table.budget.make_way(now) else { return false };
         table.cancel(ticket);
         true
@@ -175,6 +181,13 @@
 }
 
 impl Table {
+    /// Records when callers last read of their answers.
+    fn record_reads(&mut self, now: Instant) {
+        for (ticket, reader) in &self.readers {
+            self.budget.record_read(*ticket, reader.read_at(now));
+        }
+    }
+
     fn cancel(&self, ticket: Ticket) {
         if let Some(yielded) = self.holders.get(&ticket) {
             yielded.cancel();
@@ -198,6 +211,9 @@
             let now = intake.clock.now();
             {
                 let mut table = intake.table();
+                if !table.budget.has_room(self.ticket, bytes) {
+                    table.record_reads(now);
+                }
                 match table.budget.grow(now, self.ticket, bytes) {
                     Decision::Granted => {
                         self.bytes += bytes;
@@ -215,9 +231,12 @@
             tokio::select! {
                 () = released => {}
                 () = self.yielded.cancelled() => return Err(self.give_way()),
-                () = tokio::time::sleep(self.until.since(now)) => {
-                    intake.count_refused("full");
-                    return Err(Full { retry_after: YIELDED_RETRY_AFTER });
+                // An answer that is waited for may no longer be read.
+                () = tokio::time::sleep(self.until.since(now).min(READ_CHECK_INTERVAL)) => {
+                    if self.until <= intake.clock.now() {
+                        intake.count_refused("full");
+                        return Err(Full { retry_after: YIELDED_RETRY_AFTER });
+                    }
                 }
             }
         }
@@ -243,11 +262,20 @@
         if is_set { Ok(()) } else { Err(self.give_way()) }
     }
 
-    /// Lets this holder give way from now on by cancelling a token.
-    pub fn yield_by(&mut self, token: CancellationToken) {
+    /// Lets an answer wait for memory in place of being refused: its request has run.
+    pub fn set_patient(&mut self) {
+        self.intake.table().budget.set_patient(self.ticket);
+    }
+
+    /// Hands an answer over to its caller. It gives way from now on by closing the caller's connection,
+    /// unless the caller reads.
+    pub fn hand_over(&mut self, reader: Reader) {
+        reader.record();
+        let now = self.intake.clock.now();
         let mut table = self.intake.table();
-        table.budget.set_yields(self.ticket, true);
-        table.holders.insert(self.ticket, token);
+        table.budget.record_read(self.ticket, now);
+        table.holders.insert(self.ticket, reader.closer().clone());
+        table.readers.insert(self.ticket, reader);
     }
 
     /// Waits until this holder has to give way.
@@ -267,6 +295,7 @@
         let mut table = self.intake.table();
         table.budget.leave(self.ticket);
         table.holders.remove(&self.ticket);
+        table.readers.remove(&self.ticket);
         drop(table);
         self.intake.released.notify_waiters();
     }
--- a/crates/goldcrestvale_entry/src/receive.rs
+++ b/crates/goldcrestvale_entry/src/receive.rs
@@ -6,11 +6,11 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use snafu::Snafu;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     intake::{Charge, Full},
     refusal::{Cause, Refusal, Result},
+    server::Reader,
 };
 
 /// Memory that a body without a length takes first, in bytes.
@@ -73,14 +73,14 @@
         return Ok(Bytes::new());
     }
     charge.set_yields(true).map_err(no_room)?;
-    let bytes = receive(body, max_bytes, timeout, charge).await?;
+    let bytes = receive(body, max_bytes, timeout, charge, Growth::Arrived).await?;
     // A body that is complete may have been told to give way at the same moment.
     charge.set_yields(false).map_err(no_room)?;
     Ok(bytes.into())
 }
 
 /// Reads a complete answer of at most `max_bytes` within `timeout`. From then on its memory counts
-/// until it is dropped, and gives way by cancelling the token.
+/// until it is dropped, and gives way by closing the caller's connection unless the caller reads.
 ///
 /// # Errors
 ///
@@ -90,27 +90,36 @@
     max_bytes: usize,
     timeout: Duration,
     mut charge: Charge,
-    closer: CancellationToken,
+    reader: Reader,
 ) -> std::result::Result<Bytes, BodyError> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let bytes = receive(body, max_bytes, timeout, &mut charge).await?;
-    charge.yield_by(closer);
+    charge.set_patient();
+    let bytes = receive(body, max_bytes, timeout, &mut charge, Growth::Announced).await?;
+    charge.hand_over(reader);
     Ok(Bytes::from_owner(Received { bytes, _charge: charge }))
 }
 
-/// Reads a complete body.
-///
-/// The memory that it takes depends on what has arrived of it alone: bytes are copied, since each
-/// received frame keeps the whole buffer that it was read into.
+/// When a body of an announced length takes its memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Growth {
+    /// At once, so that of several bodies that wait for memory none holds what another one lacks.
+    Announced,
+    /// As its bytes arrive.
+    Arrived,
+}
+
+/// Reads a complete body. Its bytes are copied, since each received frame keeps the whole buffer that
+/// it was read into.
 async fn receive(
     body: Incoming,
     max_bytes: usize,
     timeout: Duration,
     charge: &mut Charge,
+    growth: Growth,
 ) -> std::result::Result<Vec<u8>, BodyError> {
-    let receiving = tokio::time::timeout(timeout, receive_frames(body, max_bytes, charge));
+    let receiving = tokio::time::timeout(timeout, receive_frames(body, max_bytes, charge, growth));
     let mut bytes = receiving.await.unwrap_or(Err(BodyError::Late { timeout }))?;
     let capacity = bytes.capacity();
     bytes.shrink_to_fit();
@@ -122,6 +131,7 @@
     mut body: Incoming,
     max_bytes: usize,
     charge: &mut Charge,
+    growth: Growth,
 ) -> std::result::Result<Vec<u8>, BodyError> {
     let oversized = BodyError::Oversized { max_bytes };
     let announced = body.size_hint().exact();
@@ -131,6 +141,10 @@
     }
     let longest = announced.unwrap_or(max_bytes);
     let mut bytes = Vec::new();
+    if let Some(length) = announced.filter(|_| growth == Growth::Announced) {
+        charge.grow(length).await.map_err(no_room)?;
+        bytes.reserve_exact(length);
+    }
     loop {
         let frame = tokio::select! {
             biased;
--- a/crates/goldcrestvale_entry/src/server.rs
+++ b/crates/goldcrestvale_entry/src/server.rs
@@ -1,6 +1,7 @@
 //! An HTTP server with bounded connections and a graceful shutdown.
 
 mod bounds;
+mod reader;
 mod slots;
 mod stream;
 
@@ -26,6 +27,7 @@
 
 pub use bounds::{Bounds, SharedBounds};
 use opentelemetry::metrics::Meter;
+pub use reader::Reader;
 use slots::{Limit, Slot, Slots};
 use stream::Stream;
 
@@ -46,17 +48,6 @@
 /// Bytes that a caller may send on a connection of HTTP/2 before they are read, and on each stream.
 const HTTP2_WINDOW: u32 = 64 << 10;
 
-/// Closes the connection of a request, which finds it among its extensions.
-#[derive(Debug, Clone)]
-pub struct Closer(CancellationToken);
-
-impl Closer {
-    /// Returns the token that closes the connection when cancelled.
-    pub fn token(&self) -> &CancellationToken {
-        &self.0
-    }
-}
-
 /// A service that answers every request.
 pub trait Handler:
     Service<Request<Incoming>, Response = Response<Self::Body>, Error = Infallible>
@@ -238,16 +229,17 @@
     }
     let activity = Activity::new();
     let tracker = activity.clone();
-    let closer = Closer(CancellationToken::new());
-    let closed = closer.token().clone();
+    let closer = CancellationToken::new();
+    let closed = closer.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         let active = tracker.start_request();
-        request.extensions_mut().insert(closer.clone());
+        let reader = Reader::new(closer.clone());
+        request.extensions_mut().insert(reader.clone());
         let service = service.clone();
         async move {
             // On the heap from here on: a stream that was not looked at yet holds its head only.
             let response = Box::pin(service.oneshot(request)).await;
-            response.map(|response| response.map(|body| active.attach_to(body)))
+            response.map(|response| response.map(|body| active.attach_to(body, reader)))
         }
     });
     let builder = builder(bounds.load());
--- a/crates/goldcrestvale_gateway/src/body.rs
+++ b/crates/goldcrestvale_gateway/src/body.rs
@@ -7,11 +7,11 @@
 use goldcrestvale_entry::{
     intake::Charge,
     receive::{self, BodyError},
+    server::Reader,
 };
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::body::Incoming;
 use snafu::Snafu;
-use tokio_util::sync::CancellationToken;
 
 /// Maximum size of an answer that is buffered completely, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -42,7 +42,7 @@
 }
 
 /// Receives the body of an upstream's answer completely. Its memory gives way from then on, by
-/// cancelling the token.
+/// closing the caller's connection, unless the caller reads.
 ///
 /// # Errors
 ///
@@ -51,9 +51,9 @@
 pub(crate) async fn collect(
     body: Incoming,
     timeout: Duration,
-    (charge, closer): (Charge, CancellationToken),
+    (charge, reader): (Charge, Reader),
 ) -> Result<Bytes, Loss> {
-    let received = receive::answer(body, MAX_BUFFERED_BYTES, timeout, charge, closer).await;
+    let received = receive::answer(body, MAX_BUFFERED_BYTES, timeout, charge, reader).await;
     received.map_err(|error| match error {
         BodyError::Full { .. } => Loss::Full(error.to_string()),
         _ => Loss::Broken(error.to_string()),
--- a/crates/goldcrestvale_gateway/src/forward.rs
+++ b/crates/goldcrestvale_gateway/src/forward.rs
@@ -9,7 +9,7 @@
     crash_watch::parts_text,
     intake::{Charge, Full, Owner},
     receive::{self, BodyError},
-    server::Closer,
+    server::Reader,
     trial_log::{Held, Trial},
 };
 use goldcrestvale_route::{
@@ -291,13 +291,12 @@
 }
 
 impl<P> Matched<P> {
-    /// Returns the memory of an answer to the request, which gives way once the caller does not read
-    /// it.
-    pub(crate) fn answer_charge(&self) -> (Charge, CancellationToken) {
+    /// Returns the memory of an answer to the request, and the caller that reads it.
+    pub(crate) fn answer_charge(&self) -> (Charge, Reader) {
         let owner = Owner::named(&self.trace.customer);
         let time = self.deadline.since(self.gateway.now());
-        let closer = self.parts.extensions.get::<Closer>();
-        let closer = closer.map(|closer| closer.token().clone()).unwrap_or_default();
-        (self.gateway.intake.enter(owner, time), closer)
+        let reader = self.parts.extensions.get::<Reader>().cloned();
+        let reader = reader.unwrap_or_else(|| Reader::new(CancellationToken::new()));
+        (self.gateway.intake.enter(owner, time), reader)
     }
 }
--- a/crates/goldcrestvale_route/src/intake/budget.rs
+++ b/crates/goldcrestvale_route/src/intake/budget.rs
@@ -19,6 +19,10 @@
 /// Age from which a holder gives way to a new connection.
 const MIN_YIELDING_AGE: Duration = Duration::from_millis(500);
 
+/// Time without a read after which an answer counts as unread. Callers on slow links read in steps: the
+/// system takes the next bytes once it has sent a part of its buffer.
+const MAX_READ_PAUSE: Duration = Duration::from_secs(2);
+
 goldcrestvale_base::domain! {
     copy
     /// Identifies a holder.
@@ -70,6 +74,10 @@
 /// holders of the customer that holds most give way, first the one that has held most for longest:
 /// its bytes multiplied by its age.
 ///
+/// An answer that is being read does not give way: its request has run, and its memory is free soon.
+/// The answers of other requests wait for that, in the order in which they began; requests are
+/// refused.
+///
 /// # Examples
 ///
 /// ```
@@ -111,6 +119,25 @@
     yields: bool,
     /// Whether it is giving way.
     is_leaving: bool,
+    /// When the caller last read of the answer; `None` for a body, and for an answer that is being
+    /// received.
+    read_at: Option<Instant>,
+    /// Whether it is an answer, which waits for memory: its request has run.
+    is_patient: bool,
+    /// Whether it waits, and if so, for the half of large holders.
+    waits_for_large: Option<bool>,
+}
+
+impl Holder {
+    /// Returns whether it is an answer that its caller is reading.
+    fn is_read(&self, now: Instant) -> bool {
+        self.read_at.is_some_and(|at| now.since(at) < MAX_READ_PAUSE)
+    }
+
+    /// Returns whether its memory becomes free without its giving way, and without that of another.
+    fn is_ending(&self, now: Instant) -> bool {
+        self.waits_for_large.is_none() && (self.is_read(now) || !self.yields)
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -148,6 +175,9 @@
             until,
             yields: false,
             is_leaving: false,
+            read_at: None,
+            is_patient: false,
+            waits_for_large: None,
         };
         self.holders.insert(ticket, holder);
         ticket
@@ -162,11 +192,39 @@
         true
     }
 
+    /// Lets a holder wait for memory in place of being refused: it is the answer of a request that has
+    /// run.
+    pub fn set_patient(&mut self, ticket: Ticket) {
+        if let Some(holder) = self.holders.get_mut(&ticket) {
+            holder.is_patient = true;
+        }
+    }
+
+    /// Records that a holder is an answer of which its caller last read at a time. It can give way
+    /// unless the caller goes on reading.
+    pub fn record_read(&mut self, ticket: Ticket, at: Instant) {
+        if let Some(holder) = self.holders.get_mut(&ticket) {
+            holder.yields = true;
+            holder.read_at = Some(at);
+        }
+    }
+
+    /// Returns whether there is room for more memory of a holder without any giving way.
+    pub fn has_room(&self, ticket: Ticket, bytes: u64) -> bool {
+        let Some(holder) = self.holders.get(&ticket) else { return false };
+        let size = holder.bytes + bytes;
+        let is_large = holder.is_large || size > SMALL_BYTES;
+        let added = if is_large == holder.is_large { bytes } else { size };
+        self.pool(is_large).bytes + added <= self.half
+    }
+
     /// Asks for more memory for a holder.
     pub fn grow(&mut self, now: Instant, ticket: Ticket, bytes: u64) -> Decision {
-        let Some(holder) = self.holders.get(&ticket).copied() else {
+        let Some(holder) = self.holders.get_mut(&ticket) else {
             return Decision::Refused(MIN_RETRY_AFTER);
         };
+        holder.waits_for_large = None;
+        let holder = *holder;
         let size = holder.bytes + bytes;
         let grown =
             Holder { bytes: size, is_large: holder.is_large || size > SMALL_BYTES, ..holder };
@@ -174,6 +232,9 @@
         if holder.is_leaving || added > self.half {
             return Decision::Refused(self.retry_after(now, &grown));
         }
+        if grown.is_patient && self.is_preceded(ticket, grown.is_large) {
+            return self.wait(ticket, grown.is_large);
+        }
         let pool = self.pool(grown.is_large);
         let missing = (pool.bytes + added).saturating_sub(self.half);
         if missing == 0 {
@@ -188,10 +249,32 @@
                 yielding.iter().for_each(|ticket| self.set_leaving(*ticket));
                 Decision::Wait(yielding)
             }
+            None if grown.is_patient && self.is_any_ending(now, ticket, grown.is_large) => {
+                self.wait(ticket, grown.is_large)
+            }
             None => Decision::Refused(self.retry_after(now, &grown)),
         }
     }
 
+    /// Returns whether an earlier answer waits for memory of this half.
+    fn is_preceded(&self, ticket: Ticket, is_large: bool) -> bool {
+        self.holders.range(..ticket).any(|(_, holder)| holder.waits_for_large == Some(is_large))
+    }
+
+    /// Returns whether memory of this half becomes free by itself.
+    fn is_any_ending(&self, now: Instant, own: Ticket, is_large: bool) -> bool {
+        let others = self.holders.iter().filter(|(ticket, _)| **ticket != own);
+        let mut same_half = others.filter(|(_, holder)| holder.is_large == is_large);
+        same_half.any(|(_, holder)| holder.bytes > 0 && holder.is_ending(now))
+    }
+
+    fn wait(&mut self, ticket: Ticket, is_large: bool) -> Decision {
+        if let Some(holder) = self.holders.get_mut(&ticket) {
+            holder.waits_for_large = Some(is_large);
+        }
+        Decision::Wait(Yielding::new())
+    }
+
     /// Sets the memory of a holder that needs less.
     pub fn shrink(&mut self, ticket: Ticket, bytes: u64) {
         if self.holders.get(&ticket).is_some_and(|holder| bytes < holder.bytes) {
@@ -211,7 +294,8 @@
         let candidates = self
             .holders
             .iter()
-            .filter(|(_, holder)| holder.yields && !holder.is_leaving && is_old(holder));
+            .filter(|(_, holder)| holder.yields && !holder.is_leaving && is_old(holder))
+            .filter(|(_, holder)| !holder.is_read(now));
         let (ticket, _) = candidates.max_by_key(|(_, holder)| self.rank(now, holder))?;
         let ticket = *ticket;
         self.set_leaving(ticket);
@@ -242,7 +326,8 @@
             .iter()
             .filter(|(ticket, holder)| {
                 let is_same_half = holder.is_large == grown.is_large;
-                **ticket != own && holder.yields && !holder.is_leaving && is_same_half
+                let can_yield = holder.yields && !holder.is_leaving && !holder.is_read(now);
+                **ticket != own && can_yield && is_same_half
             })
             .map(|(ticket, holder)| (self.rank(now, holder), *ticket, holder.bytes))
             .filter(|(rank, _, _)| *rank >= own_rank || !grown.yields)
--- a/crates/goldcrestvale_route/tests/intake_budget.rs
+++ b/crates/goldcrestvale_route/tests/intake_budget.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use goldcrestvale_base::time::Instant;
-use goldcrestvale_route::intake::{Budget, Decision, Owner, Ticket};
+use goldcrestvale_route::intake::{Budget, Decision, Owner, Ticket, Yielding};
 use proptest::prelude::*;
 
 const KIB: u64 = 1 << 10;
@@ -92,6 +92,74 @@
     assert!(!budget.set_yields(first, false));
 }
 
+/// Returns an answer that was handed over to its caller, who last read of it now.
+fn handed_over(budget: &mut Budget, now: Instant, bytes: u64) -> Ticket {
+    let ticket = budget.enter(now, now + TIMEOUT, Owner(1));
+    assert_eq!(budget.grow(now, ticket, bytes), Decision::Granted);
+    budget.record_read(ticket, now);
+    ticket
+}
+
+/// Guards against an answer that is cut while its caller reads it.
+#[test]
+fn answer_that_is_read_does_not_give_way() {
+    let mut budget = Budget::new(TOTAL);
+    let answers = [0, 1].map(|step| handed_over(&mut budget, at(step), TOTAL / 4));
+    let asking = budget.enter(at(10), at(10) + TIMEOUT, Owner(2));
+    budget.set_patient(asking);
+    for millis in [10, 1_000, 2_500, 4_000] {
+        answers.iter().for_each(|ticket| budget.record_read(*ticket, at(millis)));
+        let later = at(millis + 500);
+        assert_eq!(budget.grow(later, asking, KIB << 10), Decision::Wait(Yielding::new()));
+        assert_eq!(budget.make_way(later), None);
+        let body = budget.enter(later, later + TIMEOUT, Owner(2));
+        budget.set_yields(body, true);
+        assert!(matches!(budget.grow(later, body, KIB << 10), Decision::Refused(_)));
+        budget.leave(body);
+    }
+    // The first one is not read any more.
+    budget.record_read(answers[1], at(7_000));
+    assert_eq!(
+        budget.grow(at(7_000), asking, KIB << 10),
+        Decision::Wait(Yielding::from_slice(&[answers[0]]))
+    );
+    budget.leave(answers[0]);
+    assert_eq!(budget.grow(at(7_001), asking, KIB << 10), Decision::Granted);
+}
+
+/// Guards against answers that each get a part of the memory that one of them needs.
+#[test]
+fn waiting_answers_get_room_in_order() {
+    let mut budget = Budget::new(TOTAL);
+    let answers = [0, 1].map(|step| handed_over(&mut budget, at(step), TOTAL / 4));
+    let waiting = [10, 11].map(|step| {
+        let ticket = budget.enter(at(step), at(step) + TIMEOUT, Owner(2));
+        budget.set_patient(ticket);
+        assert_eq!(budget.grow(at(step), ticket, KIB << 10), Decision::Wait(Yielding::new()));
+        ticket
+    });
+    budget.leave(answers[0]);
+    assert_eq!(budget.grow(at(20), waiting[1], KIB << 10), Decision::Wait(Yielding::new()));
+    assert_eq!(budget.grow(at(20), waiting[0], KIB << 10), Decision::Granted);
+    assert_eq!(budget.grow(at(21), waiting[1], KIB << 10), Decision::Granted);
+}
+
+/// Guards against answers that wait for each other.
+#[test]
+fn answers_do_not_wait_for_each_other() {
+    let mut budget = Budget::new(TOTAL);
+    let answers = [0, 1].map(|step| {
+        let ticket = budget.enter(at(step), at(step) + TIMEOUT, Owner(1));
+        budget.set_patient(ticket);
+        assert_eq!(budget.grow(at(step), ticket, TOTAL / 4), Decision::Granted);
+        ticket
+    });
+    assert_eq!(budget.grow(at(10), answers[1], KIB << 10), Decision::Wait(Yielding::new()));
+    assert!(matches!(budget.grow(at(11), answers[0], KIB << 10), Decision::Refused(_)));
+    budget.leave(answers[0]);
+    assert_eq!(budget.grow(at(12), answers[1], KIB << 10), Decision::Granted);
+}
+
 #[test]
 fn refusals_name_a_time() {
     let mut budget = Budget::new(TOTAL);
