Count a write that waits for the caller as a request in progress

Cause: a request ended when the HTTP library dropped the body of its response, which it does when it has taken the bytes over. The connection then counted as idle, and an idle one is closed one header timeout after the stop began.

Change: `server::Stream` keeps a request in progress as long as a write waits. A caller that reads nothing is disconnected after the idle time, as before.

--- a/crates/goldcrestvale_entry/src/server/stream.rs
+++ b/crates/goldcrestvale_entry/src/server/stream.rs
@@ -18,7 +18,7 @@
     SharedBounds,
     slots::{Limit, Place},
 };
-use crate::activity::Activity;
+use crate::activity::{ActiveRequest, Activity};
 
 /// The first bytes of a connection of HTTP/2, by which no method of HTTP/1 begins.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
@@ -48,8 +48,15 @@
     protocol: Protocol,
     /// Returns whether the connection may use HTTP/2; nothing is read until then.
     opening: Option<Pin<Box<dyn Future<Output = bool> + Send>>>,
+    blocked: Option<Blocked>,
+}
+
+/// A write that waits for the caller to read.
+struct Blocked {
     /// Ends the connection if nothing can be written until then.
-    blocked: Option<Pin<Box<Sleep>>>,
+    timeout: Pin<Box<Sleep>>,
+    /// The response is in progress until it is written, also once its body was handed over.
+    _response: ActiveRequest,
 }
 
 impl Stream {
@@ -104,9 +111,12 @@
             self.blocked = None;
             return written;
         }
-        let timeout = self.bounds.load().idle_timeout;
-        let blocked = self.blocked.get_or_insert_with(|| Box::pin(sleep(timeout)));
-        ready!(blocked.as_mut().poll(cx));
+        let Self { activity, bounds, .. } = self;
+        let blocked = self.blocked.get_or_insert_with(|| Blocked {
+            timeout: Box::pin(sleep(bounds.load().idle_timeout)),
+            _response: activity.start_request(),
+        });
+        ready!(blocked.timeout.as_mut().poll(cx));
         Poll::Ready(Err(self.exceed(Limit::Unread)))
     }
 
