Keep the mark of an upstream that leaves beside that of the directory

Cause: `Catalog::set_said_leaving` kept the mark only if it changed whether the upstream is ready. Where the directory had marked it before, it was not kept, and the older record undid both.

Change: the mark is kept for the incarnation whatever was known before, and told to the peers once.

--- a/crates/goldcrestvale_gateway/src/catalog.rs
+++ b/crates/goldcrestvale_gateway/src/catalog.rs
@@ -31,6 +31,16 @@
     is_superseded: bool,
 }
 
+impl Row {
+    /// Returns whether `born` is the start time of the upstream, as far as both are known.
+    fn is_incarnation(&self, born: Option<&str>) -> bool {
+        match (born, self.registration.born_ms) {
+            (Some(born), Some(own)) => own.to_string() == born,
+            _ => true,
+        }
+    }
+}
+
 /// The effect of a change on the catalog.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CatalogChange {
@@ -194,22 +204,17 @@
         born: Option<&str>,
         now: Instant,
     ) -> bool {
-        let changed = self.set_leaving(upstream, born, now);
-        if let Some(row) = self.rows.get_mut(upstream).filter(|_| changed) {
-            row.said_leaving = true;
-        }
-        changed
+        self.set_leaving(upstream, born, now);
+        // The directory may have marked it before, and may go back behind that.
+        let row = self.rows.get_mut(upstream).filter(|row| row.is_incarnation(born));
+        row.is_some_and(|row| !std::mem::replace(&mut row.said_leaving, true))
     }
 
     /// Marks an upstream as leaving if `born` is still its start time; returns whether that changed
     /// anything.
     pub fn set_leaving(&mut self, upstream: &Upstream, born: Option<&str>, now: Instant) -> bool {
         let Some(row) = self.rows.get_mut(upstream) else { return false };
-        let is_same_incarnation = match (born, row.registration.born_ms) {
-            (Some(born), Some(own)) => own.to_string() == born,
-            _ => true,
-        };
-        let changed = is_same_incarnation && row.registration.ready;
+        let changed = row.is_incarnation(born) && row.registration.ready;
         if changed {
             row.registration.ready = false;
             row.leaving_since = Some(now);
--- a/crates/goldcrestvale_gateway/tests/upstream_catalog.rs
+++ b/crates/goldcrestvale_gateway/tests/upstream_catalog.rs
@@ -141,6 +141,26 @@
     assert!(!catalog.get(&known.upstream).unwrap().ready);
 }
 
+/// Guards against a leaving upstream that gets work again: the directory marked it first, its own mark
+/// then changed nothing, and an older copy of the directory undid both.
+#[test]
+fn own_mark_outlives_that_of_the_directory() {
+    let mut catalog = Catalog::default();
+    let known = registration("i-1", 1, 1);
+    let leaving = Registration { ready: false, ..registration("i-1", 1, 2) };
+    apply(&mut catalog, &known);
+    apply(&mut catalog, &leaving);
+    assert!(!catalog.set_said_leaving(&known.upstream, Some("7"), Instant(0)));
+    assert!(catalog.set_said_leaving(&known.upstream, Some("1"), Instant(0)));
+    assert!(!catalog.set_said_leaving(&known.upstream, Some("1"), Instant(0)));
+    let restored = page(vec![Change::Registered(known.clone())], 1 << 40);
+    catalog.replace(&restored, Instant(1), None);
+    assert!(!catalog.get(&known.upstream).unwrap().ready);
+    // A restart is no longer leaving.
+    apply(&mut catalog, &Registration { born_ms: Some(2), ..known.clone() });
+    assert!(catalog.get(&known.upstream).unwrap().ready);
+}
+
 // A peer's older list brought back an upstream whose removal had been read.
 #[test]
 fn removal_wins_over_older_presence() {
