Grant no time to return where the store only dropped its history

Cause: a read of dropped records started the time in which vanished records may return, as after an outage or a restore of the store. The adapter reported both alike.

Change: the port tells dropped history from a restore, by the era of the answer. Only a restore, or an outage that was noticed, grants that time. Nothing that instances send each other changes.

--- a/crates/goldcrestvale_gateway/src/directory_sync.rs
+++ b/crates/goldcrestvale_gateway/src/directory_sync.rs
@@ -53,7 +53,7 @@
         log_reachability(Resource::Configuration, &read, &mut is_reachable);
         let page = match read {
             Ok(List { page, .. }) => page,
-            Err(Error::Trimmed { .. }) => {
+            Err(Error::Trimmed { .. } | Error::Restored { .. }) => {
                 next = None;
                 if std::mem::replace(&mut was_trimmed, true) {
                     // What was listed is dropped before it can be read on from there.
@@ -147,7 +147,9 @@
                     gateway.peers.send_changes(changes).await;
                 }
             }
-            Err(Error::Trimmed { .. }) => {
+            // What is listed next is complete: the records of live upstreams have not expired.
+            Err(Error::Trimmed { .. }) => gateway.directory.upstreams().listing.restart(),
+            Err(Error::Restored { .. }) => {
                 let mut upstreams = gateway.directory.upstreams();
                 upstreams.listing.restart();
                 upstreams.start_grace(&gateway);
--- a/crates/goldcrestvale_gateway/src/port.rs
+++ b/crates/goldcrestvale_gateway/src/port.rs
@@ -28,6 +28,13 @@
         /// The requested offset.
         from: Offset,
     },
+    /// The platform came back from an older copy, whose offsets are not those of before; the resource
+    /// must be listed again, and what was written since the copy may be missing for a while.
+    #[snafu(display("the records from offset {from} on are those of an older copy"))]
+    Restored {
+        /// The requested offset.
+        from: Offset,
+    },
     /// The call was rejected and had no effect.
     #[snafu(display("{call} was refused with status {status}"))]
     Refused {
--- a/crates/goldcrestvale_gateway/src/trial_log.rs
+++ b/crates/goldcrestvale_gateway/src/trial_log.rs
@@ -59,7 +59,7 @@
 
 fn error(error: port::Error) -> Error {
     match error {
-        port::Error::Trimmed { .. } => Error::Trimmed,
+        port::Error::Trimmed { .. } | port::Error::Restored { .. } => Error::Trimmed,
         error => Error::Failed(error.to_string()),
     }
 }
