--- a/crates/goldcrestvale_route/src/intake/budget.rs
+++ b/crates/goldcrestvale_route/src/intake/budget.rs
@@ -103,6 +103,8 @@
     half: u64,
     holders: BTreeMap<Ticket, Holder>,
     next: u64,
+    /// Number of holders that wait.
+    waiting: usize,
     small: Pool,
     large: Pool,
 }
@@ -158,6 +160,7 @@
             half: total / 2,
             holders: BTreeMap::new(),
             next: 0,
+            waiting: 0,
             small: Pool::default(),
             large: Pool::default(),
         }
@@ -223,7 +226,7 @@
         let Some(holder) = self.holders.get_mut(&ticket) else {
             return Decision::Refused(MIN_RETRY_AFTER);
         };
-        holder.waits_for_large = None;
+        self.waiting -= usize::from(holder.waits_for_large.take().is_some());
         let holder = *holder;
         let size = holder.bytes + bytes;
         let grown =
@@ -258,7 +261,8 @@
 
     /// Returns whether an earlier answer waits for memory of this half.
     fn is_preceded(&self, ticket: Ticket, is_large: bool) -> bool {
-        self.holders.range(..ticket).any(|(_, holder)| holder.waits_for_large == Some(is_large))
+        let mut earlier = self.holders.range(..ticket);
+        self.waiting > 0 && earlier.any(|(_, holder)| holder.waits_for_large == Some(is_large))
     }
 
     /// Returns whether memory of this half becomes free by itself.
@@ -271,6 +275,7 @@
     fn wait(&mut self, ticket: Ticket, is_large: bool) -> Decision {
         if let Some(holder) = self.holders.get_mut(&ticket) {
             holder.waits_for_large = Some(is_large);
+            self.waiting += 1;
         }
         Decision::Wait(Yielding::new())
     }
@@ -285,7 +290,8 @@
     /// Removes a holder.
     pub fn leave(&mut self, ticket: Ticket) {
         self.resize(ticket, 0);
-        self.holders.remove(&ticket);
+        let holder = self.holders.remove(&ticket);
+        self.waiting -= usize::from(holder.is_some_and(|holder| holder.waits_for_large.is_some()));
     }
 
     /// Chooses the holder that gives way to a new connection, if there is one.
