--- a/crates/goldcrestvale_entry/src/refusal.rs
+++ b/crates/goldcrestvale_entry/src/refusal.rs
@@ -7,7 +7,6 @@
     id::Request,
     verdict::Verdict,
 };
-use goldcrestvale_route::promise;
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
 
@@ -185,29 +184,9 @@
         self
     }
 
-    /// Returns the HTTP status: that of the cause, or 502 if it would promise that a request did not
-    /// run which may have run.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use goldcrestvale_base::verdict::Verdict;
-    /// use goldcrestvale_entry::refusal::{Cause, Refusal};
-    ///
-    /// assert_eq!(Refusal::unsent(Cause::NoUpstream, "no chain").status(), 503);
-    /// assert_eq!(Refusal::new(Verdict::MayHaveRun, Cause::NoUpstream, "no chain").status(), 502);
-    /// ```
-    pub fn status(&self) -> StatusCode {
-        let status = self.cause.status();
-        match promise::fits_verdict(status.as_u16(), self.verdict) {
-            true => status,
-            false => StatusCode::BAD_GATEWAY,
-        }
-    }
-
     /// Returns the problem body.
     pub fn problem(&self, request: Request) -> Problem<'_> {
-        let status = self.status();
+        let status = self.cause.status();
         Problem {
             r#type: "about:blank",
             title: status.canonical_reason().unwrap_or("Refused"),
@@ -224,7 +203,7 @@
     pub fn respond(&self, request: Request) -> Response<body::Body> {
         let text = serde_json::to_vec(&self.problem(request)).unwrap_or_default();
         let mut response = Response::new(body::full(text));
-        *response.status_mut() = self.status();
+        *response.status_mut() = self.cause.status();
         let headers = response.headers_mut();
         let problem = HeaderValue::from_static("application/problem+json");
         headers.insert(header::CONTENT_TYPE, problem);
--- a/crates/goldcrestvale_route/src/promise.rs
+++ b/crates/goldcrestvale_route/src/promise.rs
@@ -4,8 +4,6 @@
 //! upstream can answer with one of these statuses after the request ran; only its own statement
 //! makes the answer a promise.
 
-use goldcrestvale_base::verdict::Verdict;
-
 /// HTTP statuses that promise that the request did not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -23,23 +21,6 @@
     PROMISES.contains(&status)
 }
 
-/// Returns whether an answer may have an HTTP status beside its verdict: a promise needs the verdict
-/// that the request did not run.
-///
-/// # Examples
-///
-/// ```
-/// use goldcrestvale_base::{exchange::Exchange, verdict::Verdict};
-/// use goldcrestvale_route::promise::fits_verdict;
-///
-/// assert!(fits_verdict(503, Exchange::new().refuse()));
-/// assert!(!fits_verdict(503, Verdict::MayHaveRun));
-/// assert!(fits_verdict(409, Verdict::MayHaveRun));
-/// ```
-pub fn fits_verdict(status: u16, verdict: Verdict) -> bool {
-    verdict.is_not_run() || !is_promise(status)
-}
-
 goldcrestvale_base::domain! {
     copy
     /// What is known of an answer, by which its caller decides whether to send the request again.
